--- a/modules/core/src/main/java/org/ragworthook/core/fleet/Address.java
+++ b/modules/core/src/main/java/org/ragworthook/core/fleet/Address.java
@@ -32,12 +32,12 @@
 		if (colon < 1) {
 			throw new IllegalArgumentException("'" + text + "' is not host:port");
 		}
-		String host = text.substring(0, colon);
-		if (host.startsWith("[") && host.endsWith("]")) {
-			host = host.substring(1, host.length() - 1);
+		String number = text.substring(0, colon);
+		if (number.startsWith("[") && number.endsWith("]")) {
+			number = number.substring(1, number.length() - 1);
 		}
 		try {
-			return new Address(host, Integer.parseInt(text.substring(colon + 1)));
+			return new Address(number, Integer.parseInt(text.substring(colon + 1)));
 		}
 		catch (NumberFormatException ex) {
 			throw new IllegalArgumentException("'" + text + "' has no number for a port", ex);
