--- /dev/null
+++ b/modules/core/src/main/java/org/ragworthook/core/close/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Gathers resources and closes them together.
+ */
+package org.ragworthook.core.close;
--- /dev/null
+++ b/modules/wire/src/main/java/org/ragworthook/wire/link/LinkHandler.java
@@ -0,0 +1,138 @@
+package org.ragworthook.wire.link;
+
+import java.util.function.Function;
+import java.util.function.Supplier;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.timeout.IdleState;
+import io.netty.handler.timeout.IdleStateEvent;
+import org.ragworthook.core.log.EventLog;
+import org.ragworthook.wire.message.Frame;
+import org.ragworthook.wire.message.Hello;
+import org.ragworthook.wire.message.Lane;
+import org.ragworthook.wire.message.Ping;
+import org.ragworthook.wire.message.Pong;
+import org.ragworthook.wire.message.Welcome;
+
+/**
+ * One channel's greeting, heartbeat and frames.
+ * <p>
+ * A machine can vanish without a word: its connections then look open for many minutes,
+ * and requests sent there would wait that long. So a link that has been silent sends a
+ * ping, and one that has heard nothing for the timeout is closed, whatever TCP believes.
+ */
+final class LinkHandler extends SimpleChannelInboundHandler<Frame> {
+
+	static final int PROTOCOL = 1;
+
+	private static final EventLog LOG = EventLog.of(LinkHandler.class);
+
+	private final LinkListener listener;
+
+	private final Function<ChannelHandlerContext, Frame> greeting;
+
+	private final boolean accepting;
+
+	private final Lane expectedLane;
+
+	private Link link;
+
+	private LinkHandler(LinkListener listener, Function<ChannelHandlerContext, Frame> greeting, boolean accepting,
+			Lane expectedLane) {
+		this.listener = listener;
+		this.greeting = greeting;
+		this.accepting = accepting;
+		this.expectedLane = expectedLane;
+	}
+
+	static LinkHandler connecting(LinkListener listener, Hello hello) {
+		Frame frame = Frame.newBuilder().setHello(hello.toBuilder().setProtocol(PROTOCOL)).build();
+		return new LinkHandler(listener, (context) -> frame, false, hello.getLane());
+	}
+
+	static LinkHandler accepting(LinkListener listener, Supplier<Welcome> welcome) {
+		return new LinkHandler(listener, (context) -> Frame.newBuilder().setWelcome(welcome.get()).build(), true,
+				Lane.LANE_UNSPECIFIED);
+	}
+
+	@Override
+	public void channelActive(ChannelHandlerContext context) {
+		if (!this.accepting) {
+			context.writeAndFlush(this.greeting.apply(context));
+		}
+	}
+
+	@Override
+	protected void channelRead0(ChannelHandlerContext context, Frame frame) {
+		switch (frame.getBodyCase()) {
+			case HELLO -> hello(context, frame.getHello());
+			case WELCOME -> open(context, this.expectedLane, Remote.of(frame.getWelcome()));
+			case PING -> context.writeAndFlush(
+					Frame.newBuilder().setPong(Pong.newBuilder().setNumber(frame.getPing().getNumber())).build());
+			case PONG -> {
+			}
+			default -> pass(context, frame);
+		}
+	}
+
+	private void hello(ChannelHandlerContext context, Hello hello) {
+		if (!this.accepting || this.link != null || hello.getProtocol() != PROTOCOL
+				|| hello.getLane() == Lane.LANE_UNSPECIFIED || hello.getLane() == Lane.UNRECOGNIZED) {
+			LOG.warning("link_refused", "remote", hello.getInstance(), "protocol", hello.getProtocol(), "lane",
+					hello.getLaneValue());
+			context.close();
+			return;
+		}
+		context.writeAndFlush(this.greeting.apply(context));
+		open(context, hello.getLane(), Remote.of(hello));
+	}
+
+	private void open(ChannelHandlerContext context, Lane lane, Remote remote) {
+		if (this.link == null) {
+			this.link = new Link(context.channel(), lane, remote);
+			this.listener.opened(this.link);
+		}
+	}
+
+	private void pass(ChannelHandlerContext context, Frame frame) {
+		if (this.link == null) {
+			context.close();
+			return;
+		}
+		this.listener.received(this.link, frame);
+	}
+
+	@Override
+	public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
+		if (event instanceof IdleStateEvent idle) {
+			if (idle.state() == IdleState.READER_IDLE) {
+				LOG.warning("link_silent", "remote", remoteName(), "address", context.channel().remoteAddress());
+				context.close();
+			}
+			else if (this.link != null) {
+				context.writeAndFlush(Frame.newBuilder().setPing(Ping.getDefaultInstance()).build());
+			}
+			return;
+		}
+		super.userEventTriggered(context, event);
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext context) {
+		if (this.link != null) {
+			this.listener.closed(this.link);
+		}
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		LOG.debug("link_failed", "remote", remoteName(), "error", cause);
+		context.close();
+	}
+
+	private String remoteName() {
+		return (this.link != null) ? this.link.remote().instance() : "unknown";
+	}
+
+}
