--- /dev/null
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The daemon: starts an entry or a sidecar from its settings.
+ */
+package org.ragworthook.daemon;
