--- /dev/null
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/engine/GenerationCall.java
@@ -0,0 +1,124 @@
+package org.ragworthook.daemon.engine;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.parsetools.RecordParser;
+
+/**
+ * A request for generated text, streamed from the engine.
+ */
+final class GenerationCall extends UpstreamCall {
+
+	private static final int OK = 200;
+
+	private static final int INTERNAL_ERROR = 500;
+
+	private static final String DATA = "data:";
+
+	private static final String EVENT_STREAM = "text/event-stream";
+
+	private static final String JSON = "application/json";
+
+	private final Generation generation;
+
+	private final GenerationEvents events;
+
+	private final RecordParser lines = RecordParser.newDelimited("\n");
+
+	private final Buffer refusal = Buffer.buffer();
+
+	private int status;
+
+	private String contentType = "";
+
+	GenerationCall(Generation generation, CallListener listener) {
+		super(generation.run(), listener);
+		this.generation = generation;
+		this.events = new GenerationEvents(generation);
+		this.lines.handler(this::line);
+	}
+
+	@Override
+	byte[] body() {
+		return this.generation.engineBody();
+	}
+
+	@Override
+	void head(int newStatus, String newContentType) {
+		this.status = newStatus;
+		this.contentType = newContentType;
+	}
+
+	@Override
+	void data(Buffer data) {
+		if (this.status == OK) {
+			this.lines.handle(data);
+		}
+		else {
+			this.refusal.appendBuffer(data);
+		}
+	}
+
+	private void line(Buffer line) {
+		String text = line.toString(StandardCharsets.UTF_8).strip();
+		if (!text.startsWith(DATA)) {
+			return;
+		}
+		try {
+			GenerationEvents.Piece piece = this.events.take(text.substring(DATA.length()).strip());
+			if (!piece.empty()) {
+				output(new CallOutput(OK, run().getStream() ? EVENT_STREAM : JSON, piece.body(), piece.text(),
+						piece.tokens()));
+			}
+		}
+		catch (IOException ex) {
+			failed(ex);
+		}
+	}
+
+	/**
+	 * An event that is not what it should be ends the call. The engine's own error,
+	 * before any text, is its answer; anything else counts as an answer broken off.
+	 * @param ex what is wrong with the event
+	 */
+	private void failed(IOException ex) {
+		if (this.events.error() != null && this.events.tokens() == 0) {
+			byte[] body = ("{\"error\":" + this.events.error() + "}").getBytes(StandardCharsets.UTF_8);
+			output(new CallOutput(INTERNAL_ERROR, JSON, body, "", 0));
+			end(CallEnd.Kind.ANSWERED, ex.getMessage());
+		}
+		else {
+			end(CallEnd.Kind.BROKEN, ex.getMessage());
+		}
+	}
+
+	@Override
+	void responseEnded() {
+		if (this.status != OK) {
+			output(new CallOutput(this.status, this.contentType, this.refusal.getBytes(), "", 0));
+			end(CallEnd.Kind.ANSWERED, "answered with status " + this.status);
+		}
+		else if (!this.events.done()) {
+			end(CallEnd.Kind.BROKEN, "the stream ended before its last event");
+		}
+		else {
+			if (!run().getStream()) {
+				output(new CallOutput(OK, JSON, this.events.whole(), "", 0));
+			}
+			end(CallEnd.Kind.ANSWERED, "answered");
+		}
+	}
+
+	@Override
+	String text() {
+		return this.events.text();
+	}
+
+	@Override
+	int tokens() {
+		return this.events.tokens();
+	}
+
+}
--- /dev/null
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/engine/UpstreamCall.java
@@ -0,0 +1,149 @@
+package org.ragworthook.daemon.engine;
+
+import java.util.Objects;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpHeaders;
+import io.vertx.core.http.RequestOptions;
+import org.ragworthook.wire.message.Run;
+
+/**
+ * One call to the upstream. Its state is confined to the context on which it was started.
+ */
+public abstract class UpstreamCall {
+
+	private final Run run;
+
+	private final CallListener listener;
+
+	private HttpClientRequest request;
+
+	private boolean sent;
+
+	private boolean ended;
+
+	UpstreamCall(Run run, CallListener listener) {
+		this.run = Objects.requireNonNull(run, "run is null");
+		this.listener = Objects.requireNonNull(listener, "listener is null");
+	}
+
+	final void start(HttpClient client, RequestOptions options) {
+		client.request(options).onComplete((connected) -> {
+			if (connected.failed()) {
+				end(CallEnd.Kind.NOT_PASSED_ON, "cannot connect: " + connected.cause().getMessage());
+			}
+			else if (this.ended) {
+				connected.result().reset();
+			}
+			else {
+				send(connected.result());
+			}
+		});
+	}
+
+	private void send(HttpClientRequest connected) {
+		this.request = connected;
+		this.sent = true;
+		if (!this.run.getContentType().isEmpty()) {
+			connected.putHeader(HttpHeaders.CONTENT_TYPE, this.run.getContentType());
+		}
+		if (!this.run.getIdempotencyKey().isEmpty()) {
+			connected.putHeader("Idempotency-Key", this.run.getIdempotencyKey());
+		}
+		connected.send(Buffer.buffer(body())).onComplete((response) -> {
+			if (response.failed()) {
+				end(CallEnd.Kind.BROKEN, "no answer: " + response.cause().getMessage());
+			}
+			else if (!this.ended) {
+				receive(response.result());
+			}
+		});
+	}
+
+	private void receive(HttpClientResponse response) {
+		response.exceptionHandler((failure) -> end(CallEnd.Kind.BROKEN, "answer broke off: " + failure.getMessage()));
+		response.endHandler((ignored) -> responseEnded());
+		response.handler((data) -> {
+			if (!this.ended) {
+				data(data);
+			}
+		});
+		head(response.statusCode(), String.valueOf(response.getHeader(HttpHeaders.CONTENT_TYPE)));
+	}
+
+	/**
+	 * Cancels the call. The connection to the upstream is closed, which frees its slot.
+	 */
+	public final void cancel() {
+		end(CallEnd.Kind.CANCELLED, "cancelled");
+	}
+
+	/**
+	 * Tells whether any of the request was handed to the connection.
+	 * @return whether the upstream may have got it
+	 */
+	public final boolean sent() {
+		return this.sent;
+	}
+
+	final Run run() {
+		return this.run;
+	}
+
+	final void output(CallOutput piece) {
+		if (!this.ended) {
+			this.listener.output(piece);
+		}
+	}
+
+	final void end(CallEnd.Kind kind, String detail) {
+		if (this.ended) {
+			return;
+		}
+		this.ended = true;
+		if (kind != CallEnd.Kind.ANSWERED && this.request != null) {
+			this.request.reset();
+		}
+		this.listener.ended(new CallEnd(kind, detail, text(), tokens()));
+	}
+
+	/**
+	 * Returns the body for the upstream.
+	 * @return bytes
+	 */
+	abstract byte[] body();
+
+	/**
+	 * The head of the answer has come.
+	 * @param status the HTTP status
+	 * @param contentType the type of the content
+	 */
+	abstract void head(int status, String contentType);
+
+	/**
+	 * Data of the answer has come.
+	 * @param data bytes
+	 */
+	abstract void data(Buffer data);
+
+	/**
+	 * The answer's body has ended.
+	 */
+	abstract void responseEnded();
+
+	/**
+	 * Returns what has been generated so far, over all attempts.
+	 * @return text
+	 */
+	abstract String text();
+
+	/**
+	 * Returns how many tokens have been generated so far, over all attempts.
+	 * @return a count
+	 */
+	abstract int tokens();
+
+}
