Add the platform's clients and its stand-ins

Entries need the object API and the list of instances over HTTP, and tests need something that answers there with faults.

HttpObjectStore maps each failure of a write to what is known of its effect: no connection, 409, 413, 429 and 503 had none; a timeout, a broken connection or another 5xx is STORE_OUTCOME_UNKNOWN. A watch is ended after a stated time, so that a half-open connection cannot hide changes. EndpointSliceList reads the list. Both count or bound what they do.

The stand-ins serve the same interfaces: versions, conditional updates, watches with 410, size limit, call rates, outage, silence, delay, lost answers; a list with a lag.

--- /dev/null
+++ b/modules/standin/src/main/java/org/ragworthook/standin/command/StandInProgram.java
@@ -0,0 +1,56 @@
+package org.ragworthook.standin.command;
+
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.spi.SubCommand;
+import org.kohsuke.args4j.spi.SubCommandHandler;
+import org.kohsuke.args4j.spi.SubCommands;
+
+/**
+ * The program {@code ragworthook-standin}. Exit code 0: done; 1: a server could not start
+ * or a run failed; 2: wrong arguments.
+ */
+public final class StandInProgram {
+
+	private static final String NAMES = "object-api|instances|platform";
+
+	@Argument(handler = SubCommandHandler.class, required = true, metaVar = NAMES, usage = "what to run")
+	@SubCommands({ @SubCommand(name = "object-api", impl = ObjectApiCommand.class),
+			@SubCommand(name = "instances", impl = InstancesCommand.class),
+			@SubCommand(name = "platform", impl = PlatformCommand.class) })
+	private Subcommand subcommand;
+
+	private StandInProgram() {
+	}
+
+	/**
+	 * Runs the program.
+	 * @param arguments the subcommand and its options
+	 */
+	public static void main(String[] arguments) {
+		int code = run(arguments);
+		if (code != Subcommand.STAYS_UP) {
+			System.exit(code);
+		}
+	}
+
+	private static int run(String[] arguments) {
+		StandInProgram program = new StandInProgram();
+		CmdLineParser parser = new CmdLineParser(program);
+		try {
+			parser.parseArgument(arguments);
+			return program.subcommand.run();
+		}
+		catch (CmdLineException ex) {
+			System.err.println("ragworthook-standin: " + ex.getMessage() + "; usage: " + NAMES + " [options]");
+			ex.getParser().printUsage(System.err);
+			return 2;
+		}
+		catch (IllegalStateException ex) {
+			System.err.println("ragworthook-standin: " + ex.getMessage());
+			return 1;
+		}
+	}
+
+}
