Hold shards by leases with epochs

Jobs, claims and orders each need one entry in charge that can be replaced while it is paused. A holder counts its time from before its write and gives up a tenth of a period early; a taker waits a whole period without change on its own monotonic clock; each take-over raises the epoch. A released lease is taken at once. Shards are spread evenly by shares that each entry works out alone.

--- /dev/null
+++ b/modules/core/src/test/java/org/ragworthook/core/lease/ShardMapTests.java
@@ -0,0 +1,196 @@
+package org.ragworthook.core.lease;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.ragworthook.core.store.FaultyObjectStore;
+import org.ragworthook.core.store.FaultyObjectStore.Fault;
+import org.ragworthook.core.store.MemoryObjectStore;
+import org.ragworthook.core.store.Stamps;
+import org.ragworthook.core.time.ManualTime;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class ShardMapTests {
+
+	private static final Duration PERIOD = Duration.ofSeconds(6);
+
+	private final MemoryObjectStore store = MemoryObjectStore.empty();
+
+	private final ManualTime time = ManualTime.of();
+
+	private final Set<String> listed = new TreeSet<>();
+
+	private final Map<String, Entry> entries = new HashMap<>();
+
+	private Entry start(String name, int shards) {
+		this.listed.add(name);
+		Entry entry = new Entry(name, shards);
+		this.entries.put(name, entry);
+		entry.map.start();
+		return entry;
+	}
+
+	private List<Integer> counts() {
+		return this.entries.values().stream().map((entry) -> entry.map.held().size()).sorted().toList();
+	}
+
+	private int heldShards() {
+		return this.entries.values()
+			.stream()
+			.flatMap((entry) -> entry.map.held().stream())
+			.collect(Collectors.toSet())
+			.size();
+	}
+
+	@Property(tries = 200, seed = "5")
+	void shouldSumSharesToAllShards(@ForAll @IntRange(max = 400) int shards,
+			@ForAll @IntRange(min = 1, max = 330) int entries) {
+		Set<String> names = IntStream.range(0, entries).mapToObj((rank) -> "e" + rank).collect(Collectors.toSet());
+		List<ShardShare> shares = names.stream().map((name) -> ShardShare.of(shards, names, name)).toList();
+		assertThat(shares.stream().mapToInt(ShardShare::count).sum()).isEqualTo(shards);
+		int least = shares.stream().mapToInt(ShardShare::count).min().orElseThrow();
+		assertThat(shares.stream().allMatch((share) -> share.count() - least <= 1)).isTrue();
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "24, 1", "24, 3", "10, 3", "2, 3", "1, 3" })
+	void shouldSpreadShardsEvenly(int shards, int entries) {
+		IntStream.range(0, entries).forEach((rank) -> this.listed.add("e" + rank));
+		IntStream.range(0, entries).forEach((rank) -> start("e" + rank, shards));
+		this.time.advance(Duration.ofSeconds(3));
+		assertThat(heldShards()).isEqualTo(shards);
+		assertThat(counts().get(entries - 1) - counts().get(0)).isAtMost(1);
+	}
+
+	@Test
+	void shouldMoveOnlySurplusToNewcomer() {
+		start("a", 24);
+		start("b", 24);
+		this.time.advance(Duration.ofSeconds(3));
+		List<Integer> before = this.entries.get("a").map.held();
+		start("c", 24);
+		this.time.advance(Duration.ofSeconds(3));
+		assertThat(counts()).containsExactly(8, 8, 8);
+		assertThat(before).containsAtLeastElementsIn(this.entries.get("a").map.held());
+	}
+
+	// An entry is lost without a word. The shards it held stand still until the others
+	// take
+	// them, which callers notice as jobs without progress.
+	@Test
+	void shouldTakeOverLostEntryWithinTwoPeriods() {
+		start("a", 12);
+		start("b", 12);
+		this.time.advance(Duration.ofSeconds(10));
+		this.entries.get("b").die();
+		this.listed.remove("b");
+		this.time.advance(PERIOD.multipliedBy(2));
+		assertThat(this.entries.get("a").map.held()).hasSize(12);
+	}
+
+	// The platform's list still names an entry that is gone. Its shares would belong to
+	// nobody
+	// and their jobs would never be worked on.
+	@Test
+	void shouldTakeShardsThatNobodyTakes() {
+		this.listed.add("ghost");
+		start("a", 12);
+		this.time.advance(PERIOD.multipliedBy(2));
+		assertThat(this.entries.get("a").map.held()).hasSize(12);
+		this.time.advance(PERIOD.multipliedBy(4));
+		assertThat(this.entries.get("a").events.stream().filter((event) -> event.startsWith("leaving"))).isEmpty();
+	}
+
+	@Test
+	void shouldHandOverWithinOneSecondWhenLeaving() {
+		start("a", 12);
+		start("b", 12);
+		this.time.advance(Duration.ofSeconds(10));
+		this.listed.remove("b");
+		this.entries.get("b").map.leave().join();
+		this.time.advance(Duration.ofSeconds(1));
+		assertThat(this.entries.get("a").map.held()).hasSize(12);
+	}
+
+	// The platform is out for longer than a lease lasts. The entry must stop its work and
+	// say
+	// so to its parts, and go on by itself once the platform is back.
+	@Test
+	void shouldStopWhileStoreIsOutAndGoOnAfterwards() {
+		Entry entry = start("a", 2);
+		this.time.advance(Duration.ofSeconds(3));
+		entry.faulty.plan(Fault.REFUSED);
+		this.time.advance(Duration.ofHours(1));
+		assertThat(entry.map.held()).isEmpty();
+		assertThat(entry.events).containsExactly("taken 0@1", "taken 1@1", "lost 0@1", "lost 1@1");
+		entry.faulty.plan(Fault.NONE);
+		this.time.advance(Duration.ofSeconds(3));
+		assertThat(entry.events.subList(4, 6)).containsExactly("taken 0@1", "taken 1@1");
+	}
+
+	@Test
+	void shouldStayWithinBudgetOfCalls() {
+		Entry entry = start("a", 12);
+		this.time.advance(Duration.ofSeconds(10));
+		int before = entry.faulty.calls().size();
+		this.time.advance(Duration.ofSeconds(60));
+		int perMinute = entry.faulty.calls().size() - before;
+		assertThat(perMinute).isAtMost(60 + 30 * 12);
+	}
+
+	private final class Entry implements ShardListener {
+
+		private final FaultyObjectStore faulty = FaultyObjectStore.over(ShardMapTests.this.store);
+
+		private final List<String> events = new ArrayList<>();
+
+		private final ShardMap map;
+
+		Entry(String name, int shards) {
+			this.map = ShardMap.builder(this.faulty, Stamps.of(name))
+				.time(ShardMapTests.this.time, ShardMapTests.this.time)
+				.listener(this)
+				.entries(() -> Set.copyOf(ShardMapTests.this.listed))
+				.shards("shard", shards)
+				.period(PERIOD)
+				.build();
+		}
+
+		void die() {
+			this.faulty.plan(Fault.DEAD_BEFORE);
+		}
+
+		@Override
+		public void taken(int shard, Lease lease) {
+			this.events.add("taken " + shard + "@" + lease.epoch());
+		}
+
+		@Override
+		public void lost(int shard, Lease lease) {
+			this.events.add("lost " + shard + "@" + lease.epoch());
+		}
+
+		@Override
+		public CompletableFuture<Void> leaving(int shard, Lease lease) {
+			this.events.add("leaving " + shard + "@" + lease.epoch());
+			return CompletableFuture.completedFuture(null);
+		}
+
+	}
+
+}
