--- /dev/null
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/RequestReader.java
@@ -0,0 +1,197 @@
+package org.ragworthook.daemon.entry;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.function.Supplier;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.protobuf.UnsafeByteOperations;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpHeaders;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.ext.web.RoutingContext;
+import org.apache.commons.codec.digest.MurmurHash3;
+import org.ragworthook.core.contract.Account;
+import org.ragworthook.core.contract.Contract;
+import org.ragworthook.core.contract.Service;
+import org.ragworthook.core.contract.ServiceType;
+import org.ragworthook.core.error.AccessException;
+import org.ragworthook.core.error.ConfigException;
+import org.ragworthook.core.error.ErrorCode;
+import org.ragworthook.core.error.RequestException;
+import org.ragworthook.wire.message.Run;
+
+/**
+ * Reads and checks callers' requests against the contract in force.
+ */
+public final class RequestReader {
+
+	/**
+	 * The header that names how many milliseconds the caller waits for the whole answer.
+	 */
+	public static final String DEADLINE_HEADER = "X-Deadline-Millis";
+
+	/** The header that marks resends of one request. */
+	public static final String KEY_HEADER = "Idempotency-Key";
+
+	private static final String BEARER = "Bearer ";
+
+	private static final ObjectMapper JSON = new ObjectMapper();
+
+	private final Supplier<Optional<Contract>> contract;
+
+	private final InstantSource clock;
+
+	private RequestReader(Supplier<Optional<Contract>> contract, InstantSource clock) {
+		this.contract = Objects.requireNonNull(contract, "contract is null");
+		this.clock = Objects.requireNonNull(clock, "clock is null");
+	}
+
+	/**
+	 * Returns a reader.
+	 * @param contract the contract in force
+	 * @param clock the wall clock, for answers' creation times
+	 * @return the reader
+	 */
+	public static RequestReader of(Supplier<Optional<Contract>> contract, InstantSource clock) {
+		return new RequestReader(contract, clock);
+	}
+
+	/**
+	 * Returns the contract in force.
+	 * @return the contract
+	 * @throws ConfigException if none has been accepted yet
+	 */
+	public Contract contract() {
+		return this.contract.get()
+			.orElseThrow(() -> new ConfigException(ErrorCode.CONFIG_ABSENT, "no contract is in force"));
+	}
+
+	/**
+	 * Returns whose request it is.
+	 * @param request the request
+	 * @return the account
+	 * @throws AccessException if the key is missing or unknown
+	 */
+	public Account account(HttpServerRequest request) {
+		String header = request.getHeader(HttpHeaders.AUTHORIZATION);
+		if (header == null || !header.startsWith(BEARER)) {
+			throw new AccessException(ErrorCode.ACCESS_UNKNOWN_KEY, "no key was given");
+		}
+		return contract().accountOfKey(header.substring(BEARER.length()).strip())
+			.orElseThrow(() -> new AccessException(ErrorCode.ACCESS_UNKNOWN_KEY, "the key is not known"));
+	}
+
+	/**
+	 * Reads a request for generated text.
+	 * @param routing the request with its body
+	 * @return the request
+	 * @throws RequestException if it is malformed or names an unknown model
+	 */
+	public OnlineRequest generation(RoutingContext routing) {
+		Account account = account(routing.request());
+		Buffer body = body(routing);
+		JsonNode parsed = parse(body);
+		if (!parsed.path("model").isTextual()) {
+			throw new RequestException(ErrorCode.REQUEST_MALFORMED, "the body has no text 'model'");
+		}
+		String model = parsed.get("model").textValue();
+		Service service = contract().serviceOfModel(model)
+			.orElseThrow(
+					() -> new RequestException(ErrorCode.REQUEST_UNKNOWN_MODEL, "model '" + model + "' is not served"));
+		boolean chat = routing.request().path().startsWith("/v1/chat/");
+		Run.Builder run = run(routing, account, body).setPath(routing.request().path())
+			.setStream(parsed.path("stream").asBoolean(false))
+			.setRepeatable(service.idempotent(HttpMethod.POST.name(), routing.request().path()))
+			.setAnswerId((chat ? "chatcmpl-" : "cmpl-") + UUID.randomUUID().toString().replace("-", ""));
+		return new OnlineRequest(account, service, run.build(), timeout(routing.request(), service));
+	}
+
+	/**
+	 * Reads a request to a plain service.
+	 * @param routing the request with its body
+	 * @param name the service
+	 * @param path the path at the service, with its query
+	 * @return the request
+	 * @throws RequestException if the service is unknown
+	 */
+	public OnlineRequest plain(RoutingContext routing, String name, String path) {
+		Account account = account(routing.request());
+		Service service = contract().service(name)
+			.filter((found) -> found.type() == ServiceType.PLAIN)
+			.orElseThrow(() -> new RequestException(ErrorCode.REQUEST_UNKNOWN_MODEL,
+					"service '" + name + "' is not served"));
+		Run.Builder run = run(routing, account, body(routing)).setPath(path)
+			.setRepeatable(service.idempotent(routing.request().method().name(), path));
+		return new OnlineRequest(account, service, run.build(), timeout(routing.request(), service));
+	}
+
+	private Run.Builder run(RoutingContext routing, Account account, Buffer body) {
+		byte[] bytes = body.getBytes();
+		HttpServerRequest request = routing.request();
+		return Run.newBuilder()
+			.setRequest(UUID.randomUUID().toString())
+			.setMethod(request.method().name())
+			.setContentType(Optional.ofNullable(request.getHeader(HttpHeaders.CONTENT_TYPE)).orElse(""))
+			.setBody(UnsafeByteOperations.unsafeWrap(bytes))
+			.setCreated(this.clock.instant().getEpochSecond())
+			.setAccount(account.name())
+			.setFingerprint(fingerprint(request.path(), bytes))
+			.setIdempotencyKey(Optional.ofNullable(request.getHeader(KEY_HEADER)).orElse(""));
+	}
+
+	/**
+	 * Returns what is the same for requests that are the same.
+	 * @param path the path
+	 * @param body the body
+	 * @return hex digits
+	 */
+	public static String fingerprint(String path, byte[] body) {
+		long[] ofPath = MurmurHash3.hash128x64(path.getBytes(StandardCharsets.UTF_8));
+		long[] ofBody = MurmurHash3.hash128x64(body);
+		return String.format("%016x%016x", ofPath[0] ^ ofBody[0], ofBody[1]);
+	}
+
+	private static Buffer body(RoutingContext routing) {
+		Buffer body = routing.body().buffer();
+		return (body != null) ? body : Buffer.buffer();
+	}
+
+	private static JsonNode parse(Buffer body) {
+		try {
+			JsonNode parsed = JSON.readTree(body.getBytes());
+			if (parsed == null || !parsed.isObject()) {
+				throw new RequestException(ErrorCode.REQUEST_MALFORMED, "the body is no JSON object");
+			}
+			return parsed;
+		}
+		catch (IOException ex) {
+			throw new RequestException(ErrorCode.REQUEST_MALFORMED, "the body is not JSON: " + ex.getMessage(), ex);
+		}
+	}
+
+	private static Duration timeout(HttpServerRequest request, Service service) {
+		String header = request.getHeader(DEADLINE_HEADER);
+		if (header == null) {
+			return service.onlineDeadline();
+		}
+		try {
+			long millis = Long.parseLong(header.strip());
+			if (millis > 0 && millis < Integer.MAX_VALUE) {
+				return Duration.ofMillis(millis);
+			}
+		}
+		catch (NumberFormatException ex) {
+			throw new RequestException(ErrorCode.REQUEST_MALFORMED, DEADLINE_HEADER + " is no number", ex);
+		}
+		throw new RequestException(ErrorCode.REQUEST_MALFORMED, DEADLINE_HEADER + " is out of range");
+	}
+
+}
--- /dev/null
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/http/ErrorResponses.java
@@ -0,0 +1,120 @@
+package org.ragworthook.daemon.http;
+
+import java.time.Duration;
+import java.util.Locale;
+import java.util.Objects;
+import java.util.concurrent.CompletionException;
+
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.json.JsonObject;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+import org.ragworthook.core.error.ErrorCode;
+import org.ragworthook.core.error.RagworthookException;
+import org.ragworthook.core.error.RequestException;
+import org.ragworthook.core.log.EventLog;
+
+/**
+ * Writes errors as the OpenAI API shapes them, with the code and the remedy, and counts
+ * them.
+ */
+public final class ErrorResponses {
+
+	private static final EventLog LOG = EventLog.of(ErrorResponses.class);
+
+	private static final int TOO_LARGE = 413;
+
+	private static final int NOT_FOUND = 404;
+
+	private static final int BAD_REQUEST = 400;
+
+	private final Metrics metrics;
+
+	private ErrorResponses(Metrics metrics) {
+		this.metrics = Objects.requireNonNull(metrics, "metrics is null");
+	}
+
+	/**
+	 * Returns a writer of errors.
+	 * @param metrics counts them
+	 * @return the writer
+	 */
+	public static ErrorResponses of(Metrics metrics) {
+		return new ErrorResponses(metrics);
+	}
+
+	/**
+	 * Answers every failure of a router's routes.
+	 * @param router the router
+	 */
+	public void mount(Router router) {
+		router.route().failureHandler((routing) -> write(routing, failure(routing)));
+		router.errorHandler(NOT_FOUND, (routing) -> write(routing, new RequestException(ErrorCode.REQUEST_UNKNOWN_PATH,
+				"path '" + routing.request().path() + "' is not served")));
+	}
+
+	private static Throwable failure(RoutingContext routing) {
+		return switch (routing.statusCode()) {
+			case TOO_LARGE -> new RequestException(ErrorCode.REQUEST_TOO_LARGE, "the body is too large");
+			case BAD_REQUEST ->
+				new RequestException(ErrorCode.REQUEST_MALFORMED, "the request cannot be read", routing.failure());
+			default -> routing.failure();
+		};
+	}
+
+	/**
+	 * Answers with an error.
+	 * @param routing the request
+	 * @param failure what went wrong
+	 */
+	public void write(RoutingContext routing, Throwable failure) {
+		write(routing, failure, Duration.ZERO);
+	}
+
+	/**
+	 * Answers with an error and says when to come back.
+	 * @param routing the request
+	 * @param failure what went wrong
+	 * @param retryAfter when to send the request again; zero says nothing
+	 */
+	public void write(RoutingContext routing, Throwable failure, Duration retryAfter) {
+		RagworthookException error = known(failure);
+		this.metrics.error(error.code());
+		HttpServerResponse response = routing.response();
+		if (response.ended() || response.closed()) {
+			return;
+		}
+		if (response.headWritten()) {
+			response.end("data: " + body(error).encode() + "\n\n");
+			return;
+		}
+		if (!retryAfter.isZero()) {
+			long seconds = Math.max(1, (retryAfter.toMillis() + 999) / 1000);
+			response.putHeader("Retry-After", String.valueOf(seconds));
+		}
+		response.setStatusCode(error.code().httpStatus())
+			.putHeader("Content-Type", "application/json")
+			.end(body(error).encode());
+	}
+
+	private static RagworthookException known(Throwable failure) {
+		Throwable cause = failure;
+		while (cause instanceof CompletionException && cause.getCause() != null) {
+			cause = cause.getCause();
+		}
+		if (cause instanceof RagworthookException error) {
+			return error;
+		}
+		LOG.warning("internal_error", "error", cause);
+		return new RequestException(ErrorCode.INTERNAL, "an internal error", cause);
+	}
+
+	private static JsonObject body(RagworthookException error) {
+		return new JsonObject().put("error",
+				new JsonObject().put("message", error.getMessage())
+					.put("type", error.code().name().toLowerCase(Locale.ROOT))
+					.put("code", error.code().text())
+					.put("remedy", error.code().remedy()));
+	}
+
+}
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/settings/DaemonSettings.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/settings/DaemonSettings.java
@@ -42,11 +42,11 @@
 	/**
 	 * Where the platform is.
 	 *
-	 * @param objects base URL of the object API
-	 * @param instances base URL of the list of instances
+	 * @param objects where the object API listens
+	 * @param instances where the list of instances is served
 	 * @param namespace the namespace of all objects
 	 */
-	public record PlatformSettings(String objects, String instances, String namespace) {
+	public record PlatformSettings(Address objects, Address instances, String namespace) {
 	}
 
 	/**
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/settings/SettingsFile.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/settings/SettingsFile.java
@@ -30,8 +30,8 @@
 	/**
 	 * Where the platform is.
 	 *
-	 * @param objects base URL of the object API
-	 * @param instances base URL of the list of instances
+	 * @param objects where the object API listens
+	 * @param instances where the list of instances is served
 	 * @param namespace the namespace of all objects
 	 */
 	record Platform(@JsonProperty(required = true) String objects, @JsonProperty(required = true) String instances,
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/settings/SettingsReader.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/settings/SettingsReader.java
@@ -146,8 +146,8 @@
 		}
 
 		private PlatformSettings platform(SettingsFile.Platform platform) {
-			return new PlatformSettings(url("platform.objects", platform.objects()),
-					url("platform.instances", platform.instances()),
+			return new PlatformSettings(address("platform.objects", platform.objects()),
+					address("platform.instances", platform.instances()),
 					Optional.ofNullable(platform.namespace()).orElse(NAMESPACE));
 		}
 
