--- /dev/null
+++ b/modules/core/src/main/java/org/ragworthook/core/contract/ContractDiff.java
@@ -0,0 +1,257 @@
+package org.ragworthook.core.contract;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+/**
+ * Says in words what would happen if one contract replaced another.
+ */
+public final class ContractDiff {
+
+	private final List<Change> changes = new ArrayList<>();
+
+	private ContractDiff() {
+	}
+
+	/**
+	 * Compares two contracts.
+	 * @param before the contract in force, or empty if there is none
+	 * @param after the contract that would replace it
+	 * @return what would happen; nothing if both mean the same
+	 */
+	public static List<Change> between(Optional<Contract> before, Contract after) {
+		Objects.requireNonNull(before, "before is null");
+		Objects.requireNonNull(after, "after is null");
+		ContractDiff diff = new ContractDiff();
+		diff.services(before.map(Contract::services).orElse(List.of()), after.services());
+		diff.accounts(before.map(Contract::accounts).orElse(List.of()), after.accounts());
+		diff.operators(before.map(Contract::operators).orElse(List.of()), after.operators());
+		before.ifPresent((present) -> diff.rest(present, after));
+		return List.copyOf(diff.changes);
+	}
+
+	private void add(Change.Effect effect, String subject, String words) {
+		this.changes.add(new Change(effect, subject, words));
+	}
+
+	// -- services
+
+	private void services(List<Service> before, List<Service> after) {
+		Map<String, Service> old = byName(before, Service::name);
+		Map<String, Service> fresh = byName(after, Service::name);
+		old.forEach((name, service) -> {
+			if (!fresh.containsKey(name)) {
+				add(Change.Effect.SERVICE, name, "service " + name + " is removed: its requests are refused");
+				service.models().forEach((model) -> unload(service, model));
+			}
+		});
+		fresh.forEach((name, service) -> {
+			Service earlier = old.get(name);
+			if (earlier == null) {
+				add(Change.Effect.SERVICE, name, "service " + name + " is added with " + service.upstreams()
+						+ " upstreams in " + String.join(", ", service.failureDomains()));
+				service.models().forEach((model) -> load(service, model));
+			}
+			else {
+				service(earlier, service);
+			}
+		});
+	}
+
+	private void service(Service before, Service after) {
+		String name = after.name();
+		if (!before.failureDomains().equals(after.failureDomains())) {
+			add(Change.Effect.MOVE, name, "service " + name + ": replicas move from "
+					+ String.join(", ", before.failureDomains()) + " to " + String.join(", ", after.failureDomains()));
+		}
+		changed(name, "upstreams", before.upstreams(), after.upstreams());
+		changed(name, "online deadline", before.onlineDeadline(), after.onlineDeadline());
+		changed(name, "batch deadline", before.batchDeadline(), after.batchDeadline());
+		changed(name, "dependencies", before.dependsOn(), after.dependsOn());
+		changed(name, "type", before.type().label(), after.type().label());
+		changed(name, "upstreams that check fencing", before.checksFencing(), after.checksFencing());
+		changed(name, "calls that must not be repeated", calls(before), calls(after));
+		models(before, after);
+	}
+
+	private static String calls(Service service) {
+		return service.nonIdempotentCalls()
+			.stream()
+			.map((rule) -> rule.method() + " " + rule.path())
+			.collect(Collectors.joining(", ", "[", "]"));
+	}
+
+	private void changed(String service, String what, Object before, Object after) {
+		if (!before.equals(after)) {
+			add(Change.Effect.SERVICE, service, "service " + service + ": " + what + " " + before + " -> " + after);
+		}
+	}
+
+	private void models(Service before, Service after) {
+		Map<String, Model> old = byName(before.models(), Model::name);
+		Map<String, Model> fresh = byName(after.models(), Model::name);
+		old.forEach((name, model) -> {
+			if (!fresh.containsKey(name)) {
+				unload(before, model);
+			}
+		});
+		fresh.forEach((name, model) -> {
+			if (old.containsKey(name)) {
+				model(after, old.get(name), model);
+			}
+			else {
+				load(after, model);
+			}
+		});
+	}
+
+	private void load(Service service, Model model) {
+		add(Change.Effect.LOAD, model.name(),
+				"load " + model.id() + " on " + model.replicas().min() + " to " + model.replicas().max()
+						+ " upstreams of " + service.name() + ", over " + model.replicas().failureDomains()
+						+ " failure domains");
+		model.adapters().forEach((adapter) -> adapter(Change.Effect.LOAD, "load", model, adapter));
+	}
+
+	private void unload(Service service, Model model) {
+		add(Change.Effect.UNLOAD, model.name(), "unload " + model.id() + " from every upstream of " + service.name());
+	}
+
+	private void model(Service service, Model before, Model after) {
+		if (!before.version().equals(after.version())) {
+			add(Change.Effect.ROLL_OUT, after.name(), "roll out " + after.id() + " in place of " + before.id()
+					+ " on the upstreams of " + service.name() + ", one after the other");
+		}
+		if (!before.replicas().equals(after.replicas())) {
+			add(effect(before.replicas(), after.replicas()), after.name(), "model " + after.name() + ": replicas "
+					+ words(before.replicas()) + " -> " + words(after.replicas()));
+		}
+		before.adapters()
+			.stream()
+			.filter((adapter) -> !after.adapters().contains(adapter))
+			.forEach((adapter) -> adapter(Change.Effect.UNLOAD, "unload", after, adapter));
+		after.adapters()
+			.stream()
+			.filter((adapter) -> !before.adapters().contains(adapter))
+			.forEach((adapter) -> adapter(Change.Effect.LOAD, "load", after, adapter));
+	}
+
+	private void adapter(Change.Effect effect, String verb, Model model, String adapter) {
+		add(effect, adapter, verb + " adapter " + adapter + " of " + model.name());
+	}
+
+	private static Change.Effect effect(Replicas before, Replicas after) {
+		if (before.min() != after.min()) {
+			return (after.min() > before.min()) ? Change.Effect.LOAD : Change.Effect.UNLOAD;
+		}
+		return Change.Effect.MOVE;
+	}
+
+	private static String words(Replicas replicas) {
+		return replicas.min() + " to " + replicas.max() + " over " + replicas.failureDomains();
+	}
+
+	// -- accounts and operators
+
+	private void accounts(List<Account> before, List<Account> after) {
+		Map<String, Account> old = byName(before, Account::name);
+		Map<String, Account> fresh = byName(after, Account::name);
+		old.keySet()
+			.stream()
+			.filter((name) -> !fresh.containsKey(name))
+			.forEach((name) -> add(Change.Effect.ACCOUNT, name,
+					"account " + name + " is removed: its keys open nothing and nobody reads its results"));
+		fresh.forEach((name, account) -> {
+			Account earlier = old.get(name);
+			if (earlier == null) {
+				add(Change.Effect.ACCOUNT, name, "account " + name + " is added with weight " + account.weight());
+			}
+			else {
+				account(earlier, account);
+			}
+		});
+	}
+
+	private void account(Account before, Account after) {
+		if (!before.keys().equals(after.keys())) {
+			add(Change.Effect.ACCOUNT, after.name(),
+					"account " + after.name() + ": " + keys(before.keys(), after.keys()));
+		}
+		accountChanged(after, "weight", before.weight(), after.weight());
+		accountChanged(after, "default class", before.defaultClass().label(), after.defaultClass().label());
+		accountChanged(after, "limits", words(before.limits()), words(after.limits()));
+	}
+
+	private void accountChanged(Account account, String what, Object before, Object after) {
+		if (!before.equals(after)) {
+			add(Change.Effect.ACCOUNT, account.name(),
+					"account " + account.name() + ": " + what + " " + before + " -> " + after);
+		}
+	}
+
+	private static String words(Limits limits) {
+		return "[" + words(limits.requestsPerSecond()) + " requests/s, " + words(limits.inFlight()) + " in flight, "
+				+ words(limits.tokensPerSecond()) + " tokens/s]";
+	}
+
+	private static String words(int limit) {
+		return (limit > 0) ? Integer.toString(limit) : "any";
+	}
+
+	private static String keys(List<KeyHash> before, List<KeyHash> after) {
+		long added = after.stream().filter((key) -> !before.contains(key)).count();
+		long removed = before.stream().filter((key) -> !after.contains(key)).count();
+		return "keys: " + added + " added, " + removed + " removed";
+	}
+
+	private void operators(List<Operator> before, List<Operator> after) {
+		Map<String, Operator> old = byName(before, Operator::name);
+		Map<String, Operator> fresh = byName(after, Operator::name);
+		old.keySet()
+			.stream()
+			.filter((name) -> !fresh.containsKey(name))
+			.forEach(
+					(name) -> add(Change.Effect.OPERATOR, name, "operator " + name + " may no longer change the text"));
+		fresh.forEach((name, operator) -> {
+			Operator earlier = old.get(name);
+			if (earlier == null) {
+				add(Change.Effect.OPERATOR, name, "operator " + name + " may change the text");
+			}
+			else if (!earlier.keys().equals(operator.keys())) {
+				add(Change.Effect.OPERATOR, name, "operator " + name + ": " + keys(earlier.keys(), operator.keys()));
+			}
+		});
+	}
+
+	// -- the rest
+
+	private void rest(Contract before, Contract after) {
+		other("deployment name", before.name(), after.name());
+		other("regions", before.regions(), after.regions());
+		other("retention of results", before.retention().results(), after.retention().results());
+		other("changes kept", before.retention().changes(), after.retention().changes());
+		other("weight store loads a minute", before.weightStore().loadsPerMinute(),
+				after.weightStore().loadsPerMinute());
+		other("weight store loads at once", before.weightStore().concurrentLoads(),
+				after.weightStore().concurrentLoads());
+	}
+
+	private void other(String what, Object before, Object after) {
+		if (!before.equals(after)) {
+			add(Change.Effect.OTHER, what, what + " " + before + " -> " + after);
+		}
+	}
+
+	private static <T> Map<String, T> byName(List<T> values, Function<T, String> name) {
+		Map<String, T> byName = new LinkedHashMap<>();
+		values.forEach((value) -> byName.put(name.apply(value), value));
+		return byName;
+	}
+
+}
--- a/modules/core/src/main/java/org/ragworthook/core/contract/Service.java
+++ b/modules/core/src/main/java/org/ragworthook/core/contract/Service.java
@@ -4,6 +4,10 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.stream.Collectors;
+
+import org.ragworthook.core.error.ConfigException;
+import org.ragworthook.core.error.ErrorCode;
 
 /**
  * A service that the system keeps answering.
@@ -53,6 +57,21 @@
 		return new Builder(name, type);
 	}
 
+	/**
+	 * Reads a service's own section of a text.
+	 * @param section the JSON of the section
+	 * @return the service
+	 * @throws ConfigException if the section breaks a rule of the schema
+	 */
+	public static Service parse(String section) {
+		Problems problems = new Problems();
+		Optional<Service> read = NodeReader.read(section, problems)
+			.map((node) -> ContractReader.service(node, problems));
+		return read.filter((service) -> problems.inOrder().isEmpty())
+			.orElseThrow(() -> new ConfigException(ErrorCode.CONFIG_INVALID,
+					problems.inOrder().stream().map(Problem::toString).collect(Collectors.joining("\n"))));
+	}
+
 	/**
 	 * Returns the name.
 	 * @return a name unique in the text
--- a/modules/core/src/main/java/org/ragworthook/core/error/ErrorCode.java
+++ b/modules/core/src/main/java/org/ragworthook/core/error/ErrorCode.java
@@ -41,6 +41,12 @@
 	/** The operators' text breaks a rule of the schema. */
 	CONFIG_INVALID(1011, 400, "mend each listed place and submit the text again"),
 
+	/** The operators' text is larger than the platform takes. */
+	CONFIG_TOO_LARGE(1012, 413, "remove accounts or comments that are no longer needed, or split the deployment"),
+
+	/** The operators' text would leave accepted jobs without what they need. */
+	CONFIG_STRANDS_WORK(1013, 409, "keep it until the jobs have ended, cancel them, or apply with --strand"),
+
 	/** The operators' text was edited from a version that is no longer the newest. */
 	CONFIG_CONFLICT(1020, 409, "get the newest text, merge the change into it and submit again"),
 
