Add the engine gate, the router and the retry policy

An online request must never wait behind batch, must reach an upstream that is well, and must run as often as it may. These decisions had no place yet.

The gate keeps an engine's queue empty by a learnt limit and cancels the youngest batch runs for online arrivals; an arrival-order gate behind the same interface is the baseline. The retry policy says 'not run' only where no upstream got the request, and a budget bounds the retries.

A first version of the limit let its baseline drift with what it saw; its test on an engine of 4 slots then rose to the bound of 256. The baseline is now learnt in windows with half the limit.

--- /dev/null
+++ b/modules/core/src/main/java/org/ragworthook/core/admission/ArrivalOrderGate.java
@@ -0,0 +1,102 @@
+package org.ragworthook.core.admission;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+
+/**
+ * Passes every request on as it comes and leaves the queue to the engine: no priorities,
+ * no preemption. The baseline that {@link PriorityGate} is measured against.
+ */
+public final class ArrivalOrderGate implements EngineGate {
+
+	private final int batchLimit;
+
+	private final Map<RunKey, Boolean> running = new HashMap<>();
+
+	private int batchRunning;
+
+	private boolean leaving;
+
+	private ArrivalOrderGate(int batchLimit) {
+		this.batchLimit = batchLimit;
+	}
+
+	/**
+	 * Returns a gate.
+	 * @param batchLimit how many batch requests may be at the engine, in its queue or
+	 * running
+	 * @return a new gate
+	 */
+	public static ArrivalOrderGate of(int batchLimit) {
+		return new ArrivalOrderGate(batchLimit);
+	}
+
+	@Override
+	public List<GateAction> offerOnline(Offer offer) {
+		return offer(offer, false);
+	}
+
+	@Override
+	public List<GateAction> offerBatch(Offer offer) {
+		return offer(offer, true);
+	}
+
+	private List<GateAction> offer(Offer offer, boolean batch) {
+		Objects.requireNonNull(offer, "offer is null");
+		if (this.leaving) {
+			return List.of(new GateAction.Refuse(offer.run(), GateAction.Reason.LEAVING));
+		}
+		if (batch && this.batchRunning >= this.batchLimit) {
+			return List.of(new GateAction.Refuse(offer.run(), GateAction.Reason.FULL));
+		}
+		this.running.put(offer.run(), batch);
+		this.batchRunning += (batch) ? 1 : 0;
+		return List.of(new GateAction.Start(offer.run()));
+	}
+
+	@Override
+	public void started(RunKey run) {
+	}
+
+	@Override
+	public List<GateAction> finished(RunKey run, Ending ending, int tokens) {
+		Boolean batch = this.running.remove(run);
+		this.batchRunning -= (Boolean.TRUE.equals(batch)) ? 1 : 0;
+		return List.of();
+	}
+
+	@Override
+	public List<GateAction> preempted(RunKey run) {
+		return finished(run, Ending.CANCELLED, 0);
+	}
+
+	@Override
+	public boolean withdrawn(RunKey run) {
+		return false;
+	}
+
+	@Override
+	public void engineWaiting(int waiting) {
+	}
+
+	@Override
+	public List<GateAction> swept() {
+		return List.of();
+	}
+
+	@Override
+	public List<GateAction> leave() {
+		this.leaving = true;
+		return List.of();
+	}
+
+	@Override
+	public GateLoad load() {
+		int room = (this.leaving) ? 0 : Math.max(0, this.batchLimit - this.batchRunning);
+		int online = this.running.size() - this.batchRunning;
+		return new GateLoad(online, this.batchRunning, 0, 0, Math.max(1, this.running.size()), room);
+	}
+
+}
--- /dev/null
+++ b/modules/core/src/main/java/org/ragworthook/core/admission/Offer.java
@@ -0,0 +1,56 @@
+package org.ragworthook.core.admission;
+
+import java.util.Objects;
+
+/**
+ * A request that wants a slot at the engine.
+ *
+ * @param run which attempt at which request
+ * @param deadlineNanos the ticker's reading after which the request is of no use, or
+ * {@link #NO_DEADLINE}
+ * @param alone whether the request is suspected of crashing engines, so that nothing may
+ * run beside it
+ */
+public record Offer(RunKey run, long deadlineNanos, boolean alone) {
+
+	/** The deadline of a request that has none. */
+	public static final long NO_DEADLINE = Long.MAX_VALUE;
+
+	/**
+	 * Checks the run.
+	 */
+	public Offer {
+		Objects.requireNonNull(run, "run is null");
+	}
+
+	/**
+	 * Returns an offer without a deadline that may run beside others.
+	 * @param run which attempt at which request
+	 * @return the offer
+	 */
+	public static Offer of(RunKey run) {
+		return new Offer(run, NO_DEADLINE, false);
+	}
+
+	/**
+	 * Returns the same offer with a deadline.
+	 * @param nanos the ticker's reading after which the request is of no use
+	 * @return the offer
+	 */
+	public Offer withDeadline(long nanos) {
+		return new Offer(this.run, nanos, this.alone);
+	}
+
+	/**
+	 * Returns the same offer, to be run with nothing beside it.
+	 * @return the offer
+	 */
+	public Offer asSuspect() {
+		return new Offer(this.run, this.deadlineNanos, true);
+	}
+
+	boolean expired(long now) {
+		return this.deadlineNanos != NO_DEADLINE && this.deadlineNanos - now <= 0;
+	}
+
+}
--- /dev/null
+++ b/modules/core/src/test/java/org/ragworthook/core/admission/ConcurrencyLimitTests.java
@@ -0,0 +1,101 @@
+package org.ragworthook.core.admission;
+
+import java.time.Duration;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests of {@link ConcurrencyLimit}.
+ */
+class ConcurrencyLimitTests {
+
+	private static final long FIRST = Duration.ofMillis(40).toNanos();
+
+	private static void window(ConcurrencyLimit limit, long nanos) {
+		for (int i = 0; i < 16; i++) {
+			limit.reached();
+			limit.firstOutput(nanos);
+		}
+	}
+
+	/**
+	 * The engine runs a certain number of requests at once and queues the rest in arrival
+	 * order. The limit starts far from that number, and callers would wait in the
+	 * engine's queue behind batch, or slots would stay empty.
+	 */
+	@ParameterizedTest
+	@ValueSource(ints = { 4, 16, 64 })
+	void shouldFindCapacityOfEngine(int capacity) {
+		ConcurrencyLimit limit = ConcurrencyLimit.builder().bounds(2, 256).initial(8).build();
+		long highest = 0;
+		long sum = 0;
+		for (int i = 0; i < 6_000; i++) {
+			int over = Math.max(0, limit.value() - capacity);
+			limit.reached();
+			limit.firstOutput(FIRST + over * FIRST * 10 / capacity);
+			if (i >= 5_000) {
+				highest = Math.max(highest, limit.value());
+				sum += limit.value();
+			}
+		}
+		assertThat(highest).isAtMost(capacity * 3L / 2 + 2);
+		assertThat(sum / 1_000).isAtLeast(capacity * 3L / 4);
+	}
+
+	@Test
+	void shouldNotRiseWhileUnused() {
+		ConcurrencyLimit limit = ConcurrencyLimit.builder().initial(8).build();
+		for (int i = 0; i < 160; i++) {
+			limit.firstOutput(FIRST);
+		}
+		assertThat(limit.value()).isEqualTo(8);
+	}
+
+	@Test
+	void shouldIgnoreSomeLongPrompts() {
+		ConcurrencyLimit limit = ConcurrencyLimit.builder().initial(8).build();
+		window(limit, FIRST);
+		for (int i = 0; i < 32; i++) {
+			limit.reached();
+			limit.firstOutput((i % 4 == 0) ? FIRST : FIRST * 20);
+		}
+		assertThat(limit.value()).isGreaterThan(8);
+	}
+
+	@Test
+	void shouldFallOnceForOneQueue() {
+		ConcurrencyLimit limit = ConcurrencyLimit.builder().initial(100).build();
+		window(limit, FIRST);
+		for (int i = 0; i < 10; i++) {
+			limit.overloaded();
+		}
+		assertThat(limit.value()).isEqualTo(85);
+	}
+
+	@Test
+	void shouldFallWhenTokensAreSlow() {
+		ConcurrencyLimit limit = ConcurrencyLimit.builder().initial(20).tokenTarget(Duration.ofMillis(34)).build();
+		window(limit, FIRST);
+		limit.tokens(100, Duration.ofMillis(5_000).toNanos());
+		window(limit, FIRST);
+		assertThat(limit.value()).isLessThan(20);
+	}
+
+	@Test
+	void shouldStayWithinBounds() {
+		ConcurrencyLimit limit = ConcurrencyLimit.builder().bounds(3, 5).initial(4).build();
+		for (int i = 0; i < 20; i++) {
+			window(limit, FIRST);
+		}
+		assertThat(limit.value()).isEqualTo(5);
+		for (int i = 0; i < 400; i++) {
+			limit.overloaded();
+		}
+		assertThat(limit.value()).isEqualTo(3);
+	}
+
+}
--- /dev/null
+++ b/modules/core/src/test/java/org/ragworthook/core/admission/PriorityGateTests.java
@@ -0,0 +1,202 @@
+package org.ragworthook.core.admission;
+
+import java.time.Duration;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.ragworthook.core.time.ManualTime;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests of {@link PriorityGate}.
+ */
+class PriorityGateTests {
+
+	private final ManualTime time = ManualTime.of();
+
+	private static RunKey run(String name) {
+		return RunKey.of(name, 1);
+	}
+
+	private static Offer offer(String name) {
+		return Offer.of(run(name));
+	}
+
+	private static GateAction start(String name) {
+		return new GateAction.Start(run(name));
+	}
+
+	private static GateAction cancel(String name) {
+		return new GateAction.Cancel(run(name));
+	}
+
+	private static GateAction refuse(String name, GateAction.Reason reason) {
+		return new GateAction.Refuse(run(name), reason);
+	}
+
+	private PriorityGate.Builder gate(int limit, int headroom) {
+		return PriorityGate.builder(this.time).limit(ConcurrencyLimit.fixed(limit)).headroom(headroom).queues(4, 4);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "1, 1, 1", "2, 1, 1", "8, 0, 8", "8, 2, 6", "8, 20, 1" })
+	void shouldLeaveHeadroomFreeOfBatch(int limit, int headroom, int batchSlots) {
+		PriorityGate gate = PriorityGate.builder(this.time)
+			.limit(ConcurrencyLimit.fixed(limit))
+			.headroom(headroom)
+			.build();
+		for (int i = 0; i < 16; i++) {
+			gate.offerBatch(offer("b" + i));
+		}
+		assertThat(gate.load().batchRunning()).isEqualTo(batchSlots);
+		assertThat(gate.load().batchQueued()).isEqualTo(16 - batchSlots);
+	}
+
+	/**
+	 * The engine is full of batch when an online request arrives. If batch did not give
+	 * way, the caller would wait for a batch item to end, many seconds.
+	 */
+	@Test
+	void shouldCancelYoungestBatchForOnlineArrival() {
+		PriorityGate gate = gate(2, 0).build();
+		gate.offerBatch(offer("old"));
+		gate.offerBatch(offer("young"));
+		gate.offerBatch(offer("waiting"));
+		assertThat(gate.offerOnline(offer("caller"))).containsExactly(cancel("young"));
+		assertThat(gate.preempted(run("young"))).containsExactly(start("caller"));
+		assertThat(gate.finished(run("caller"), Ending.ANSWERED, 10)).containsExactly(start("waiting"));
+	}
+
+	@Test
+	void shouldCancelOneBatchRunForEachWaitingOnlineRequest() {
+		PriorityGate gate = gate(3, 0).build();
+		List.of("b0", "b1", "b2").forEach((name) -> gate.offerBatch(offer(name)));
+		assertThat(gate.offerOnline(offer("o0"))).containsExactly(cancel("b2"));
+		assertThat(gate.offerOnline(offer("o1"))).containsExactly(cancel("b1"));
+		assertThat(gate.finished(run("b0"), Ending.ANSWERED, 1)).containsExactly(start("o0"));
+		assertThat(gate.preempted(run("b2"))).containsExactly(start("o1"));
+		assertThat(gate.preempted(run("b1"))).isEmpty();
+	}
+
+	@Test
+	void shouldStartOnlineBeforeEarlierBatch() {
+		PriorityGate gate = gate(1, 0).build();
+		gate.offerOnline(offer("first"));
+		gate.offerBatch(offer("batch"));
+		gate.offerOnline(offer("second"));
+		assertThat(gate.finished(run("first"), Ending.ANSWERED, 1)).containsExactly(start("second"));
+	}
+
+	@Test
+	void shouldRefuseWhenQueueIsFull() {
+		PriorityGate gate = gate(1, 0).build();
+		for (int i = 0; i < 5; i++) {
+			gate.offerOnline(offer("o" + i));
+		}
+		assertThat(gate.offerOnline(offer("more"))).containsExactly(refuse("more", GateAction.Reason.FULL));
+	}
+
+	@Test
+	void shouldTellRoomForBatch() {
+		PriorityGate gate = gate(1, 0).build();
+		gate.offerBatch(offer("running"));
+		gate.offerBatch(offer("waiting"));
+		assertThat(gate.load()).isEqualTo(new GateLoad(0, 1, 0, 1, 1, 3));
+	}
+
+	/**
+	 * A request waits longer than its caller is willing to. Running it would take a slot
+	 * for an answer that nobody reads.
+	 */
+	@Test
+	void shouldRefuseWaitingRequestWhoseDeadlinePassed() {
+		PriorityGate gate = gate(1, 0).build();
+		gate.offerOnline(offer("running"));
+		gate.offerOnline(offer("late").withDeadline(this.time.nanos() + 1_000));
+		this.time.advance(Duration.ofMillis(1));
+		assertThat(gate.swept()).containsExactly(refuse("late", GateAction.Reason.DEADLINE));
+	}
+
+	/**
+	 * A caller hangs up while the request waits. The slot must go to the next one.
+	 */
+	@Test
+	void shouldForgetWithdrawnRequest() {
+		PriorityGate gate = gate(1, 0).build();
+		gate.offerOnline(offer("running"));
+		gate.offerOnline(offer("gone"));
+		gate.offerOnline(offer("next"));
+		assertThat(gate.withdrawn(run("gone"))).isTrue();
+		assertThat(gate.withdrawn(run("running"))).isFalse();
+		assertThat(gate.finished(run("running"), Ending.CANCELLED, 0)).containsExactly(start("next"));
+	}
+
+	/**
+	 * A request was at an engine that crashed. If it ran beside others and crashed the
+	 * next engine too, their callers would lose their answers a second time.
+	 */
+	@Test
+	void shouldRunSuspectAlone() {
+		PriorityGate gate = gate(4, 0).build();
+		gate.offerOnline(offer("innocent"));
+		gate.offerBatch(offer("batch"));
+		assertThat(gate.offerOnline(offer("suspect").asSuspect())).isEmpty();
+		this.time.advance(Duration.ofSeconds(1));
+		assertThat(gate.swept()).containsExactly(cancel("batch"));
+		assertThat(gate.offerOnline(offer("other")))
+			.containsExactly(refuse("other", GateAction.Reason.TAKEN_BY_SUSPECT));
+		assertThat(gate.preempted(run("batch"))).isEmpty();
+		assertThat(gate.finished(run("innocent"), Ending.ANSWERED, 1)).containsExactly(start("suspect"));
+		gate.offerBatch(offer("later"));
+		assertThat(gate.load().batchRunning()).isEqualTo(0);
+		assertThat(gate.finished(run("suspect"), Ending.LOST, 0)).containsExactly(start("later"));
+	}
+
+	@Test
+	void shouldRunSuspectAtOnceOnIdleEngine() {
+		assertThat(gate(4, 0).build().offerOnline(offer("suspect").asSuspect())).containsExactly(start("suspect"));
+	}
+
+	/**
+	 * The sidecar is told to stop. Online requests in progress must be finished, batch is
+	 * handed back, and whatever comes later goes elsewhere.
+	 */
+	@Test
+	void shouldHandBackAllButRunningOnlineRequestsWhenLeaving() {
+		PriorityGate gate = gate(2, 0).build();
+		gate.offerOnline(offer("running"));
+		gate.offerBatch(offer("batch"));
+		gate.offerBatch(offer("waiting"));
+		assertThat(gate.leave()).containsExactly(refuse("waiting", GateAction.Reason.LEAVING), cancel("batch"));
+		assertThat(gate.offerOnline(offer("new"))).containsExactly(refuse("new", GateAction.Reason.LEAVING));
+		gate.preempted(run("batch"));
+		assertThat(gate.idle()).isFalse();
+		gate.finished(run("running"), Ending.ANSWERED, 1);
+		assertThat(gate.idle()).isTrue();
+	}
+
+	@ParameterizedTest
+	@EnumSource(GatePolicy.class)
+	void shouldStartFirstRequestByEveryPolicy(GatePolicy policy) {
+		EngineGate gate = policy.gate(this.time, ConcurrencyLimit.fixed(4), 1, 8);
+		assertThat(gate.offerOnline(offer("a"))).containsExactly(start("a"));
+		assertThat(gate.offerBatch(offer("b"))).containsExactly(start("b"));
+		gate.finished(run("a"), Ending.ANSWERED, 1);
+		gate.finished(run("b"), Ending.ANSWERED, 1);
+		assertThat(gate.idle()).isTrue();
+	}
+
+	@Test
+	void shouldNotPreemptInArrivalOrder() {
+		EngineGate gate = GatePolicy.parse("arrival-order").gate(this.time, ConcurrencyLimit.fixed(1), 0, 2);
+		gate.offerBatch(offer("b0"));
+		gate.offerBatch(offer("b1"));
+		assertThat(gate.offerBatch(offer("b2"))).containsExactly(refuse("b2", GateAction.Reason.FULL));
+		assertThat(gate.offerOnline(offer("o"))).containsExactly(start("o"));
+	}
+
+}
--- /dev/null
+++ b/modules/core/src/test/java/org/ragworthook/core/retry/RetryPolicyTests.java
@@ -0,0 +1,149 @@
+package org.ragworthook.core.retry;
+
+import java.time.Duration;
+import java.util.Random;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.ragworthook.core.time.ManualTime;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests of {@link RetryPolicy}.
+ */
+class RetryPolicyTests {
+
+	private final ManualTime time = ManualTime.of();
+
+	private final Random random = new Random(3);
+
+	private final Backoff backoff = Backoff.of(Duration.ofMillis(5), Duration.ofMillis(200), () -> this.random);
+
+	private final RetryPolicy policy = RetryPolicy.of(RetryBudget.usual(), this.backoff, 4);
+
+	private static String kind(RetryDecision decision) {
+		return (decision instanceof RetryDecision.GiveUp giveUp) ? giveUp.code().name()
+				: decision.getClass().getSimpleName();
+	}
+
+	/**
+	 * An attempt ends in each possible way, for a request that may be repeated and one
+	 * that may not, before and after its caller has got some output. A wrong line here
+	 * runs a booking twice or tells a caller something untrue.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "ANSWERED, true, false, Deliver", "ANSWERED, false, true, Deliver", "REJECTED, true, false, Retry",
+			"REJECTED, false, false, Deliver", "NOT_PASSED_ON, true, false, Retry",
+			"NOT_PASSED_ON, false, false, Retry", "BROKEN, true, false, Retry", "BROKEN, true, true, Resume",
+			"BROKEN, false, false, REQUEST_OUTCOME_UNKNOWN", "BROKEN, false, true, REQUEST_OUTCOME_UNKNOWN",
+			"CRASHED, true, false, Retry", "CRASHED, true, true, Resume",
+			"CRASHED, false, false, REQUEST_OUTCOME_UNKNOWN", "LINK_LOST, true, false, Retry",
+			"LINK_LOST, true, true, Resume", "LINK_LOST, false, false, REQUEST_OUTCOME_UNKNOWN",
+			"CANCELLED, true, false, REQUEST_FAILED", "CANCELLED, false, false, REQUEST_OUTCOME_UNKNOWN" })
+	void shouldDecideByOutcome(AttemptOutcome outcome, boolean repeatable, boolean sent, String expected) {
+		RequestState state = this.policy.begin(repeatable, true).after(outcome, sent);
+		assertThat(kind(this.policy.decide(state, outcome, Deadline.none(this.time)))).isEqualTo(expected);
+	}
+
+	@Test
+	void shouldNotResumeWhatCannotGoOn() {
+		RequestState state = this.policy.begin(true, false).after(AttemptOutcome.BROKEN, true);
+		assertThat(kind(this.policy.decide(state, AttemptOutcome.BROKEN, Deadline.none(this.time))))
+			.isEqualTo("REQUEST_FAILED");
+	}
+
+	/**
+	 * The first upstream broke with the request, the second refused it. To say now that
+	 * it was not run would be untrue.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "true, REQUEST_FAILED", "false, REQUEST_OUTCOME_UNKNOWN" })
+	void shouldRememberThatItWasPassedOn(boolean repeatable, String expected) {
+		RequestState state = this.policy.begin(repeatable, true)
+			.after(AttemptOutcome.BROKEN, false)
+			.after(AttemptOutcome.NOT_PASSED_ON, false);
+		assertThat(kind(this.policy.noUpstream(state))).isEqualTo(expected);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "NOT_PASSED_ON, true, REQUEST_NOT_RUN_DEADLINE", "NOT_PASSED_ON, false, REQUEST_NOT_RUN_DEADLINE",
+			"BROKEN, true, REQUEST_DEADLINE_PASSED", "LINK_LOST, false, REQUEST_OUTCOME_UNKNOWN" })
+	void shouldGiveUpAtDeadline(AttemptOutcome outcome, boolean repeatable, String expected) {
+		Deadline deadline = Deadline.after(this.time, Duration.ofSeconds(1));
+		RequestState state = this.policy.begin(repeatable, true).after(outcome, false);
+		this.time.advance(Duration.ofSeconds(1));
+		assertThat(kind(this.policy.decide(state, outcome, deadline))).isEqualTo(expected);
+	}
+
+	@Test
+	void shouldGiveUpAfterLastAttempt() {
+		RequestState state = this.policy.begin(false, false);
+		for (int i = 0; i < 3; i++) {
+			state = state.after(AttemptOutcome.NOT_PASSED_ON, false);
+			assertThat(kind(this.policy.decide(state, AttemptOutcome.NOT_PASSED_ON, Deadline.none(this.time))))
+				.isEqualTo("Retry");
+		}
+		state = state.after(AttemptOutcome.NOT_PASSED_ON, false);
+		assertThat(kind(this.policy.decide(state, AttemptOutcome.NOT_PASSED_ON, Deadline.none(this.time))))
+			.isEqualTo("REQUEST_NOT_RUN_OVERLOADED");
+	}
+
+	/**
+	 * Every upstream fails every request for a long time. Retries must not multiply the
+	 * load that keeps the upstreams down.
+	 */
+	@ParameterizedTest
+	@EnumSource(names = { "REJECTED", "NOT_PASSED_ON", "BROKEN", "CRASHED" })
+	void shouldBoundAmplificationInFullOutage(AttemptOutcome outcome) {
+		int requests = 5_000;
+		int attempts = 0;
+		for (int i = 0; i < requests; i++) {
+			RequestState state = this.policy.begin(true, true);
+			RetryDecision decision;
+			do {
+				attempts++;
+				state = state.after(outcome, false);
+				decision = this.policy.decide(state, outcome, Deadline.none(this.time));
+			}
+			while (decision instanceof RetryDecision.Retry);
+		}
+		assertThat((double) attempts / requests).isAtMost(1.1);
+	}
+
+	/**
+	 * A failure domain is lost with hundreds of requests in flight at once, more than the
+	 * budget holds. Each must still be tried again, once.
+	 */
+	@Test
+	void shouldRetryEveryRequestOfLostLinkOnce() {
+		for (int i = 0; i < 500; i++) {
+			RequestState state = this.policy.begin(true, true).after(AttemptOutcome.LINK_LOST, false);
+			assertThat(kind(this.policy.decide(state, AttemptOutcome.LINK_LOST, Deadline.none(this.time))))
+				.isEqualTo("Retry");
+		}
+	}
+
+	@ParameterizedTest
+	@ValueSource(ints = { 0, 1, 3, 10, 100 })
+	void shouldBackOffWithinBound(int retry) {
+		long bound = Math.min(200, 5L << Math.min(retry, 10));
+		for (int i = 0; i < 100; i++) {
+			assertThat(this.backoff.delay(retry)).isLessThan(Duration.ofMillis(bound));
+		}
+	}
+
+	@Test
+	void shouldTellTimeLeftForLink() {
+		assertThat(Deadline.none(this.time).millis()).isEqualTo(0);
+		Deadline deadline = Deadline.after(this.time, Duration.ofMillis(70));
+		assertThat(deadline.millis()).isEqualTo(70);
+		this.time.advance(Duration.ofMillis(100));
+		assertThat(deadline.millis()).isEqualTo(1);
+		assertThat(deadline.passed()).isTrue();
+	}
+
+}
--- /dev/null
+++ b/modules/core/src/test/java/org/ragworthook/core/routing/SubsetTests.java
@@ -0,0 +1,96 @@
+package org.ragworthook.core.routing;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.IntSummaryStatistics;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.ragworthook.core.fleet.Instance;
+import org.ragworthook.core.fleet.Role;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests of {@link Subset}.
+ */
+class SubsetTests {
+
+	private static Map<Instance, Set<Instance>> subsets(List<Instance> entries, List<Instance> sidecars) {
+		Map<Instance, Set<Instance>> subsets = new HashMap<>();
+		entries.forEach((entry) -> subsets.put(entry, Subset.usual().of(entry, entries, sidecars)));
+		return subsets;
+	}
+
+	/**
+	 * A failure domain is lost with all its entries. A sidecar elsewhere that only those
+	 * were linked to would idle, and one that none is linked to would never get work.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "3, 13, 3", "3, 100, 3", "40, 1375, 4", "2, 200, 4", "7, 300, 1" })
+	void shouldCoverEverySidecar(int entries, int sidecars, int domains) {
+		List<Instance> all = Fleet.instances(Role.SIDECAR, sidecars, domains);
+		Map<Instance, Set<Instance>> subsets = subsets(Fleet.instances(Role.ENTRY, entries, domains), all);
+		int wanted = Math.min(entries, 3);
+		for (Instance sidecar : all) {
+			long covering = subsets.values().stream().filter((subset) -> subset.contains(sidecar)).count();
+			assertThat(covering).isAtLeast(wanted);
+			if (domains > 1 && entries >= domains) {
+				long foreign = subsets.entrySet()
+					.stream()
+					.filter((entry) -> entry.getValue().contains(sidecar)
+							&& !entry.getKey().failureDomain().equals(sidecar.failureDomain()))
+					.count();
+				assertThat(foreign).isAtLeast(1);
+			}
+		}
+	}
+
+	@Test
+	void shouldBeEvenAndSmall() {
+		Map<Instance, Set<Instance>> subsets = subsets(Fleet.instances(Role.ENTRY, 40, 4),
+				Fleet.instances(Role.SIDECAR, 1_375, 4));
+		IntSummaryStatistics sizes = subsets.values().stream().mapToInt(Set::size).summaryStatistics();
+		assertThat(sizes.getMax()).isLessThan(180);
+		assertThat(sizes.getMin()).isGreaterThan(95);
+	}
+
+	@Test
+	void shouldMoveLittleWhenAnInstanceGoes() {
+		List<Instance> entries = new ArrayList<>(Fleet.instances(Role.ENTRY, 40, 4));
+		List<Instance> sidecars = new ArrayList<>(Fleet.instances(Role.SIDECAR, 1_375, 4));
+		Instance self = entries.get(0);
+		Set<Instance> before = Subset.usual().of(self, entries, sidecars);
+		Instance goneSidecar = sidecars.remove(8);
+		Set<Instance> withoutSidecar = new HashSet<>(before);
+		withoutSidecar.remove(goneSidecar);
+		assertThat(Subset.usual().of(self, entries, sidecars)).isEqualTo(withoutSidecar);
+		entries.remove(4);
+		Set<Instance> withoutEntry = Subset.usual().of(self, entries, sidecars);
+		assertThat(withoutEntry).containsAtLeastElementsIn(withoutSidecar);
+		assertThat(withoutEntry.size() - withoutSidecar.size()).isAtMost(30);
+	}
+
+	@Test
+	void shouldNotDependOnOrderOfList() {
+		List<Instance> entries = Fleet.instances(Role.ENTRY, 10, 2);
+		List<Instance> sidecars = new ArrayList<>(Fleet.instances(Role.SIDECAR, 100, 2));
+		Set<Instance> before = Subset.usual().of(entries.get(3), entries, sidecars);
+		Collections.reverse(sidecars);
+		assertThat(Subset.usual().of(entries.get(3), entries, sidecars)).isEqualTo(before);
+	}
+
+	@Test
+	void shouldNotLeaveAnEntryWithout() {
+		List<Instance> entries = Fleet.instances(Role.ENTRY, 300, 30);
+		List<Instance> sidecars = Fleet.instances(Role.SIDECAR, 40, 2);
+		subsets(entries, sidecars).values().forEach((subset) -> assertThat(subset.size()).isAtLeast(8));
+	}
+
+}
