--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/Sidecar.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/Sidecar.java
@@ -161,6 +161,9 @@
 	 * Ends an exchange whose link was closed between the look at it and the sending. The
 	 * link's own end may have missed the exchange; the map decides which of the two
 	 * reports the loss.
+	 * @param lane on which the request was sent
+	 * @param state the lane's state
+	 * @param key the request and its attempt
 	 */
 	private void lost(Lane lane, LaneState state, String key) {
 		Exchange exchange = state.exchanges.remove(key);
@@ -278,6 +281,7 @@
 		/**
 		 * The platform's list says late that an instance leaves; its own word comes at
 		 * once.
+		 * @param link the link on which it came
 		 */
 		private void leaving(Link link) {
 			Sidecar.this.leaving = true;
