--- a/modules/standin/src/main/java/org/ragworthook/standin/StandInServer.java
+++ b/modules/standin/src/main/java/org/ragworthook/standin/StandInServer.java
@@ -23,6 +23,8 @@
 
 	private final int port;
 
+	private Router router;
+
 	private HttpServer server;
 
 	/**
@@ -41,16 +43,32 @@
 
 	@Override
 	public Future<?> start() {
-		Router router = Router.router(this.vertx);
-		router.route().handler(BodyHandler.create(false).setBodyLimit(BODY_LIMIT));
-		routes(router);
+		this.router = Router.router(this.vertx);
+		this.router.route().handler(BodyHandler.create(false).setBodyLimit(BODY_LIMIT));
+		routes(this.router);
+		return listen();
+	}
+
+	/**
+	 * Listens on the port, the same as before if the stand-in listened before.
+	 * @return completes once it listens
+	 */
+	protected final Future<?> listen() {
 		HttpServerOptions options = new HttpServerOptions().setMaxInitialLineLength(16_384).setTcpNoDelay(true);
 		return this.vertx.createHttpServer(options)
-			.requestHandler(router)
-			.listen(this.port, HOST)
+			.requestHandler(this.router)
+			.listen((this.server != null) ? port() : this.port, HOST)
 			.onSuccess((listening) -> this.server = listening);
 	}
 
+	/**
+	 * Closes the port and breaks every connection.
+	 * @return completes once the port is closed
+	 */
+	protected final Future<Void> stopListening() {
+		return this.server.close();
+	}
+
 	/**
 	 * Deploys the stand-in.
 	 * @param host runs it
--- a/modules/standin/src/main/java/org/ragworthook/standin/command/StandInProgram.java
+++ b/modules/standin/src/main/java/org/ragworthook/standin/command/StandInProgram.java
@@ -13,12 +13,15 @@
  */
 public final class StandInProgram {
 
-	private static final String NAMES = "object-api|instances|platform";
+	private static final String NAMES = "object-api|instances|platform|engine|service|weights";
 
 	@Argument(handler = SubCommandHandler.class, required = true, metaVar = NAMES, usage = "what to run")
 	@SubCommands({ @SubCommand(name = "object-api", impl = ObjectApiCommand.class),
 			@SubCommand(name = "instances", impl = InstancesCommand.class),
-			@SubCommand(name = "platform", impl = PlatformCommand.class) })
+			@SubCommand(name = "platform", impl = PlatformCommand.class),
+			@SubCommand(name = "engine", impl = EngineCommand.class),
+			@SubCommand(name = "service", impl = ServiceCommand.class),
+			@SubCommand(name = "weights", impl = WeightsCommand.class) })
 	private Subcommand subcommand;
 
 	private StandInProgram() {
--- a/modules/standin/src/test/java/org/ragworthook/standin/ControlClient.java
+++ b/modules/standin/src/test/java/org/ragworthook/standin/ControlClient.java
@@ -32,8 +32,18 @@
 	 * @return the answer
 	 */
 	public JsonObject post(String path, JsonObject body) {
+		return postText(path, body.encode());
+	}
+
+	/**
+	 * Posts a text.
+	 * @param path the path
+	 * @param body the text
+	 * @return the answer
+	 */
+	public JsonObject postText(String path, String body) {
 		return send(HttpRequest.newBuilder(URI.create(this.base + path))
-			.POST(HttpRequest.BodyPublishers.ofString(body.encode()))
+			.POST(HttpRequest.BodyPublishers.ofString(body))
 			.build());
 	}
 
