Let settings be left out where they have a default

Cause: Jackson's FAIL_ON_MISSING_CREATOR_PROPERTIES makes every key required; a sidecar without 'platform.namespace' did not start. Conclusion: the daemon starts from short settings.

--- a/modules/daemon/src/main/java/org/ragworthook/daemon/settings/SettingsReader.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/settings/SettingsReader.java
@@ -38,7 +38,6 @@
 		.enable(JsonParser.Feature.ALLOW_COMMENTS)
 		.enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION)
 		.enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
-		.enable(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES)
 		.enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
 		.disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT)
 		.disable(MapperFeature.ALLOW_COERCION_OF_SCALARS)
