--- /dev/null
+++ b/modules/core/src/main/java/org/ragworthook/core/membership/Members.java
@@ -0,0 +1,27 @@
+package org.ragworthook.core.membership;
+
+import java.util.List;
+import java.util.Objects;
+
+import org.ragworthook.core.fleet.Instance;
+
+/**
+ * The instances at one moment. Immutable.
+ *
+ * @param routable those that may get new work: linked, and not leaving
+ * @param wanted those to be linked to: listed or linked, and not leaving
+ */
+public record Members(List<Instance> routable, List<Instance> wanted) {
+
+	/** No instances. */
+	public static final Members NONE = new Members(List.of(), List.of());
+
+	/**
+	 * Copies the lists.
+	 */
+	public Members {
+		routable = List.copyOf(Objects.requireNonNull(routable, "routable is null"));
+		wanted = List.copyOf(Objects.requireNonNull(wanted, "wanted is null"));
+	}
+
+}
