Put the engine gate in charge of a sidecar's upstream

An engine admits in the order of arrival, so batch passed on freely would stand in its queue before every online request, and a crash broke requests without a word on which of them was to blame.

The sidecar now passes on what the gate decides: batch gives way by closing its stream and goes back with its text, one that may run only once never does, suspects run alone. A stop tells every entry at once, finishes online, hands batch back, and lasts as long as the drain time at most.

--- a/modules/core/src/main/java/org/ragworthook/core/admission/EngineGate.java
+++ b/modules/core/src/main/java/org/ragworthook/core/admission/EngineGate.java
@@ -68,8 +68,8 @@
 	List<GateAction> swept();
 
 	/**
-	 * Stops taking requests in. Everything that waits is handed back; batch runs are
-	 * cancelled, online runs finish.
+	 * Stops taking requests in. Everything that waits is handed back; batch runs that may
+	 * be cancelled are, all others finish.
 	 * @return what to do
 	 */
 	List<GateAction> leave();
--- a/modules/core/src/main/java/org/ragworthook/core/admission/Offer.java
+++ b/modules/core/src/main/java/org/ragworthook/core/admission/Offer.java
@@ -10,8 +10,10 @@
  * {@link #NO_DEADLINE}
  * @param alone whether the request is suspected of crashing engines, so that nothing may
  * run beside it
+ * @param preemptible whether a batch request may be cancelled once it runs; one that may
+ * run only once may not
  */
-public record Offer(RunKey run, long deadlineNanos, boolean alone) {
+public record Offer(RunKey run, long deadlineNanos, boolean alone, boolean preemptible) {
 
 	/** The deadline of a request that has none. */
 	public static final long NO_DEADLINE = Long.MAX_VALUE;
@@ -29,7 +31,7 @@
 	 * @return the offer
 	 */
 	public static Offer of(RunKey run) {
-		return new Offer(run, NO_DEADLINE, false);
+		return new Offer(run, NO_DEADLINE, false, true);
 	}
 
 	/**
@@ -38,7 +40,7 @@
 	 * @return the offer
 	 */
 	public Offer withDeadline(long nanos) {
-		return new Offer(this.run, nanos, this.alone);
+		return new Offer(this.run, nanos, this.alone, this.preemptible);
 	}
 
 	/**
@@ -46,7 +48,15 @@
 	 * @return the offer
 	 */
 	public Offer asSuspect() {
-		return new Offer(this.run, this.deadlineNanos, true);
+		return new Offer(this.run, this.deadlineNanos, true, this.preemptible);
+	}
+
+	/**
+	 * Returns the same offer, never to be cancelled for another request.
+	 * @return the offer
+	 */
+	public Offer notPreemptible() {
+		return new Offer(this.run, this.deadlineNanos, this.alone, false);
 	}
 
 	boolean expired(long now) {
--- a/modules/core/src/main/java/org/ragworthook/core/admission/PriorityGate.java
+++ b/modules/core/src/main/java/org/ragworthook/core/admission/PriorityGate.java
@@ -272,7 +272,7 @@
 
 	private void start(Waiting waiting, List<GateAction> actions) {
 		RunKey run = waiting.offer().run();
-		this.running.put(run, new Running(waiting.batch(), this.ticker.nanos()));
+		this.running.put(run, new Running(waiting.batch(), waiting.offer().preemptible(), this.ticker.nanos()));
 		if (waiting.batch()) {
 			this.batchRunning++;
 		}
@@ -287,7 +287,7 @@
 		}
 		List<Map.Entry<RunKey, Running>> candidates = new ArrayList<>();
 		for (Map.Entry<RunKey, Running> entry : this.running.entrySet()) {
-			if (entry.getValue().batch && !entry.getValue().cancelled) {
+			if (entry.getValue().preemptible && !entry.getValue().cancelled) {
 				candidates.add(entry);
 			}
 		}
@@ -315,14 +315,17 @@
 
 		private final boolean batch;
 
+		private final boolean preemptible;
+
 		private final long startNanos;
 
 		private long firstOutputNanos;
 
 		private boolean cancelled;
 
-		private Running(boolean batch, long startNanos) {
+		private Running(boolean batch, boolean preemptible, long startNanos) {
 			this.batch = batch;
+			this.preemptible = batch && preemptible;
 			this.startNanos = startNanos;
 		}
 
--- a/modules/core/src/test/java/org/ragworthook/core/admission/PriorityGateTests.java
+++ b/modules/core/src/test/java/org/ragworthook/core/admission/PriorityGateTests.java
@@ -82,6 +82,21 @@
 		assertThat(gate.preempted(run("b1"))).isEmpty();
 	}
 
+	/**
+	 * A batch item that may run only once is at the engine. Cancelled, it could not be
+	 * run again, and nobody would know what became of it.
+	 */
+	@Test
+	void shouldNotCancelBatchThatMayRunOnlyOnce() {
+		PriorityGate gate = gate(2, 0).build();
+		gate.offerBatch(offer("repeatable"));
+		gate.offerBatch(offer("once").notPreemptible());
+		assertThat(gate.offerOnline(offer("o0"))).containsExactly(cancel("repeatable"));
+		assertThat(gate.offerOnline(offer("o1"))).isEmpty();
+		assertThat(gate.preempted(run("repeatable"))).containsExactly(start("o0"));
+		assertThat(gate.finished(run("once"), Ending.ANSWERED, 0)).containsExactly(start("o1"));
+	}
+
 	@Test
 	void shouldStartOnlineBeforeEarlierBatch() {
 		PriorityGate gate = gate(1, 0).build();
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/ActiveRun.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/ActiveRun.java
@@ -3,6 +3,9 @@
 import java.util.Objects;
 
 import com.google.protobuf.UnsafeByteOperations;
+import org.ragworthook.core.admission.Ending;
+import org.ragworthook.core.admission.Offer;
+import org.ragworthook.core.admission.RunKey;
 import org.ragworthook.daemon.engine.CallEnd;
 import org.ragworthook.daemon.engine.CallOutput;
 import org.ragworthook.daemon.engine.UpstreamCall;
@@ -10,7 +13,6 @@
 import org.ragworthook.wire.message.Done;
 import org.ragworthook.wire.message.Frame;
 import org.ragworthook.wire.message.Lane;
-import org.ragworthook.wire.message.Load;
 import org.ragworthook.wire.message.Outcome;
 import org.ragworthook.wire.message.Output;
 import org.ragworthook.wire.message.Run;
@@ -20,6 +22,10 @@
  */
 final class ActiveRun {
 
+	private static final int TOO_MANY_REQUESTS = 429;
+
+	private static final int UNAVAILABLE = 503;
+
 	private final Run run;
 
 	private final Link link;
@@ -28,6 +34,8 @@
 
 	private int offset;
 
+	private int status;
+
 	private boolean yielding;
 
 	ActiveRun(Run run, Link link) {
@@ -36,15 +44,27 @@
 	}
 
 	/**
-	 * Returns what tells this attempt from all others on its link.
-	 * @return request and attempt
+	 * Returns what tells this attempt from all others.
+	 * @return sender, request and attempt
 	 */
-	String key() {
-		return key(this.run.getRequest(), this.run.getAttempt());
+	RunKey key() {
+		return RunKey.of(this.link.remote().instance() + "/" + this.run.getRequest(), this.run.getAttempt());
 	}
 
-	static String key(String request, int attempt) {
-		return request + "/" + attempt;
+	/**
+	 * Returns the request as the gate sees it.
+	 * @param nowNanos the ticker's reading
+	 * @return the offer
+	 */
+	Offer offer(long nowNanos) {
+		Offer offer = Offer.of(key());
+		if (this.run.getDeadlineMillis() > 0) {
+			offer = offer.withDeadline(nowNanos + this.run.getDeadlineMillis() * 1_000_000L);
+		}
+		if (this.run.getAlone()) {
+			offer = offer.asSuspect();
+		}
+		return this.run.getRepeatable() ? offer : offer.notPreemptible();
 	}
 
 	Run run() {
@@ -59,6 +79,14 @@
 		return this.link.lane() == Lane.LANE_ONLINE;
 	}
 
+	/**
+	 * Tells whether the upstream may have got the request.
+	 * @return whether any of it was sent
+	 */
+	boolean passedOn() {
+		return this.call != null && this.call.sent();
+	}
+
 	boolean started() {
 		return this.call != null;
 	}
@@ -82,7 +110,12 @@
 		cancel();
 	}
 
+	boolean yielding() {
+		return this.yielding;
+	}
+
 	void output(CallOutput piece) {
+		this.status = piece.status();
 		Output.Builder output = Output.newBuilder()
 			.setRequest(this.run.getRequest())
 			.setAttempt(this.run.getAttempt())
@@ -97,27 +130,41 @@
 		this.link.send(Frame.newBuilder().setOutput(output).build());
 	}
 
-	void done(CallEnd end, Outcome outcome, Load load, int inFlight) {
+	/**
+	 * Tells whether any of the answer has come.
+	 * @return whether a piece was sent back
+	 */
+	boolean answering() {
+		return this.offset > 0;
+	}
+
+	void done(Done.Builder done) {
 		this.link.send(Frame.newBuilder()
-			.setDone(Done.newBuilder()
-				.setRequest(this.run.getRequest())
-				.setAttempt(this.run.getAttempt())
-				.setOutcome(outcome)
-				.setDetail(end.detail())
-				.setText(end.text())
-				.setTokens(end.tokens())
-				.setInFlight(inFlight)
-				.setLoad(load))
+			.setDone(done.setRequest(this.run.getRequest()).setAttempt(this.run.getAttempt()))
 			.build());
 	}
 
-	Outcome outcome(CallEnd end) {
+	Outcome outcome(CallEnd end, boolean crashed) {
 		return switch (end.kind()) {
 			case ANSWERED -> Outcome.OUTCOME_ANSWERED;
 			case NOT_PASSED_ON -> Outcome.OUTCOME_NOT_PASSED_ON;
-			case BROKEN -> Outcome.OUTCOME_BROKEN;
+			case BROKEN -> crashed ? Outcome.OUTCOME_CRASHED : Outcome.OUTCOME_BROKEN;
 			case CANCELLED -> this.yielding ? Outcome.OUTCOME_YIELDED : Outcome.OUTCOME_CANCELLED;
 		};
 	}
 
+	/**
+	 * Returns what the gate learns from the end of the call.
+	 * @param end how the call ended
+	 * @return the ending
+	 */
+	Ending ending(CallEnd end) {
+		return switch (end.kind()) {
+			case ANSWERED ->
+				(this.status == TOO_MANY_REQUESTS || this.status == UNAVAILABLE) ? Ending.OVERLOADED : Ending.ANSWERED;
+			case NOT_PASSED_ON, BROKEN -> Ending.LOST;
+			case CANCELLED -> Ending.CANCELLED;
+		};
+	}
+
 }
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/SidecarProcess.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/SidecarProcess.java
@@ -1,15 +1,23 @@
 package org.ragworthook.daemon.sidecar;
 
+import java.time.Duration;
 import java.util.UUID;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import org.ragworthook.core.admission.ConcurrencyLimit;
+import org.ragworthook.core.admission.EngineGate;
+import org.ragworthook.core.admission.GatePolicy;
 import org.ragworthook.core.close.Closer;
 import org.ragworthook.core.fleet.Address;
 import org.ragworthook.core.log.EventLog;
+import org.ragworthook.core.time.Ticker;
 import org.ragworthook.daemon.DaemonProcess;
 import org.ragworthook.daemon.engine.UpstreamClient;
 import org.ragworthook.daemon.http.HealthServer;
@@ -29,25 +37,34 @@
 
 	private static final int LINK_THREADS = 1;
 
+	private static final int HEADROOM = 1;
+
+	private static final int BATCH_ROOM = 64;
+
 	private final Closer closer = Closer.empty();
 
 	private final LinkServer links;
 
+	private final SidecarRuns runs;
+
+	private final Duration drainTime;
+
 	private final String instance;
 
 	private SidecarProcess(DaemonSettings settings) {
 		this.instance = settings.instance() + "-" + UUID.randomUUID().toString().substring(0, 8);
+		this.drainTime = Duration.ofMillis(settings.limits().drainMillis());
 		UpstreamSettings upstreamSettings = settings.upstream().orElseThrow();
 		Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1));
 		this.closer.add(() -> vertx.close().toCompletionStage().toCompletableFuture().join());
 		Context context = vertx.getOrCreateContext();
 		UpstreamClient upstream = this.closer
 			.add(UpstreamClient.of(vertx, upstreamSettings.url(), upstreamSettings.maxLimit()));
-		SidecarRuns runs = new SidecarRuns(context, upstream, upstreamSettings.initialLimit());
+		this.runs = new SidecarRuns(context, upstream, Ticker.system(), gate(upstreamSettings));
 		MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(LINK_THREADS, NioIoHandler.newFactory());
 		this.closer.add(loops::shutdownGracefully);
 		this.links = this.closer.add(LinkServer.listen(loops, settings.link(), LinkOptions.of(),
-				() -> welcome(settings, upstreamSettings, runs), runs));
+				() -> welcome(settings, upstreamSettings), this.runs));
 		this.closer.add(HealthServer.listen(vertx, settings.http(), Metrics.of(settings)));
 		LOG.info("sidecar_started", "instance", this.instance, "service", upstreamSettings.service(), "link",
 				this.links.address());
@@ -62,13 +79,14 @@
 		return new SidecarProcess(settings);
 	}
 
-	private Welcome welcome(DaemonSettings settings, UpstreamSettings upstream, SidecarRuns runs) {
+	private Welcome welcome(DaemonSettings settings, UpstreamSettings upstream) {
 		return Welcome.newBuilder()
 			.setInstance(this.instance)
 			.setRegion(settings.failureDomain().region())
 			.setFailureDomain(settings.failureDomain().name())
 			.setService(upstream.service())
-			.setLoad(runs.load())
+			.setLoad(this.runs.load())
+			.setLeaving(this.runs.leaving())
 			.build();
 	}
 
@@ -80,9 +98,34 @@
 		return this.links.address();
 	}
 
+	private static EngineGate gate(UpstreamSettings upstream) {
+		ConcurrencyLimit limit = ConcurrencyLimit.builder()
+			.bounds(1, upstream.maxLimit())
+			.initial(upstream.initialLimit())
+			.build();
+		return GatePolicy.parse(upstream.policy().name()).gate(Ticker.system(), limit, HEADROOM, BATCH_ROOM);
+	}
+
+	/**
+	 * Leaves gracefully: entries learn of it at once, online requests in progress finish,
+	 * batch is handed back.
+	 */
 	@Override
 	public void close() {
+		try {
+			this.runs.leave().get(this.drainTime.toMillis(), TimeUnit.MILLISECONDS);
+		}
+		catch (TimeoutException ex) {
+			LOG.warning("drain_cut_short", "requests", this.runs.load().getOnlineRunning());
+		}
+		catch (ExecutionException ex) {
+			LOG.warning("drain_failed", "error", ex.getCause());
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
 		this.closer.close();
+		LOG.info("sidecar_stopped", "instance", this.instance);
 	}
 
 }
