Add the command line

Operators and callers need one program for texts, status and batch jobs. It talks HTTP to any entry of a list, passes over entries that are down, names exit codes for usage, refusal, conflict, outage and timeout, and prints tables or JSON. 'get --to' writes the version into the file and 'apply' submits on it, so an old copy cannot be applied as if it were new; 'apply' waits until every process reports the version.

--- /dev/null
+++ b/modules/cli/src/main/java/org/ragworthook/cli/command/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The commands, one class each.
+ */
+package org.ragworthook.cli.command;
--- /dev/null
+++ b/modules/cli/src/main/java/org/ragworthook/cli/output/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What commands print: tables for people, JSON for programs, progress on standard error.
+ */
+package org.ragworthook.cli.output;
--- /dev/null
+++ b/modules/cli/src/test/java/org/ragworthook/cli/RagworthookCliTests.java
@@ -0,0 +1,175 @@
+package org.ragworthook.cli;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.ragworthook.cli.output.ExitCode;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class RagworthookCliTests {
+
+	private static final String EXAMPLE = "../../examples/peachtree.json";
+
+	private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+
+	private final ByteArrayOutputStream errors = new ByteArrayOutputStream();
+
+	private final FakeEntry entry = FakeEntry.start();
+
+	private final Map<String, String> environment = new HashMap<>(Map.of("RAGWORTHOOK_ENTRY", this.entry.url()));
+
+	@TempDir
+	private Path folder;
+
+	@AfterEach
+	void stop() {
+		this.entry.close();
+	}
+
+	private ExitCode run(String... args) {
+		this.environment.put("HOME", this.folder.toString());
+		return RagworthookCli
+			.of(this.environment, new PrintStream(this.out, true, StandardCharsets.UTF_8),
+					new PrintStream(this.errors, true, StandardCharsets.UTF_8))
+			.run(args);
+	}
+
+	private String printed() {
+		return this.out.toString(StandardCharsets.UTF_8);
+	}
+
+	private String complaints() {
+		return this.errors.toString(StandardCharsets.UTF_8);
+	}
+
+	@ParameterizedTest
+	@EnumSource(CommandName.class)
+	void shouldExplainEachCommand(CommandName name) {
+		assertThat(run(name.label(), "--help")).isEqualTo(ExitCode.OK);
+		assertThat(printed()).contains(name.summary());
+		assertThat(printed()).contains("--entry");
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "aply x", "apply", "apply x --reason r --roll-back 3", "status --colour", "drain" })
+	void shouldEndWithUsageWhenTheCommandLineIsWrong(String line) {
+		assertThat(run(line.split(" "))).isEqualTo(ExitCode.USAGE);
+		assertThat(complaints()).isNotEmpty();
+	}
+
+	@Test
+	void shouldValidateWithoutAnEntry() throws IOException {
+		assertThat(run("validate", EXAMPLE)).isEqualTo(ExitCode.OK);
+		Path broken = this.folder.resolve("broken.json");
+		Files.writeString(broken, "// ragworthook: edited from version 3\n{\"name\": \"x\",\n\"colour\": 1}\n");
+		assertThat(run("validate", broken.toString(), "--output", "json")).isEqualTo(ExitCode.REFUSED);
+		assertThat(printed()).contains("\"line\" : 3");
+		assertThat(printed()).contains("key 'colour' is not known");
+		assertThat(this.entry.calls()).isEmpty();
+	}
+
+	@Test
+	void shouldWaitUntilEveryProcessActsByAnAppliedText() {
+		this.entry.on("PUT /admin/v1/contract", 200,
+				"{\"version\":4,\"changes\":[{\"effect\":\"LOAD\",\"subject\":\"m\",\"words\":\"load m@v1\"}]}");
+		this.entry.on("GET /admin/v1/status", 200, "{\"processes\":[{\"version\":3},{\"version\":4}]}",
+				"{\"processes\":[{\"version\":4},{\"version\":4}]}");
+		assertThat(run("apply", EXAMPLE, "--reason", "more desks", "--base", "3", "--key", "k")).isEqualTo(ExitCode.OK);
+		assertThat(printed()).contains("load m@v1");
+		assertThat(complaints()).contains("1/2 processes act by version 4");
+		assertThat(complaints()).contains("2/2 processes act by version 4");
+		assertThat(this.entry.calls().get(0)).isEqualTo("PUT /admin/v1/contract Bearer k \"3\" null");
+	}
+
+	// A process is cut off and does not report the new version. The operator must not be
+	// told that all is done, and a script must be able to tell this from a refusal.
+	@Test
+	void shouldEndWithTimeoutWhileAProcessLags() {
+		this.entry.on("PUT /admin/v1/contract", 200, "{\"version\":4}");
+		this.entry.on("GET /admin/v1/status", 200, "{\"processes\":[{\"version\":3},{\"version\":4}]}");
+		assertThat(run("apply", EXAMPLE, "--reason", "r", "--timeout", "0")).isEqualTo(ExitCode.TIMEOUT);
+		assertThat(complaints()).contains("accepted, but not yet in force everywhere");
+	}
+
+	// Somebody else's change came first. The operator sees the entry's words, and the
+	// exit
+	// code tells a script that the text itself was not at fault.
+	@Test
+	void shouldTellAConflictFromARefusal() {
+		this.entry.on("PUT /admin/v1/contract", 409, "{\"error\":{\"message\":\"ben came first\"}}");
+		assertThat(run("apply", EXAMPLE, "--reason", "r")).isEqualTo(ExitCode.CONFLICT);
+		assertThat(complaints()).contains("ben came first");
+	}
+
+	@Test
+	void shouldRollBackByANewChangeOfTheNewestVersion() {
+		String text = "{\\\"name\\\": \\\"x\\\", \\\"regions\\\": [{\\\"name\\\": \\\"r\\\", \\\"failureDomains\\\": "
+				+ "[\\\"a\\\"]}], \\\"services\\\": [{\\\"name\\\": \\\"s\\\", \\\"type\\\": \\\"plain\\\", "
+				+ "\\\"failureDomains\\\": [\\\"a\\\"]}]}";
+		this.entry.on("GET /admin/v1/contract", 200, "{\"version\":2,\"text\":\"" + text + "\"}",
+				"{\"version\":7,\"text\":\"" + text + "\"}");
+		this.entry.on("PUT /admin/v1/contract", 200, "{\"version\":8}");
+		assertThat(run("apply", "--roll-back", "2", "--reason", "worse", "--no-wait")).isEqualTo(ExitCode.OK);
+		assertThat(this.entry.calls().get(2)).contains("\"7\"");
+	}
+
+	@Test
+	void shouldApplyFromTheVersionThatGetWrote() {
+		this.entry.on("GET /admin/v1/contract", 200, "{\"version\":5,\"text\":\"{}\\n\"}");
+		Path file = this.folder.resolve("text.json");
+		assertThat(run("get", "--to", file.toString())).isEqualTo(ExitCode.OK);
+		assertThat(file.toFile().exists()).isTrue();
+		assertThat(run("validate", file.toString())).isEqualTo(ExitCode.REFUSED);
+	}
+
+	@Test
+	void shouldSubmitTheSameFileUnderTheSameKey() throws IOException {
+		Path items = this.folder.resolve("items.jsonl");
+		Files.writeString(items, "{}\n");
+		this.entry.on("POST /v1/files", 200, "{\"id\":\"file-1\"}");
+		this.entry.on("POST /v1/batches", 200, "{\"id\":\"job-1\",\"status\":\"in_progress\"}");
+		this.entry.on("GET /v1/batches/job-1", 200,
+				"{\"id\":\"job-1\",\"status\":\"completed\",\"request_counts\":{\"total\":2,\"completed\":1,\"failed\":1}}");
+		assertThat(run("submit", items.toString())).isEqualTo(ExitCode.OK);
+		assertThat(run("submit", items.toString(), "--wait")).isEqualTo(ExitCode.FAILED);
+		assertThat(this.entry.calls().get(1)).isEqualTo(this.entry.calls().get(3));
+		assertThat(this.entry.calls().get(1)).contains("sha256:");
+	}
+
+	@Test
+	void shouldPassOverAnEntryThatIsDown() {
+		this.entry.on("GET /admin/v1/history", 200, "{\"changes\":[]}");
+		assertThat(run("history", "--entry", "127.0.0.1:1," + this.entry.url())).isEqualTo(ExitCode.OK);
+		assertThat(run("history", "--entry", "127.0.0.1:1")).isEqualTo(ExitCode.UNAVAILABLE);
+	}
+
+	@Test
+	void shouldTakeTheEntryFromFlagThenEnvironmentThenFile() throws IOException {
+		this.entry.on("GET /admin/v1/history", 200, "{\"changes\":[]}");
+		Path settings = this.folder.resolve("cli.json");
+		Files.writeString(settings, "{\n// our entries\n\"entry\": \"" + this.entry.url() + "\", \"key\": \"f\"}");
+		this.environment.clear();
+		assertThat(run("history")).isEqualTo(ExitCode.USAGE);
+		assertThat(run("history", "--settings", settings.toString())).isEqualTo(ExitCode.OK);
+		this.environment.put("RAGWORTHOOK_KEY", "e");
+		assertThat(run("history", "--settings", settings.toString())).isEqualTo(ExitCode.OK);
+		assertThat(run("history", "--settings", settings.toString(), "--key", "c")).isEqualTo(ExitCode.OK);
+		assertThat(this.entry.calls().stream().map((call) -> call.split(" ")[3]).toList())
+			.containsExactly("f", "e", "c")
+			.inOrder();
+	}
+
+}
