Stream whole answers and name the place of a wrong key

Change: chunked is set with the head; the places of keys are read from the text. Ruled out: the engine and the sidecar, whose other answers were whole. Conclusion: whole-path tests come with the online part.

--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/OnlineExchange.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/OnlineExchange.java
@@ -86,7 +86,7 @@
 		this.tokens += output.getTokens();
 		HttpServerResponse response = this.routing.response();
 		if (!response.headWritten() && output.getStatus() != 0) {
-			response.setStatusCode(output.getStatus());
+			response.setStatusCode(output.getStatus()).setChunked(this.request.run().getStream());
 			if (!output.getContentType().isEmpty()) {
 				response.putHeader("Content-Type", output.getContentType());
 			}
@@ -100,7 +100,6 @@
 				.record(System.nanoTime() - this.startNanos, TimeUnit.NANOSECONDS);
 		}
 		if (this.request.run().getStream()) {
-			response.setChunked(true);
 			response.write(Buffer.buffer(output.getBody().toByteArray()));
 		}
 		else {
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/settings/SettingsReader.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/settings/SettingsReader.java
@@ -96,22 +96,27 @@
 			return new Checker(source).settings(MAPPER.readValue(text, SettingsFile.class));
 		}
 		catch (UnrecognizedPropertyException ex) {
-			throw error(ErrorCode.SETTINGS_UNKNOWN_KEY, source, ex, "unknown key '" + path(ex) + "'");
+			throw error(ErrorCode.SETTINGS_UNKNOWN_KEY, source, KeyPlaces.of(text).find(path(ex)), ex,
+					"unknown key '" + path(ex) + "'");
 		}
 		catch (MismatchedInputException ex) {
 			boolean missing = ex.getMessage().startsWith("Missing required creator property");
-			throw missing ? error(ErrorCode.SETTINGS_MISSING_KEY, source, ex, "missing key '" + path(ex) + "'")
-					: error(ErrorCode.SETTINGS_BAD_VALUE, source, ex, "wrong type of value for '" + path(ex) + "'");
+			throw missing
+					? error(ErrorCode.SETTINGS_MISSING_KEY, source, Optional.empty(), ex,
+							"missing key '" + path(ex) + "'")
+					: error(ErrorCode.SETTINGS_BAD_VALUE, source, KeyPlaces.of(text).find(path(ex)), ex,
+							"wrong type of value for '" + path(ex) + "'");
 		}
 		catch (JsonProcessingException ex) {
-			throw error(ErrorCode.SETTINGS_MALFORMED, source, ex, ex.getOriginalMessage());
+			throw error(ErrorCode.SETTINGS_MALFORMED, source, Optional.ofNullable(ex.getLocation()), ex,
+					ex.getOriginalMessage());
 		}
 	}
 
-	private static ConfigException error(ErrorCode code, String source, JsonProcessingException ex, String detail) {
-		JsonLocation location = ex.getLocation();
-		String place = (location != null) ? ":" + location.getLineNr() + ":" + location.getColumnNr() : "";
-		return new ConfigException(code, source + place + ": " + detail, ex);
+	private static ConfigException error(ErrorCode code, String source, Optional<JsonLocation> place,
+			JsonProcessingException ex, String detail) {
+		String at = place.map((location) -> ":" + location.getLineNr() + ":" + location.getColumnNr()).orElse("");
+		return new ConfigException(code, source + at + ": " + detail, ex);
 	}
 
 	private static String path(JsonMappingException ex) {
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/settings/SettingsReaderTests.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/settings/SettingsReaderTests.java
@@ -44,9 +44,10 @@
 					"role": "sidecar"               | "rolle": "sidecar"          | SETTINGS_MISSING_KEY | 'role'
 					"role": "sidecar"               | "role": "sidecar", "colour": 1 | SETTINGS_UNKNOWN_KEY | s.json:3:
 					"role": "sidecar"               | "role": "side"              | SETTINGS_BAD_VALUE   | one of [entry, sidecar]
-					"http": "127.0.0.1:8081"        | "http": 8081                | SETTINGS_BAD_VALUE   | 'http'
+					"http": "127.0.0.1:8081"        | "http": {}                  | SETTINGS_BAD_VALUE   | s.json:4:2: wrong type of value for 'http'
 					"http": "127.0.0.1:8081"        | "http": "localhost"         | SETTINGS_BAD_VALUE   | 127.0.0.1:8080
 					"instance": "s-1",              | ''                          | SETTINGS_MISSING_KEY | 'instance'
+					"service": "measuring-desk"     | "service": "x", "sevice": 1 | SETTINGS_UNKNOWN_KEY | s.json:6:64: unknown key 'upstream.sevice'
 					"service": "measuring-desk"     | "service": ""               | SETTINGS_BAD_VALUE   | upstream.service
 					"service": "measuring-desk"     | "service": "x", "maxLimit": 0 | SETTINGS_BAD_VALUE | from 1 to
 					"upstream":                     | "upstream"                  | SETTINGS_MALFORMED   | s.json:6:
