Tell runs at one address apart and move handed-back requests freely

The platform's list does not know which run of a process listens at an address, so a membership keyed by listed identity would have kept the next run of a stopped process out for good. It is now keyed by address, with the run's own identity from its greeting.

mvn -pl modules/core -am verify passes.

--- a/modules/core/src/main/java/org/ragworthook/core/membership/Members.java
+++ b/modules/core/src/main/java/org/ragworthook/core/membership/Members.java
@@ -9,7 +9,8 @@
  * The instances at one moment. Immutable.
  *
  * @param routable those that may get new work: linked, and not leaving
- * @param wanted those to be linked to: listed or linked, and not leaving
+ * @param wanted those to be linked to: listed or linked. One that leaves is among them,
+ * since its next run may listen at the same address
  */
 public record Members(List<Instance> routable, List<Instance> wanted) {
 
--- a/modules/core/src/main/java/org/ragworthook/core/membership/Membership.java
+++ b/modules/core/src/main/java/org/ragworthook/core/membership/Membership.java
@@ -1,17 +1,14 @@
 package org.ragworthook.core.membership;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import java.util.Set;
 
+import org.ragworthook.core.fleet.Address;
 import org.ragworthook.core.fleet.Instance;
-import org.ragworthook.core.time.Ticker;
 
 /**
  * Merges the platform's list of instances with what the links to them say.
@@ -20,40 +17,34 @@
  * for a long time, and one that serves may be missing for a while. Believing the list
  * alone would send work to an instance that is about to exit, which one notices by
  * requests that fail during every planned stop. So the word of a link goes before the
- * list: an instance that said that it leaves never gets work again, for its identity is
- * not used by another run; one whose link is lost gets none until it is linked again; and
- * one that is linked keeps its place whatever the list says.
+ * list: a run that said that it leaves never gets work again, for no other run bears its
+ * identity; an instance whose link is lost gets none until it is linked again; and one
+ * that is linked keeps its place whatever the list says.
  * <p>
- * Changes are few and take a lock; {@link #members()} takes none.
+ * Instances are told apart by where they take links, since the list does not know which
+ * run of a process listens there. Changes are few and take a lock; {@link #members()}
+ * takes none.
  */
 public final class Membership {
 
-	private static final Duration REMEMBERED = Duration.ofMinutes(30);
+	private final Map<Address, Instance> listed = new HashMap<>();
 
-	private static final int MOST_REMEMBERED = 50_000;
+	private final Map<Address, Linked> linked = new HashMap<>();
 
-	private final Ticker ticker;
-
-	private final Map<String, Instance> listed = new HashMap<>();
-
-	private final Map<String, Instance> linked = new HashMap<>();
-
-	/** Those that said they leave, with the time at which they were last heard of. */
-	private final Map<String, Long> leaving = new HashMap<>();
+	/** By address, the last run that said it leaves. */
+	private final Map<Address, String> leaving = new HashMap<>();
 
 	private volatile Members members = Members.NONE;
 
-	private Membership(Ticker ticker) {
-		this.ticker = ticker;
+	private Membership() {
 	}
 
 	/**
 	 * Returns a membership without instances.
-	 * @param ticker the time
 	 * @return a new membership
 	 */
-	public static Membership of(Ticker ticker) {
-		return new Membership(Objects.requireNonNull(ticker, "ticker is null"));
+	public static Membership empty() {
+		return new Membership();
 	}
 
 	/**
@@ -67,72 +58,71 @@
 	/**
 	 * Takes in the platform's list.
 	 * @param instances the whole list
+	 * @return the new snapshot
 	 */
-	public synchronized void listed(Collection<Instance> instances) {
+	public synchronized Members listed(Collection<Instance> instances) {
 		Objects.requireNonNull(instances, "instances is null");
 		this.listed.clear();
-		instances.forEach((instance) -> this.listed.put(instance.id(), instance));
-		forget();
-		publish();
+		instances.forEach((instance) -> this.listed.put(instance.link(), instance));
+		return publish();
 	}
 
 	/**
 	 * Learns that an instance is linked.
-	 * @param instance the instance as it describes itself
+	 * @param instance the instance as the list showed it
+	 * @param run the identity that this run of it greeted with
+	 * @param leaves whether it greeted as leaving
+	 * @return the new snapshot
 	 */
-	public synchronized void linked(Instance instance) {
-		this.linked.put(instance.id(), instance);
-		if (instance.leaving()) {
-			this.leaving.put(instance.id(), this.ticker.nanos());
+	public synchronized Members linked(Instance instance, String run, boolean leaves) {
+		this.linked.put(instance.link(), new Linked(instance, Objects.requireNonNull(run, "run is null")));
+		if (leaves) {
+			this.leaving.put(instance.link(), run);
 		}
-		publish();
+		return publish();
 	}
 
 	/**
-	 * Learns that an instance leaves, by its own word.
-	 * @param id the instance
+	 * Learns that a run leaves, by its own word.
+	 * @param address where it takes links
+	 * @param run the identity that it greeted with
+	 * @return the new snapshot
 	 */
-	public synchronized void leaving(String id) {
-		this.leaving.put(Objects.requireNonNull(id, "id is null"), this.ticker.nanos());
-		publish();
+	public synchronized Members leaving(Address address, String run) {
+		this.leaving.put(Objects.requireNonNull(address, "address is null"),
+				Objects.requireNonNull(run, "run is null"));
+		return publish();
 	}
 
 	/**
 	 * Learns that the link to an instance is lost.
-	 * @param id the instance
+	 * @param address where it took links
+	 * @return the new snapshot
 	 */
-	public synchronized void lost(String id) {
-		this.linked.remove(Objects.requireNonNull(id, "id is null"));
-		publish();
-	}
-
-	private void forget() {
-		long now = this.ticker.nanos();
-		this.leaving.replaceAll((id, heard) -> (this.listed.containsKey(id) || this.linked.containsKey(id))
-				? Long.valueOf(now) : heard);
-		this.leaving.values().removeIf((heard) -> now - heard > REMEMBERED.toNanos());
-		if (this.leaving.size() > MOST_REMEMBERED) {
-			this.leaving.keySet().removeIf((id) -> !this.listed.containsKey(id) && !this.linked.containsKey(id));
-		}
+	public synchronized Members lost(Address address) {
+		this.linked.remove(Objects.requireNonNull(address, "address is null"));
+		return publish();
 	}
 
-	private void publish() {
+	private Members publish() {
+		Map<Address, Instance> wanted = new HashMap<>(this.listed);
+		this.linked.forEach((address, link) -> wanted.putIfAbsent(address, link.instance()));
+		// A run that has left greets nobody again once its address is neither listed nor
+		// linked, so its word need not be kept.
+		this.leaving.keySet().retainAll(wanted.keySet());
 		List<Instance> routable = new ArrayList<>();
-		List<Instance> wanted = new ArrayList<>();
-		Set<String> ids = new HashSet<>(this.listed.keySet());
-		ids.addAll(this.linked.keySet());
-		for (String id : ids) {
-			Instance inList = this.listed.get(id);
-			boolean gone = this.leaving.containsKey(id) || (inList != null && inList.leaving());
+		this.linked.forEach((address, link) -> {
+			Instance shown = this.listed.get(address);
+			boolean gone = link.run().equals(this.leaving.get(address)) || (shown != null && shown.leaving());
 			if (!gone) {
-				Instance instance = this.linked.getOrDefault(id, inList);
-				wanted.add(instance);
-				if (this.linked.containsKey(id)) {
-					routable.add(instance);
-				}
+				routable.add(link.instance());
 			}
-		}
-		this.members = new Members(routable, wanted);
+		});
+		this.members = new Members(routable, List.copyOf(wanted.values()));
+		return this.members;
+	}
+
+	private record Linked(Instance instance, String run) {
 	}
 
 }
--- a/modules/core/src/main/java/org/ragworthook/core/retry/RetryPolicy.java
+++ b/modules/core/src/main/java/org/ragworthook/core/retry/RetryPolicy.java
@@ -97,13 +97,15 @@
 		return state.repeatable() || !state.passedOn();
 	}
 
+	// A request that a leaving sidecar hands back is tried again without the budget: a
+	// stop hands back all that waits at once, and each sidecar leaves only once.
 	// A request whose link was lost is tried again once without the budget. A failure
 	// domain that is lost breaks more requests at once than the budget holds; and a lost
 	// link breaks each request once only, since nothing is sent to it until it is back,
 	// so this cannot multiply the load in an outage.
 	private boolean affordable(RequestState state, AttemptOutcome outcome) {
 		boolean free = outcome == AttemptOutcome.LINK_LOST && state.lostLinks() == 1;
-		return free || this.budget.spend();
+		return free || outcome == AttemptOutcome.HANDED_BACK || this.budget.spend();
 	}
 
 	private static RetryDecision exhausted(RequestState state, AttemptOutcome outcome) {
