Model-check acceptance, cancel, orders, contract and claims

Each protocol is a module of its own with its mechanisms as switches; the check commands state scopes and expected verdicts.

The cancel module showed that an owner that takes a shard again while items of an earlier term run has to cancel these too.

--- a/modules/spec/src/test/java/org/ragworthook/spec/SpecificationTests.java
+++ b/modules/spec/src/test/java/org/ragworthook/spec/SpecificationTests.java
@@ -16,7 +16,7 @@
  */
 class SpecificationTests {
 
-	private static final String[] MODULES = { "shard" };
+	private static final String[] MODULES = { "shard", "accept", "cancel", "order", "contract", "claim" };
 
 	static Stream<Arguments> commands() {
 		return Stream.of(MODULES).flatMap(SpecificationTests::commandsOf);
