--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/EntryProcess.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/EntryProcess.java
@@ -21,6 +21,7 @@
 import org.ragworthook.core.fleet.Address;
 import org.ragworthook.core.log.EventLog;
 import org.ragworthook.core.time.Timers;
+import org.ragworthook.daemon.Certificates;
 import org.ragworthook.daemon.DaemonProcess;
 import org.ragworthook.daemon.VertxTimers;
 import org.ragworthook.daemon.http.ErrorResponses;
@@ -32,7 +33,6 @@
 import org.ragworthook.platform.PlatformSettings;
 import org.ragworthook.wire.link.Link;
 import org.ragworthook.wire.link.LinkListener;
-import org.ragworthook.wire.link.LinkOptions;
 import org.ragworthook.wire.message.Frame;
 import org.ragworthook.wire.message.Hello;
 import org.ragworthook.wire.message.Lane;
@@ -71,8 +71,8 @@
 			.add(EndpointSliceList.of(vertx, platform(settings.platform().instances(), settings)));
 		this.closer.add(ContractWatch.start(store, this.inForce, timers, new Random(),
 				(failure) -> LOG.debug("contract_unreadable", "error", failure)));
-		UpstreamDirectory directory = this.closer
-			.add(UpstreamDirectory.follow(vertx, list, loops, LinkOptions.of(), this::hello, new ControlLane()));
+		UpstreamDirectory directory = this.closer.add(UpstreamDirectory.follow(vertx, list, loops,
+				Certificates.links(vertx, settings), this::hello, new ControlLane()));
 		ErrorResponses errors = ErrorResponses.of(metrics);
 		OnlineRoutes online = new OnlineRoutes(RequestReader.of(this.inForce::contract, InstantSource.system()),
 				new OnlinePath(directory, errors, metrics), settings.limits().requestBytes());
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/settings/DaemonSettings.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/settings/DaemonSettings.java
@@ -24,11 +24,12 @@
  * the first text, before operators stand in it
  * @param dataFolder where bulk data may be kept, if there is a disk
  * @param limits bounds on what the process takes in
- * @param tls certificates, or empty for plain TCP
+ * @param tls certificates of the links, or empty for plain TCP
+ * @param httpTls certificates of the HTTP interface, or empty for plain HTTP
  */
 public record DaemonSettings(Role role, String instance, FailureDomain failureDomain, Address http, Address link,
 		PlatformSettings platform, Optional<UpstreamSettings> upstream, Map<String, String> operatorKeys,
-		Optional<Path> dataFolder, LimitSettings limits, Optional<TlsSettings> tls) {
+		Optional<Path> dataFolder, LimitSettings limits, Optional<TlsSettings> tls, Optional<HttpTlsSettings> httpTls) {
 
 	/**
 	 * Copies the keys.
@@ -99,4 +100,13 @@
 	public record TlsSettings(Path certificate, Path key, Path authority) {
 	}
 
+	/**
+	 * Certificates that the HTTP interface shows, as files in PEM.
+	 *
+	 * @param certificate the chain
+	 * @param key the private key
+	 */
+	public record HttpTlsSettings(Path certificate, Path key) {
+	}
+
 }
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/settings/SettingsFile.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/settings/SettingsFile.java
@@ -19,13 +19,14 @@
  * @param operatorKeys hashes of operators' keys by operator
  * @param dataFolder where bulk data may be kept
  * @param limits bounds on what it takes in
- * @param tls certificates
+ * @param tls certificates of the links
+ * @param httpTls certificates of the HTTP interface
  */
 record SettingsFile(@JsonProperty(required = true) String role, @JsonProperty(required = true) String instance,
 		@JsonProperty(required = true) String region, @JsonProperty(required = true) String failureDomain,
 		@JsonProperty(required = true) String http, @JsonProperty(required = true) String link,
 		@JsonProperty(required = true) Platform platform, Upstream upstream, Map<String, String> operatorKeys,
-		String dataFolder, Limits limits, Tls tls) {
+		String dataFolder, Limits limits, Tls tls, HttpTls httpTls) {
 
 	/**
 	 * Where the platform is.
@@ -76,4 +77,13 @@
 			@JsonProperty(required = true) String authority) {
 	}
 
+	/**
+	 * Certificates of the HTTP interface.
+	 *
+	 * @param certificate file of the chain
+	 * @param key file of the private key
+	 */
+	record HttpTls(@JsonProperty(required = true) String certificate, @JsonProperty(required = true) String key) {
+	}
+
 }
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/settings/SettingsReader.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/settings/SettingsReader.java
@@ -23,6 +23,7 @@
 import org.ragworthook.core.fleet.Address;
 import org.ragworthook.core.fleet.FailureDomain;
 import org.ragworthook.core.fleet.Role;
+import org.ragworthook.daemon.settings.DaemonSettings.HttpTlsSettings;
 import org.ragworthook.daemon.settings.DaemonSettings.LimitSettings;
 import org.ragworthook.daemon.settings.DaemonSettings.PlatformSettings;
 import org.ragworthook.daemon.settings.DaemonSettings.Policy;
@@ -146,7 +147,8 @@
 					FailureDomain.of(text("region", file.region()), text("failureDomain", file.failureDomain())),
 					address("http", file.http()), address("link", file.link()), platform(file.platform()), upstream,
 					keys, Optional.ofNullable(file.dataFolder()).map(Path::of), limits(file.limits()),
-					Optional.ofNullable(file.tls()).map(this::tls));
+					Optional.ofNullable(file.tls()).map(this::tls),
+					Optional.ofNullable(file.httpTls()).map(this::httpTls));
 		}
 
 		private PlatformSettings platform(SettingsFile.Platform platform) {
@@ -184,6 +186,10 @@
 					file("tls.authority", tls.authority()));
 		}
 
+		private HttpTlsSettings httpTls(SettingsFile.HttpTls tls) {
+			return new HttpTlsSettings(file("httpTls.certificate", tls.certificate()), file("httpTls.key", tls.key()));
+		}
+
 		private Path file(String key, String value) {
 			Path path = Path.of(text(key, value));
 			if (!Files.isReadable(path)) {
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/SidecarProcess.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/SidecarProcess.java
@@ -18,13 +18,13 @@
 import org.ragworthook.core.fleet.Address;
 import org.ragworthook.core.log.EventLog;
 import org.ragworthook.core.time.Ticker;
+import org.ragworthook.daemon.Certificates;
 import org.ragworthook.daemon.DaemonProcess;
 import org.ragworthook.daemon.engine.UpstreamClient;
 import org.ragworthook.daemon.http.HealthServer;
 import org.ragworthook.daemon.http.Metrics;
 import org.ragworthook.daemon.settings.DaemonSettings;
 import org.ragworthook.daemon.settings.DaemonSettings.UpstreamSettings;
-import org.ragworthook.wire.link.LinkOptions;
 import org.ragworthook.wire.link.LinkServer;
 import org.ragworthook.wire.message.Welcome;
 
@@ -63,7 +63,7 @@
 		this.runs = new SidecarRuns(context, upstream, Ticker.system(), gate(upstreamSettings));
 		MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(LINK_THREADS, NioIoHandler.newFactory());
 		this.closer.add(loops::shutdownGracefully);
-		this.links = this.closer.add(LinkServer.listen(loops, settings.link(), LinkOptions.of(),
+		this.links = this.closer.add(LinkServer.listen(loops, settings.link(), Certificates.links(vertx, settings),
 				() -> welcome(settings, upstreamSettings), this.runs));
 		this.closer.add(HealthServer.listen(vertx, settings.http(), Metrics.of(settings)));
 		LOG.info("sidecar_started", "instance", this.instance, "service", upstreamSettings.service(), "link",
--- a/modules/wire/src/main/java/org/ragworthook/wire/link/LinkChannels.java
+++ b/modules/wire/src/main/java/org/ragworthook/wire/link/LinkChannels.java
@@ -1,5 +1,6 @@
 package org.ragworthook.wire.link;
 
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.Channel;
@@ -9,7 +10,7 @@
 import io.netty.handler.codec.protobuf.ProtobufDecoder;
 import io.netty.handler.codec.protobuf.ProtobufEncoder;
 import io.netty.handler.flush.FlushConsolidationHandler;
-import io.netty.handler.ssl.SslContext;
+import io.netty.handler.ssl.SslHandler;
 import io.netty.handler.timeout.IdleStateHandler;
 import org.ragworthook.wire.message.Frame;
 
@@ -25,11 +26,9 @@
 	private LinkChannels() {
 	}
 
-	static void init(Channel channel, LinkOptions options, SslContext tls, LinkHandler handler) {
+	static void init(Channel channel, LinkOptions options, Optional<SslHandler> tls, LinkHandler handler) {
 		ChannelPipeline pipeline = channel.pipeline();
-		if (tls != null) {
-			pipeline.addLast(tls.newHandler(channel.alloc()));
-		}
+		tls.ifPresent(pipeline::addLast);
 		pipeline.addLast(new FlushConsolidationHandler(FLUSH_AFTER_WRITES, true));
 		pipeline.addLast(new IdleStateHandler(options.timeout().toMillis(), options.heartbeat().toMillis(), 0,
 				TimeUnit.MILLISECONDS));
--- a/modules/wire/src/main/java/org/ragworthook/wire/link/LinkClient.java
+++ b/modules/wire/src/main/java/org/ragworthook/wire/link/LinkClient.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -14,6 +15,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.ssl.SslHandler;
 import org.ragworthook.core.fleet.Address;
 import org.ragworthook.wire.message.Frame;
 import org.ragworthook.wire.message.Hello;
@@ -86,8 +88,7 @@
 
 				@Override
 				protected void initChannel(Channel created) {
-					LinkChannels.init(created, LinkClient.this.options,
-							LinkClient.this.options.clientTls().orElse(null),
+					LinkChannels.init(created, LinkClient.this.options, tls(created),
 							LinkHandler.connecting(new Resetting(), LinkClient.this.hello.get()));
 				}
 
@@ -100,6 +101,11 @@
 		}
 	}
 
+	private Optional<SslHandler> tls(Channel created) {
+		return this.options.tls()
+			.map((identity) -> identity.client().newHandler(created.alloc(), this.address.host(), this.address.port()));
+	}
+
 	private void again() {
 		if (!this.closed) {
 			long wait = this.delayMillis / 2 + ThreadLocalRandom.current().nextLong(this.delayMillis);
--- a/modules/wire/src/main/java/org/ragworthook/wire/link/LinkOptions.java
+++ b/modules/wire/src/main/java/org/ragworthook/wire/link/LinkOptions.java
@@ -4,7 +4,7 @@
 import java.util.Objects;
 import java.util.Optional;
 
-import io.netty.handler.ssl.SslContext;
+import org.ragworthook.wire.tls.TlsIdentity;
 
 /**
  * How links behave.
@@ -12,11 +12,9 @@
  * @param heartbeat how long a link may be silent before this side sends a ping
  * @param timeout how long the other side may be silent before the link counts as lost
  * @param maxFrameBytes the largest frame taken; a larger one ends the link
- * @param serverTls the TLS context of the side that accepts, empty for plain TCP
- * @param clientTls the TLS context of the side that connects, empty for plain TCP
+ * @param tls the certificates of this process, empty for plain TCP
  */
-public record LinkOptions(Duration heartbeat, Duration timeout, int maxFrameBytes, Optional<SslContext> serverTls,
-		Optional<SslContext> clientTls) {
+public record LinkOptions(Duration heartbeat, Duration timeout, int maxFrameBytes, Optional<TlsIdentity> tls) {
 
 	private static final Duration HEARTBEAT = Duration.ofSeconds(2);
 
@@ -31,8 +29,7 @@
 	public LinkOptions {
 		Objects.requireNonNull(heartbeat, "heartbeat is null");
 		Objects.requireNonNull(timeout, "timeout is null");
-		Objects.requireNonNull(serverTls, "serverTls is null");
-		Objects.requireNonNull(clientTls, "clientTls is null");
+		Objects.requireNonNull(tls, "tls is null");
 		if (timeout.compareTo(heartbeat) <= 0) {
 			throw new IllegalArgumentException("timeout " + timeout + " is not longer than heartbeat " + heartbeat);
 		}
@@ -43,7 +40,7 @@
 	 * @return the options
 	 */
 	public static LinkOptions of() {
-		return new LinkOptions(HEARTBEAT, TIMEOUT, MAX_FRAME_BYTES, Optional.empty(), Optional.empty());
+		return new LinkOptions(HEARTBEAT, TIMEOUT, MAX_FRAME_BYTES, Optional.empty());
 	}
 
 	/**
@@ -53,18 +50,16 @@
 	 * @return the options
 	 */
 	public LinkOptions heartbeat(Duration newHeartbeat, Duration newTimeout) {
-		return new LinkOptions(newHeartbeat, newTimeout, this.maxFrameBytes, this.serverTls, this.clientTls);
+		return new LinkOptions(newHeartbeat, newTimeout, this.maxFrameBytes, this.tls);
 	}
 
 	/**
 	 * Returns these options with mutual TLS.
-	 * @param server the context of the side that accepts
-	 * @param client the context of the side that connects
+	 * @param identity the certificates of this process
 	 * @return the options
 	 */
-	public LinkOptions tls(SslContext server, SslContext client) {
-		return new LinkOptions(this.heartbeat, this.timeout, this.maxFrameBytes, Optional.of(server),
-				Optional.of(client));
+	public LinkOptions tls(TlsIdentity identity) {
+		return new LinkOptions(this.heartbeat, this.timeout, this.maxFrameBytes, Optional.of(identity));
 	}
 
 }
--- a/modules/wire/src/main/java/org/ragworthook/wire/link/LinkServer.java
+++ b/modules/wire/src/main/java/org/ragworthook/wire/link/LinkServer.java
@@ -59,7 +59,8 @@
 				@Override
 				protected void initChannel(Channel child) {
 					accepted.add(child);
-					LinkChannels.init(child, options, options.serverTls().orElse(null),
+					LinkChannels.init(child, options,
+							options.tls().map((identity) -> identity.server().newHandler(child.alloc())),
 							LinkHandler.accepting(listener, welcome));
 				}
 
