--- a/modules/core/src/main/java/org/ragworthook/core/store/ConditionalWriter.java
+++ b/modules/core/src/main/java/org/ragworthook/core/store/ConditionalWriter.java
@@ -19,8 +19,13 @@
  * compared: with this write's stamp the write has succeeded, otherwise it is repeated
  * with the same stamp and the same expected version. The first try may still be on its
  * way; whichever of the two arrives first takes effect, the other meets a conflict, and
- * the stamp tells that both are the same write. While the object cannot be read the
- * outcome stays unknown, and the caller is told so.
+ * the stamp tells that both are the same write.
+ * <p>
+ * The outcome stays unknown, and the caller is told so, while the object cannot be read,
+ * and also if a doubtful write meets a conflict with another writer's stamp: that writer
+ * may have read this write's object and replaced it. Reported as a conflict, an operator
+ * would be told that a text was not accepted which was in force for a while. The caller
+ * then reads the object and decides from what it says.
  */
 public final class ConditionalWriter {
 
@@ -51,7 +56,7 @@
 	 * @param text its value
 	 * @param labels its labels
 	 * @return the object; fails with {@code STORE_CONFLICT} if another write made it
-	 * first, and with {@code STORE_OUTCOME_UNKNOWN} only if it cannot be read back
+	 * first, and with {@code STORE_OUTCOME_UNKNOWN} if reading back does not settle it
 	 */
 	public CompletableFuture<Stored> create(ObjectKey key, String text, Labels labels) {
 		Draft draft = new Draft(text, labels, this.stamps.next());
@@ -63,7 +68,7 @@
 	 * @param seen the object as it was read
 	 * @param text its new value
 	 * @return the object; fails with {@code STORE_CONFLICT} if another write came first,
-	 * and with {@code STORE_OUTCOME_UNKNOWN} only if it cannot be read back
+	 * and with {@code STORE_OUTCOME_UNKNOWN} if reading back does not settle it
 	 */
 	public CompletableFuture<Stored> update(Stored seen, String text) {
 		Draft draft = new Draft(text, seen.draft().labels(), this.stamps.next());
@@ -81,7 +86,7 @@
 				return settle(write, key, draft, attempts, failure);
 			}
 			if (doubtful && is(code, ErrorCode.STORE_CONFLICT)) {
-				return readBack(key, draft).thenApply((found) -> found.orElseThrow(() -> rethrown(failure)));
+				return readBack(key, draft).thenApply((found) -> found.orElseThrow(() -> unknown(key, failure)));
 			}
 			return doubtful ? CompletableFuture.<Stored>failedFuture(unknown(key, failure))
 					: CompletableFuture.<Stored>failedFuture(failure);
@@ -114,10 +119,6 @@
 		return code.filter((present) -> present == wanted).isPresent();
 	}
 
-	private static CompletionException rethrown(Throwable failure) {
-		return (failure instanceof CompletionException completion) ? completion : new CompletionException(failure);
-	}
-
 	private static StoreException unknown(ObjectKey key, Throwable failure) {
 		return new StoreException(ErrorCode.STORE_OUTCOME_UNKNOWN,
 				"write to " + key + " was not confirmed and could not be settled by reading back", failure);
--- a/modules/core/src/test/java/org/ragworthook/core/store/FaultyObjectStore.java
+++ b/modules/core/src/test/java/org/ragworthook/core/store/FaultyObjectStore.java
@@ -114,6 +114,10 @@
 				step.get();
 				yield failed(ErrorCode.STORE_OUTCOME_UNKNOWN, call);
 			}
+			case LATE -> {
+				this.delayed.add(step::get);
+				yield failed(ErrorCode.STORE_OUTCOME_UNKNOWN, call);
+			}
 			case DEAD_BEFORE -> new CompletableFuture<>();
 			case DEAD_AFTER -> {
 				step.get();
@@ -159,6 +163,9 @@
 		/** It takes effect, and the caller cannot know. */
 		ANSWER_LOST,
 
+		/** The caller cannot know, and it takes effect when the test delivers it. */
+		LATE,
+
 		/** It has no effect and no answer: the caller died before it. */
 		DEAD_BEFORE,
 
