Send entries what changed of a contract, not the whole text

Cause: at 6,000 accounts the text is about 1 MB. The history lists heads. An unconfirmed change that was replaced is found in the history.

--- a/modules/core/src/main/java/org/ragworthook/core/contract/ContractRegister.java
+++ b/modules/core/src/main/java/org/ragworthook/core/contract/ContractRegister.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import org.ragworthook.core.error.ConfigException;
 import org.ragworthook.core.error.ErrorCode;
@@ -24,11 +25,12 @@
 /**
  * Accepts texts and keeps their history at the platform.
  * <p>
- * The newest revision is one object, replaced by conditional write, so of two operators
- * who edited the same version only one is accepted and the other is told who came first.
- * Before a revision is replaced it is copied into the history. Should the entry stop
- * between the two writes, the copy is there already and the next change finds it; the
- * history plus the newest revision has no gap at any moment.
+ * The head of the newest revision is one small object, replaced by conditional write, so
+ * of two operators who edited the same version only one is accepted and the other is told
+ * who came first. Before a head is replaced it is copied into the history, and a new
+ * snapshot of the text, when one is due, is written before the head that names it. Should
+ * the entry stop between two writes, the next change finds the copy, and a snapshot that
+ * no head names does no harm; the history plus the newest head has no gap at any moment.
  */
 public final class ContractRegister {
 
@@ -38,18 +40,19 @@
 	/** Selects the newest revision in a watch. */
 	public static final Labels NEWEST_LABELS = Labels.of("part", "newest");
 
-	private static final Labels HISTORY_LABELS = Labels.of("part", "history");
-
 	private final ObjectStore store;
 
 	private final ConditionalWriter writer;
 
 	private final InstantSource clock;
 
+	private final RevisionStore revisions;
+
 	private ContractRegister(ObjectStore store, ConditionalWriter writer, InstantSource clock) {
 		this.store = Objects.requireNonNull(store, "store is null");
 		this.writer = Objects.requireNonNull(writer, "writer is null");
 		this.clock = Objects.requireNonNull(clock, "clock is null");
+		this.revisions = RevisionStore.of(store);
 	}
 
 	/**
@@ -70,7 +73,7 @@
 	 * @return the revision, or empty if no text was accepted yet
 	 */
 	public CompletableFuture<Optional<Revision>> newest() {
-		return this.store.read(NEWEST).thenApply((found) -> found.map(ContractRegister::revision));
+		return this.store.read(NEWEST).thenCompose(this::restore);
 	}
 
 	/**
@@ -79,37 +82,43 @@
 	 * @return the revision, or empty if there is none or it is no longer kept
 	 */
 	public CompletableFuture<Optional<Revision>> revision(long version) {
-		return newest().thenCompose((newest) -> {
-			if (newest.filter((present) -> present.version() == version).isPresent()) {
-				return CompletableFuture.completedFuture(newest);
+		return this.store.read(NEWEST).thenCompose((found) -> {
+			if (found.filter((stored) -> head(stored).version() == version).isPresent()) {
+				return restore(found);
 			}
-			return this.store.read(historyKey(version)).thenApply((found) -> found.map(ContractRegister::revision));
+			return this.store.read(RevisionStore.changeKey(version)).thenCompose(this::restore);
 		});
 	}
 
-	/**
-	 * Reads all revisions that are kept.
-	 * @return the revisions, newest first
-	 */
-	public CompletableFuture<List<Revision>> history() {
-		return this.store.list(Kind.CONFIG, HISTORY_LABELS).thenCombine(newest(), ContractRegister::newestFirst);
+	private CompletableFuture<Optional<Revision>> restore(Optional<Stored> found) {
+		return found.map((stored) -> this.revisions.restore(head(stored)).thenApply(Optional::of))
+			.orElseGet(() -> CompletableFuture.completedFuture(Optional.empty()));
 	}
 
-	private static List<Revision> newestFirst(Listing listing, Optional<Revision> newest) {
-		List<Revision> revisions = new ArrayList<>();
-		listing.objects().forEach((stored) -> revisions.add(revision(stored)));
-		newest.filter((present) -> revisions.stream().noneMatch((old) -> old.version() == present.version()))
-			.ifPresent(revisions::add);
-		revisions.sort(Comparator.comparingLong(Revision::version).reversed());
-		return revisions;
+	/**
+	 * Reads the heads of all revisions that are kept.
+	 * @return the heads, newest first
+	 */
+	public CompletableFuture<List<RevisionHead>> history() {
+		return this.store.list(Kind.CONFIG, RevisionStore.HISTORY_LABELS)
+			.thenCombine(this.store.read(NEWEST), ContractRegister::newestFirst);
 	}
 
-	private static Revision revision(Stored stored) {
-		return RevisionCodec.decode(stored.text());
+	private static List<RevisionHead> newestFirst(Listing listing, Optional<Stored> newest) {
+		List<RevisionHead> heads = new ArrayList<>();
+		listing.objects().forEach((stored) -> heads.add(head(stored)));
+		newest.map(ContractRegister::head)
+			.filter((present) -> heads.stream().noneMatch((old) -> old.version() == present.version()))
+			.ifPresent(heads::add);
+		long oldest = heads.stream().mapToLong(RevisionHead::version).min().orElse(0);
+		return heads.stream()
+			.filter((head) -> head.snapshotVersion() >= oldest)
+			.sorted(Comparator.comparingLong(RevisionHead::version).reversed())
+			.toList();
 	}
 
-	private static ObjectKey historyKey(long version) {
-		return ObjectKey.of(Kind.CONFIG, String.format("change-%012d", version));
+	private static RevisionHead head(Stored stored) {
+		return RevisionCodec.parseHead(stored.text());
 	}
 
 	// -- acceptance
@@ -152,24 +161,28 @@
 			throw new ConfigException(ErrorCode.CONFIG_CONFLICT,
 					"version " + proposal.base() + " was edited, but the platform holds no text");
 		}
-		Revision fresh = next(proposal, inForce);
-		return this.writer.create(NEWEST, RevisionCodec.encode(fresh), NEWEST_LABELS)
-			.handle((stored, failure) -> settle(stored, failure, proposal))
+		RevisionHead fresh = snapshot(proposal, inForce + 1, Optional.empty());
+		return writeSnapshot(fresh, proposal)
+			.thenCompose((written) -> this.writer.create(NEWEST, RevisionCodec.head(fresh), NEWEST_LABELS))
+			.handle((stored, failure) -> settle(fresh, failure, proposal))
 			.thenCompose((settled) -> settled);
 	}
 
 	private CompletableFuture<Revision> replace(Stored seen, Proposal proposal, long inForce) {
-		Revision newest = revision(seen);
-		if (isResubmission(newest, proposal)) {
-			return CompletableFuture.completedFuture(newest);
-		}
-		if (newest.version() != proposal.base()) {
-			return conflict(newest, proposal);
-		}
-		String value = RevisionCodec.encode(next(proposal, Math.max(inForce, newest.version())));
-		return keep(seen, newest).thenCompose((kept) -> this.writer.update(seen, value))
-			.handle((stored, failure) -> settle(stored, failure, proposal))
-			.thenCompose((settled) -> settled);
+		RevisionHead head = head(seen);
+		return this.revisions.restore(head).thenCompose((newest) -> {
+			if (isResubmission(newest, proposal)) {
+				return CompletableFuture.completedFuture(newest);
+			}
+			if (newest.version() != proposal.base()) {
+				return conflict(newest, proposal);
+			}
+			RevisionHead fresh = next(head, newest.text(), proposal, Math.max(inForce, newest.version()) + 1);
+			return keep(seen, head).thenCompose((kept) -> writeSnapshot(fresh, proposal))
+				.thenCompose((written) -> this.writer.update(seen, RevisionCodec.head(fresh)))
+				.handle((stored, failure) -> settle(fresh, failure, proposal))
+				.thenCompose((settled) -> settled);
+		});
 	}
 
 	// An operator whose answer was lost submits the same text again from the same
@@ -183,25 +196,67 @@
 				&& (unchanged || newest.version() == proposal.base() + 1 && newest.author().equals(proposal.author()));
 	}
 
-	private Revision next(Proposal proposal, long above) {
-		Instant now = this.clock.instant().truncatedTo(ChronoUnit.MILLIS);
-		return new Revision(above + 1, proposal.author(), proposal.reason(), now, proposal.text());
+	/**
+	 * Makes the head of the next version: a delta to the one before, or a snapshot where
+	 * the chain of deltas has become long, the delta is large or a version was left out.
+	 * @param before the head of the version before
+	 * @param text its text
+	 * @param proposal what is to be accepted
+	 * @param version the number of the next version
+	 * @return the head
+	 * @throws ConfigException if the text is longer than the platform can hold
+	 */
+	private RevisionHead next(RevisionHead before, String text, Proposal proposal, long version) {
+		TextDelta delta = TextDelta.between(text, proposal.text());
+		boolean small = delta.inserted().length() <= RevisionStore.LARGEST_DELTA;
+		boolean chained = version == before.version() + 1
+				&& version - before.snapshotVersion() <= RevisionStore.LONGEST_CHAIN;
+		if (!small || !chained) {
+			return snapshot(proposal, version, Optional.of(before.snapshot()));
+		}
+		RevisionCodec.snapshot(proposal.text());
+		return new RevisionHead(version, proposal.author(), proposal.reason(), now(),
+				RevisionHead.digest(proposal.text()), before.snapshotVersion(), before.snapshot(), Optional.of(delta),
+				Optional.empty());
+	}
+
+	private RevisionHead snapshot(Proposal proposal, long version, Optional<String> replaced) {
+		String digest = RevisionHead.digest(proposal.text());
+		return new RevisionHead(version, proposal.author(), proposal.reason(), now(), digest, version,
+				RevisionStore.snapshotName(version, digest), Optional.empty(), replaced);
 	}
 
-	private CompletableFuture<Boolean> keep(Stored seen, Revision newest) {
-		return this.writer.create(historyKey(newest.version()), seen.text(), HISTORY_LABELS)
-			.handle((stored, failure) -> {
-				if (failure == null || isConflict(failure)) {
-					return CompletableFuture.completedFuture(true);
-				}
-				return CompletableFuture.<Boolean>failedFuture(failure);
-			})
-			.thenCompose((settled) -> settled);
+	private Instant now() {
+		return this.clock.instant().truncatedTo(ChronoUnit.MILLIS);
 	}
 
-	private CompletableFuture<Revision> settle(Stored stored, Throwable failure, Proposal proposal) {
+	private CompletableFuture<Boolean> writeSnapshot(RevisionHead fresh, Proposal proposal) {
+		if (fresh.delta().isPresent()) {
+			return CompletableFuture.completedFuture(true);
+		}
+		return createOnce(ObjectKey.of(Kind.CONFIG, fresh.snapshot()), RevisionCodec.snapshot(proposal.text()),
+				RevisionStore.SNAPSHOT_LABELS);
+	}
+
+	private CompletableFuture<Boolean> keep(Stored seen, RevisionHead head) {
+		return createOnce(RevisionStore.changeKey(head.version()), seen.text(), RevisionStore.HISTORY_LABELS);
+	}
+
+	private CompletableFuture<Boolean> createOnce(ObjectKey key, String value, Labels labels) {
+		return this.writer.create(key, value, labels).handle((stored, failure) -> {
+			if (failure == null || isConflict(failure)) {
+				return CompletableFuture.completedFuture(true);
+			}
+			return CompletableFuture.<Boolean>failedFuture(failure);
+		}).thenCompose((settled) -> settled);
+	}
+
+	private CompletableFuture<Revision> settle(RevisionHead fresh, Throwable failure, Proposal proposal) {
 		if (failure == null) {
-			return CompletableFuture.completedFuture(revision(stored));
+			return CompletableFuture.completedFuture(fresh.with(proposal.text()));
+		}
+		if (isUnknown(failure)) {
+			return findAccepted(fresh, failure, proposal);
 		}
 		if (!isConflict(failure)) {
 			return CompletableFuture.failedFuture(failure);
@@ -210,6 +265,30 @@
 				: CompletableFuture.failedFuture(failure));
 	}
 
+	/**
+	 * Looks for a change whose write was not confirmed. Another operator may have
+	 * replaced it already; then its head is in the history, and telling its author that
+	 * it was refused would be wrong.
+	 * @param fresh the head that was written
+	 * @param failure what the write failed with
+	 * @param proposal what was to be accepted
+	 * @return the revision if it was accepted; else fails with the failure
+	 */
+	private CompletableFuture<Revision> findAccepted(RevisionHead fresh, Throwable failure, Proposal proposal) {
+		return this.store.read(NEWEST)
+			.thenCombine(this.store.read(RevisionStore.changeKey(fresh.version())),
+					(newest, kept) -> Stream.of(newest, kept)
+						.flatMap(Optional::stream)
+						.map(ContractRegister::head)
+						.anyMatch(fresh::equals))
+			.thenCompose((accepted) -> accepted ? CompletableFuture.completedFuture(fresh.with(proposal.text()))
+					: CompletableFuture.failedFuture(failure));
+	}
+
+	private static boolean isUnknown(Throwable failure) {
+		return ConditionalWriter.codeOf(failure).filter((code) -> code == ErrorCode.STORE_OUTCOME_UNKNOWN).isPresent();
+	}
+
 	private static boolean isConflict(Throwable failure) {
 		return ConditionalWriter.codeOf(failure).filter((code) -> code == ErrorCode.STORE_CONFLICT).isPresent();
 	}
@@ -238,14 +317,31 @@
 				: changes.stream().map(Change::words).collect(Collectors.joining(", "));
 	}
 
+	/**
+	 * Removes what is older than the history that is kept. A snapshot goes with the first
+	 * head that no longer needs it. The heads that the oldest kept text is put together
+	 * from stay.
+	 * @param accepted the newest revision
+	 * @param kept how many changes are kept
+	 * @return the newest revision, whatever becomes of the removal
+	 */
 	private CompletableFuture<Revision> forget(Revision accepted, int kept) {
-		if (accepted.version() <= kept) {
+		long last = accepted.version() - kept - RevisionStore.LONGEST_CHAIN;
+		if (last <= 0) {
 			return CompletableFuture.completedFuture(accepted);
 		}
-		return this.store.read(historyKey(accepted.version() - kept))
-			.thenCompose((found) -> found.isPresent() ? this.store.delete(found.get().key(), found.get().version())
-					: CompletableFuture.completedFuture(false))
+		return this.store.read(RevisionStore.changeKey(last))
+			.thenCompose((found) -> found.map(this::remove).orElseGet(() -> CompletableFuture.completedFuture(false)))
 			.handle((gone, failure) -> accepted);
 	}
 
+	private CompletableFuture<Boolean> remove(Stored change) {
+		CompletableFuture<Boolean> snapshot = head(change).replaced()
+			.map((name) -> this.store.read(ObjectKey.of(Kind.CONFIG, name))
+				.thenCompose((found) -> found.map((stored) -> this.store.delete(stored.key(), stored.version()))
+					.orElseGet(() -> CompletableFuture.completedFuture(false))))
+			.orElseGet(() -> CompletableFuture.completedFuture(false));
+		return snapshot.thenCompose((gone) -> this.store.delete(change.key(), change.version()));
+	}
+
 }
--- a/modules/core/src/main/java/org/ragworthook/core/contract/ContractWatch.java
+++ b/modules/core/src/main/java/org/ragworthook/core/contract/ContractWatch.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Objects;
+import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
@@ -38,6 +39,10 @@
 
 	private final RandomGenerator random;
 
+	private final Executor work;
+
+	private final RevisionStore revisions;
+
 	private final Consumer<Throwable> failures;
 
 	private final AtomicLong round = new AtomicLong();
@@ -48,12 +53,14 @@
 
 	private boolean closed;
 
-	private ContractWatch(ObjectStore store, InForce inForce, Timers timers, RandomGenerator random,
+	private ContractWatch(ObjectStore store, InForce inForce, Timers timers, RandomGenerator random, Executor work,
 			Consumer<Throwable> failures) {
 		this.store = Objects.requireNonNull(store, "store is null");
 		this.inForce = Objects.requireNonNull(inForce, "inForce is null");
 		this.timers = Objects.requireNonNull(timers, "timers is null");
 		this.random = Objects.requireNonNull(random, "random is null");
+		this.work = Objects.requireNonNull(work, "work is null");
+		this.revisions = RevisionStore.of(store);
 		this.failures = Objects.requireNonNull(failures, "failures is null");
 	}
 
@@ -63,12 +70,14 @@
 	 * @param inForce what to keep up
 	 * @param timers delays listings
 	 * @param random draws delays
+	 * @param work reads texts; a long one takes some milliseconds, which must not be an
+	 * event loop's
 	 * @param failures is told of listings that failed and of texts that cannot be read
 	 * @return the watch, which goes on until it is closed
 	 */
 	public static ContractWatch start(ObjectStore store, InForce inForce, Timers timers, RandomGenerator random,
-			Consumer<Throwable> failures) {
-		ContractWatch started = new ContractWatch(store, inForce, timers, random, failures);
+			Executor work, Consumer<Throwable> failures) {
+		ContractWatch started = new ContractWatch(store, inForce, timers, random, work, failures);
 		started.list(started.round.incrementAndGet());
 		return started;
 	}
@@ -89,26 +98,42 @@
 	}
 
 	private void follow(long current, Listing listing) {
-		listing.objects().forEach(this::take);
+		listing.objects().forEach((object) -> take(current, object));
 		ObjectStore.Watch opened = this.store.watch(Kind.CONFIG, ContractRegister.NEWEST_LABELS, listing.version(),
 				(event) -> {
+					recovered();
 					if (!event.gone()) {
-						take(event.object());
+						take(current, event.object());
 					}
 				}, () -> again(current, backOff()));
 		if (!replaceWatch(current, opened)) {
 			opened.close();
 			return;
 		}
-		this.timers.schedule(between(RELIST.dividedBy(2), RELIST), () -> again(current, Duration.ZERO));
+		this.timers.schedule(between(RELIST.dividedBy(2), RELIST), () -> {
+			recovered();
+			again(current, Duration.ZERO);
+		});
 	}
 
-	private void take(Stored object) {
+	private void take(long current, Stored object) {
+		if (ContractRegister.NEWEST.equals(object.key())) {
+			this.work.execute(() -> restore(current, object));
+		}
+	}
+
+	// A text that cannot be put together, because a part of it could not be read, would
+	// stay out of force until the next change; so the listing is repeated soon.
+	private void restore(long current, Stored object) {
 		try {
-			if (ContractRegister.NEWEST.equals(object.key())) {
-				this.inForce.offer(RevisionCodec.decode(object.text()));
-				recovered();
-			}
+			this.revisions.restore(RevisionCodec.parseHead(object.text()))
+				.thenAcceptAsync(this.inForce::offer, this.work)
+				.whenComplete((done, failure) -> {
+					if (failure != null) {
+						this.failures.accept(failure);
+						again(current, backOff());
+					}
+				});
 		}
 		catch (ConfigException ex) {
 			this.failures.accept(ex);
--- a/modules/core/src/main/java/org/ragworthook/core/contract/RevisionCodec.java
+++ b/modules/core/src/main/java/org/ragworthook/core/contract/RevisionCodec.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Instant;
 import java.util.Base64;
+import java.util.Optional;
 import java.util.zip.GZIPInputStream;
 import java.util.zip.GZIPOutputStream;
 
@@ -17,14 +18,15 @@
 import org.ragworthook.core.store.Draft;
 
 /**
- * Turns revisions into values for the platform and back. The platform takes up to 1 MB a
- * value; a text of 6,000 accounts comes near it, so a long text is kept compressed. What
- * is too long even so is refused before anything is written.
+ * Turns snapshots and heads of revisions into values for the platform and back. The
+ * platform takes up to 1 MB a value; a text of 6,000 accounts comes near it, so a long
+ * text is kept compressed. What is too long even so is refused before anything is
+ * written.
  */
-public final class RevisionCodec {
+final class RevisionCodec {
 
 	/** Texts of more characters than this are compressed. */
-	public static final int COMPRESS_OVER = 64 * 1024;
+	static final int COMPRESS_OVER = 64 * 1024;
 
 	private static final ObjectMapper JSON = new ObjectMapper();
 
@@ -33,23 +35,21 @@
 	private RevisionCodec() {
 	}
 
+	// -- snapshots
+
 	/**
-	 * Writes a revision as a value.
-	 * @param revision what to write
+	 * Writes a text as a value.
+	 * @param text the text
 	 * @return the JSON value
 	 * @throws ConfigException if the value is over 1 MB
 	 */
-	public static String encode(Revision revision) {
-		ObjectNode node = JSON.createObjectNode()
-			.put("version", revision.version())
-			.put("author", revision.author())
-			.put("reason", revision.reason())
-			.put("acceptedMillis", revision.accepted().toEpochMilli());
-		if (revision.text().length() > COMPRESS_OVER) {
-			node.put("encoding", GZIP).put("text", compress(revision.text()));
+	static String snapshot(String text) {
+		ObjectNode node = JSON.createObjectNode();
+		if (text.length() > COMPRESS_OVER) {
+			node.put("encoding", GZIP).put("text", compress(text));
 		}
 		else {
-			node.put("text", revision.text());
+			node.put("text", text);
 		}
 		String value = node.toString();
 		int bytes = value.getBytes(StandardCharsets.UTF_8).length;
@@ -61,21 +61,19 @@
 	}
 
 	/**
-	 * Reads a revision from a value.
-	 * @param value what {@link #encode} gave
-	 * @return the revision
-	 * @throws ConfigException if the value is not a revision
+	 * Reads a text from a value.
+	 * @param value what {@link #snapshot} gave
+	 * @return the text
+	 * @throws ConfigException if the value is no snapshot
 	 */
-	public static Revision decode(String value) {
+	static String text(String value) {
 		try {
 			JsonNode node = JSON.readTree(value);
 			String text = node.path("text").asText();
-			return new Revision(node.path("version").asLong(), node.path("author").asText(),
-					node.path("reason").asText(), Instant.ofEpochMilli(node.path("acceptedMillis").asLong()),
-					GZIP.equals(node.path("encoding").asText()) ? expand(text) : text);
+			return GZIP.equals(node.path("encoding").asText()) ? expand(text) : text;
 		}
 		catch (IOException | IllegalArgumentException ex) {
-			throw new ConfigException(ErrorCode.CONFIG_MALFORMED, "the stored object is not a revision", ex);
+			throw new ConfigException(ErrorCode.CONFIG_MALFORMED, "the stored object is not a snapshot", ex);
 		}
 	}
 
@@ -96,4 +94,58 @@
 		}
 	}
 
+	// -- heads
+
+	/**
+	 * Writes a head as a value.
+	 * @param head the head
+	 * @return the JSON value
+	 */
+	static String head(RevisionHead head) {
+		ObjectNode node = JSON.createObjectNode()
+			.put("version", head.version())
+			.put("author", head.author())
+			.put("reason", head.reason())
+			.put("acceptedMillis", head.accepted().toEpochMilli())
+			.put("digest", head.digest())
+			.put("snapshotVersion", head.snapshotVersion())
+			.put("snapshot", head.snapshot());
+		head.delta()
+			.ifPresent((delta) -> node.putObject("delta")
+				.put("at", delta.at())
+				.put("removed", delta.removed())
+				.put("inserted", delta.inserted()));
+		head.replaced().ifPresent((name) -> node.put("replaced", name));
+		return node.toString();
+	}
+
+	private static RevisionHead head(JsonNode value) {
+		JsonNode delta = value.path("delta");
+		return new RevisionHead(value.path("version").asLong(), value.path("author").asText(),
+				value.path("reason").asText(), Instant.ofEpochMilli(value.path("acceptedMillis").asLong()),
+				value.path("digest").asText(), value.path("snapshotVersion").asLong(), value.path("snapshot").asText(),
+				delta.isObject() ? Optional.of(new TextDelta(delta.path("at").asInt(), delta.path("removed").asInt(),
+						delta.path("inserted").asText())) : Optional.empty(),
+				Optional.ofNullable(value.path("replaced").textValue()));
+	}
+
+	/**
+	 * Reads a head from a value.
+	 * @param value what {@link #head(RevisionHead)} gave
+	 * @return the head
+	 * @throws ConfigException if the value is no head
+	 */
+	static RevisionHead parseHead(String value) {
+		try {
+			JsonNode node = JSON.readTree(value);
+			if (node == null || !node.path("version").isIntegralNumber()) {
+				throw new ConfigException(ErrorCode.CONFIG_MALFORMED, "the stored object is not a revision");
+			}
+			return head(node);
+		}
+		catch (IOException | IllegalArgumentException ex) {
+			throw new ConfigException(ErrorCode.CONFIG_MALFORMED, "the stored object is not a revision", ex);
+		}
+	}
+
 }
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/EntryProcess.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/EntryProcess.java
@@ -69,7 +69,7 @@
 			.add(HttpObjectStore.of(vertx, platform(settings.platform().objects(), settings)));
 		EndpointSliceList list = this.closer
 			.add(EndpointSliceList.of(vertx, platform(settings.platform().instances(), settings)));
-		this.closer.add(ContractWatch.start(store, this.inForce, timers, new Random(),
+		this.closer.add(ContractWatch.start(store, this.inForce, timers, new Random(), Runnable::run,
 				(failure) -> LOG.debug("contract_unreadable", "error", failure)));
 		UpstreamDirectory directory = this.closer.add(UpstreamDirectory.follow(vertx, list, loops,
 				Certificates.links(vertx, settings), this::hello, new ControlLane()));
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/settings/SettingsReader.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/settings/SettingsReader.java
@@ -58,7 +58,7 @@
 
 	private static final int SHARDS = 16;
 
-	private static final int LEASE_MILLIS = 3_000;
+	private static final int LEASE_MILLIS = 6_000;
 
 	private static final int DRAIN_MILLIS = 30_000;
 
