Route, retry and resume online requests at the entry

An online request took the first sidecar that was free by a scan over all of them, was tried three times whatever had happened, and met a fixed Retry-After.

The entry now admits by account, queues fairly while a service is full, routes by prefix and load, and lets the retry policy decide from the sidecar's word what follows an attempt. An answer is put together from all attempts by offset, so that late or doubled pieces are dropped; pieces without text are held back, since a second attempt greets again. The directory follows the links before the list, so that a list that flaps cuts off nothing. A crash is counted against a request only if nothing ran beside it. An engine lost between its last token and the mark of the end has answered.

The failure tests run an entry's online part and whole sidecars over real links with upstreams driven step by step.

--- a/modules/core/src/main/java/org/ragworthook/core/admission/PriorityGate.java
+++ b/modules/core/src/main/java/org/ragworthook/core/admission/PriorityGate.java
@@ -87,7 +87,7 @@
 		if (this.leaving) {
 			return refused(offer, GateAction.Reason.LEAVING);
 		}
-		if (this.exclusive.isPresent() && !isBatch) {
+		if (this.exclusive.isPresent() && !isBatch && !offer.alone()) {
 			return refused(offer, GateAction.Reason.TAKEN_BY_SUSPECT);
 		}
 		Deque<Waiting> target = (offer.alone()) ? this.suspects : queue;
--- a/modules/core/src/main/java/org/ragworthook/core/retry/AttemptOutcome.java
+++ b/modules/core/src/main/java/org/ragworthook/core/retry/AttemptOutcome.java
@@ -14,6 +14,9 @@
 	/** The sidecar gives its word that the upstream never got any of it. */
 	NOT_PASSED_ON(false),
 
+	/** The sidecar has no room; the upstream never got any of it. */
+	REFUSED(false),
+
 	/** The sidecar leaves; the upstream never got any of it. */
 	HANDED_BACK(false),
 
--- a/modules/core/src/main/java/org/ragworthook/core/retry/RetryPolicy.java
+++ b/modules/core/src/main/java/org/ragworthook/core/retry/RetryPolicy.java
@@ -112,7 +112,8 @@
 		if (outcome == AttemptOutcome.REJECTED && !state.outputSent()) {
 			return new RetryDecision.Deliver();
 		}
-		return new RetryDecision.GiveUp(giveUp(state, ErrorCode.REQUEST_NOT_RUN_OVERLOADED));
+		return new RetryDecision.GiveUp(giveUp(state, (outcome == AttemptOutcome.REFUSED)
+				? ErrorCode.REQUEST_NOT_RUN_OVERLOADED : ErrorCode.REQUEST_NOT_RUN_NO_UPSTREAM));
 	}
 
 	private static ErrorCode giveUp(RequestState state, ErrorCode notRun) {
--- a/modules/core/src/test/java/org/ragworthook/core/retry/RetryPolicyTests.java
+++ b/modules/core/src/test/java/org/ragworthook/core/retry/RetryPolicyTests.java
@@ -79,17 +79,16 @@
 		assertThat(kind(this.policy.decide(state, outcome, deadline))).isEqualTo(expected);
 	}
 
-	@Test
-	void shouldGiveUpAfterLastAttempt() {
+	@ParameterizedTest
+	@CsvSource({ "REFUSED, REQUEST_NOT_RUN_OVERLOADED", "NOT_PASSED_ON, REQUEST_NOT_RUN_NO_UPSTREAM" })
+	void shouldGiveUpAfterLastAttempt(AttemptOutcome outcome, String expected) {
 		RequestState state = this.policy.begin(false, false);
 		for (int i = 0; i < 3; i++) {
-			state = state.after(AttemptOutcome.NOT_PASSED_ON, false);
-			assertThat(kind(this.policy.decide(state, AttemptOutcome.NOT_PASSED_ON, Deadline.none(this.time))))
-				.isEqualTo("Retry");
+			state = state.after(outcome, false);
+			assertThat(kind(this.policy.decide(state, outcome, Deadline.none(this.time)))).isEqualTo("Retry");
 		}
-		state = state.after(AttemptOutcome.NOT_PASSED_ON, false);
-		assertThat(kind(this.policy.decide(state, AttemptOutcome.NOT_PASSED_ON, Deadline.none(this.time))))
-			.isEqualTo("REQUEST_NOT_RUN_OVERLOADED");
+		state = state.after(outcome, false);
+		assertThat(kind(this.policy.decide(state, outcome, Deadline.none(this.time)))).isEqualTo(expected);
 	}
 
 	/**
@@ -97,7 +96,7 @@
 	 * load that keeps the upstreams down.
 	 */
 	@ParameterizedTest
-	@EnumSource(names = { "REJECTED", "NOT_PASSED_ON", "BROKEN", "CRASHED" })
+	@EnumSource(names = { "REJECTED", "REFUSED", "NOT_PASSED_ON", "BROKEN", "CRASHED" })
 	void shouldBoundAmplificationInFullOutage(AttemptOutcome outcome) {
 		int requests = 5_000;
 		int attempts = 0;
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/engine/Generation.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/engine/Generation.java
@@ -63,7 +63,13 @@
 		}
 	}
 
-	private static boolean resumable(ObjectNode body, boolean chat) {
+	/**
+	 * Tells whether an engine can go on after part of the answer.
+	 * @param body the caller's request
+	 * @param chat whether it goes to the chat API, else to the completions API
+	 * @return whether the answer can be put together from several attempts
+	 */
+	public static boolean resumable(JsonNode body, boolean chat) {
 		for (String feature : NOT_RESUMABLE) {
 			JsonNode value = body.path(feature);
 			if (!value.isMissingNode() && !value.isNull() && !(value.isBoolean() && !value.booleanValue())) {
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/engine/GenerationCall.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/engine/GenerationCall.java
@@ -90,7 +90,7 @@
 			end(CallEnd.Kind.ANSWERED, ex.getMessage());
 		}
 		else {
-			end(CallEnd.Kind.BROKEN, ex.getMessage());
+			broken(ex.getMessage());
 		}
 	}
 
@@ -101,14 +101,30 @@
 			end(CallEnd.Kind.ANSWERED, "answered with status " + this.status);
 		}
 		else if (!this.events.done()) {
-			end(CallEnd.Kind.BROKEN, "the stream ended before its last event");
+			broken("the stream ended before its last event");
 		}
 		else {
-			if (!run().getStream()) {
-				output(new CallOutput(OK, JSON, this.events.whole(), "", 0));
-			}
-			end(CallEnd.Kind.ANSWERED, "answered");
+			endWhole();
+		}
+	}
+
+	/**
+	 * An engine that is lost after its last token but before the mark of the end has
+	 * answered. Resumed, it would generate beyond the end.
+	 */
+	@Override
+	boolean complete() {
+		return this.events.complete();
+	}
+
+	@Override
+	void endWhole() {
+		CallOutput last = run().getStream() ? new CallOutput(OK, EVENT_STREAM, this.events.end(), "", 0)
+				: new CallOutput(OK, JSON, this.events.whole(), "", 0);
+		if (last.body().length > 0) {
+			output(last);
 		}
+		end(CallEnd.Kind.ANSWERED, "answered");
 	}
 
 	@Override
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/engine/GenerationEvents.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/engine/GenerationEvents.java
@@ -111,6 +111,24 @@
 		return this.done;
 	}
 
+	/**
+	 * Tells whether everything has come but the mark of the end.
+	 * @return whether the engine has said why it stopped, and the token counts have come
+	 * where they are passed on
+	 */
+	boolean complete() {
+		boolean counted = this.usage != null || (stream() && !this.generation.usageWanted());
+		return this.finishReason != null && counted;
+	}
+
+	/**
+	 * Returns the mark of the end for a caller who streams.
+	 * @return the last event, or nothing if it has been passed on
+	 */
+	byte[] end() {
+		return this.done ? new byte[0] : event(DONE);
+	}
+
 	/**
 	 * Returns the text of all attempts so far.
 	 * @return generated text
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/engine/UpstreamCall.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/engine/UpstreamCall.java
@@ -64,7 +64,7 @@
 	}
 
 	private void receive(HttpClientResponse response) {
-		response.exceptionHandler((failure) -> end(CallEnd.Kind.BROKEN, "answer broke off: " + failure.getMessage()));
+		response.exceptionHandler((failure) -> broken("answer broke off: " + failure.getMessage()));
 		response.endHandler((ignored) -> responseEnded());
 		response.handler((data) -> {
 			if (!this.ended) {
@@ -99,6 +99,22 @@
 		}
 	}
 
+	/**
+	 * The answer broke off. If nothing of it is missing, it counts as whole.
+	 * @param detail what happened
+	 */
+	final void broken(String detail) {
+		if (this.ended) {
+			return;
+		}
+		if (complete()) {
+			endWhole();
+		}
+		else {
+			end(CallEnd.Kind.BROKEN, detail);
+		}
+	}
+
 	final void end(CallEnd.Kind kind, String detail) {
 		if (this.ended) {
 			return;
@@ -134,6 +150,21 @@
 	 */
 	abstract void responseEnded();
 
+	/**
+	 * Tells whether the answer is whole although its end has not come.
+	 * @return whether only the mark of the end is missing
+	 */
+	boolean complete() {
+		return false;
+	}
+
+	/**
+	 * Ends an answer that is complete.
+	 */
+	void endWhole() {
+		end(CallEnd.Kind.ANSWERED, "answered");
+	}
+
 	/**
 	 * Returns what has been generated so far, over all attempts.
 	 * @return text
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/EntryProcess.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/EntryProcess.java
@@ -1,8 +1,13 @@
 package org.ragworthook.daemon.entry;
 
 import java.time.InstantSource;
+import java.util.List;
 import java.util.Random;
 import java.util.UUID;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -19,6 +24,8 @@
 import org.ragworthook.core.error.ErrorCode;
 import org.ragworthook.core.error.LinkException;
 import org.ragworthook.core.fleet.Address;
+import org.ragworthook.core.fleet.Instance;
+import org.ragworthook.core.fleet.Role;
 import org.ragworthook.core.log.EventLog;
 import org.ragworthook.core.time.Timers;
 import org.ragworthook.daemon.DaemonProcess;
@@ -48,6 +55,9 @@
 
 	private static final int LINK_THREADS = 2;
 
+	/** How long a balancer may take to see that an entry is not ready any more. */
+	private static final long FAREWELL_MILLIS = 1_000;
+
 	private final Closer closer = Closer.empty();
 
 	private final DaemonSettings settings;
@@ -56,6 +66,12 @@
 
 	private final InForce inForce = InForce.empty();
 
+	private final OnlinePart online;
+
+	private final List<HttpServer> servers = new CopyOnWriteArrayList<>();
+
+	private volatile boolean leaving;
+
 	private EntryProcess(DaemonSettings settings) {
 		this.settings = settings;
 		this.instance = settings.instance() + "-" + UUID.randomUUID().toString().substring(0, 8);
@@ -71,12 +87,13 @@
 			.add(EndpointSliceList.of(vertx, platform(settings.platform().instances(), settings)));
 		this.closer.add(ContractWatch.start(store, this.inForce, timers, new Random(),
 				(failure) -> LOG.debug("contract_unreadable", "error", failure)));
-		UpstreamDirectory directory = this.closer
-			.add(UpstreamDirectory.follow(vertx, list, loops, LinkOptions.of(), this::hello, new ControlLane()));
+		UpstreamDirectory directory = this.closer.add(
+				UpstreamDirectory.follow(vertx, self(), list, loops, LinkOptions.of(), this::hello, new ControlLane()));
 		ErrorResponses errors = ErrorResponses.of(metrics);
-		OnlineRoutes online = new OnlineRoutes(RequestReader.of(this.inForce::contract, InstantSource.system()),
-				new OnlinePath(directory, errors, metrics), settings.limits().requestBytes());
-		serve(vertx, metrics, errors, online);
+		this.online = this.closer
+			.add(OnlinePart.start(vertx, directory, RequestReader.of(this.inForce::contract, InstantSource.system()),
+					errors, metrics, settings.limits().requestBytes()));
+		serve(vertx, metrics, errors);
 		LOG.info("entry_started", "instance", this.instance, "http", settings.http());
 	}
 
@@ -93,6 +110,10 @@
 		return PlatformSettings.of(address).inNamespace(settings.platform().namespace());
 	}
 
+	private Instance self() {
+		return new Instance(this.instance, Role.ENTRY, "", this.settings.failureDomain(), this.settings.link(), false);
+	}
+
 	private Hello hello(Lane lane) {
 		return Hello.newBuilder()
 			.setLane(lane)
@@ -103,10 +124,10 @@
 			.build();
 	}
 
-	private void serve(Vertx vertx, Metrics metrics, ErrorResponses errors, OnlineRoutes online) {
+	private void serve(Vertx vertx, Metrics metrics, ErrorResponses errors) {
 		try {
 			vertx
-				.deployVerticle(() -> new HttpVerticle(metrics, errors, online),
+				.deployVerticle(() -> new HttpVerticle(metrics, errors),
 						new DeploymentOptions().setInstances(EVENT_LOOPS))
 				.toCompletionStage()
 				.toCompletableFuture()
@@ -118,9 +139,38 @@
 		}
 	}
 
+	private boolean ready() {
+		return !this.leaving && this.inForce.contract().isPresent();
+	}
+
+	/**
+	 * Leaves gracefully: says that it is not ready, goes on serving until the balancer
+	 * has seen that, and ends when the requests in progress have.
+	 */
 	@Override
 	public void close() {
+		this.leaving = true;
+		LOG.info("entry_draining", "requests", this.online.inProgress());
+		int drainMillis = this.settings.limits().drainMillis();
+		try {
+			Thread.sleep(Math.min(FAREWELL_MILLIS, drainMillis));
+			List<Future<Void>> stopping = this.servers.stream()
+				.map((server) -> server.shutdown(drainMillis, TimeUnit.MILLISECONDS))
+				.toList();
+			Future.join(stopping).toCompletionStage().toCompletableFuture().get(drainMillis, TimeUnit.MILLISECONDS);
+			this.online.drain().get(drainMillis, TimeUnit.MILLISECONDS);
+		}
+		catch (TimeoutException ex) {
+			LOG.warning("drain_cut_short", "requests", this.online.inProgress());
+		}
+		catch (ExecutionException ex) {
+			LOG.warning("drain_failed", "error", ex.getCause());
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
 		this.closer.close();
+		LOG.info("entry_stopped", "instance", this.instance);
 	}
 
 	/**
@@ -132,22 +182,21 @@
 
 		private final ErrorResponses errors;
 
-		private final OnlineRoutes online;
-
-		private HttpVerticle(Metrics metrics, ErrorResponses errors, OnlineRoutes online) {
+		private HttpVerticle(Metrics metrics, ErrorResponses errors) {
 			this.metrics = metrics;
 			this.errors = errors;
-			this.online = online;
 		}
 
 		@Override
 		public Future<HttpServer> start() {
 			Router router = Router.router(this.vertx);
-			HealthRoutes.mount(router, this.metrics, () -> EntryProcess.this.inForce.contract().isPresent());
-			this.online.mount(router);
+			HealthRoutes.mount(router, this.metrics, EntryProcess.this::ready);
+			EntryProcess.this.online.mount(router);
 			this.errors.mount(router);
 			DaemonSettings own = EntryProcess.this.settings;
-			return this.vertx.createHttpServer().requestHandler(router).listen(own.http().port(), own.http().host());
+			HttpServer server = this.vertx.createHttpServer().requestHandler(router);
+			EntryProcess.this.servers.add(server);
+			return server.listen(own.http().port(), own.http().host());
 		}
 
 	}
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/OnlineRequest.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/OnlineRequest.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Objects;
+import java.util.OptionalLong;
 
 import org.ragworthook.core.contract.Account;
 import org.ragworthook.core.contract.Service;
@@ -14,8 +15,11 @@
  * @param service what is to answer it
  * @param run the request as it goes to a sidecar, without attempt
  * @param timeout how long the caller waits for the whole answer
+ * @param resumable whether an upstream can go on after part of the answer
+ * @param prefix the key of the prompt's beginning, if it has one
  */
-public record OnlineRequest(Account account, Service service, Run run, Duration timeout) {
+public record OnlineRequest(Account account, Service service, Run run, Duration timeout, boolean resumable,
+		OptionalLong prefix) {
 
 	/**
 	 * Checks that all parts are there.
@@ -25,6 +29,15 @@
 		Objects.requireNonNull(service, "service is null");
 		Objects.requireNonNull(run, "run is null");
 		Objects.requireNonNull(timeout, "timeout is null");
+		Objects.requireNonNull(prefix, "prefix is null");
+	}
+
+	/**
+	 * Tells whether the request must be recorded before it is passed on.
+	 * @return whether it bears an idempotency key and may not be repeated
+	 */
+	boolean needsClaim() {
+		return !this.run.getRepeatable() && !this.run.getIdempotencyKey().isEmpty();
 	}
 
 }
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/RequestReader.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/RequestReader.java
@@ -6,6 +6,7 @@
 import java.time.InstantSource;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.UUID;
 import java.util.function.Supplier;
 
@@ -26,6 +27,8 @@
 import org.ragworthook.core.error.ConfigException;
 import org.ragworthook.core.error.ErrorCode;
 import org.ragworthook.core.error.RequestException;
+import org.ragworthook.core.routing.PrefixKey;
+import org.ragworthook.daemon.engine.Generation;
 import org.ragworthook.wire.message.Run;
 
 /**
@@ -41,6 +44,8 @@
 	/** The header that marks resends of one request. */
 	public static final String KEY_HEADER = "Idempotency-Key";
 
+	private static final int PROMPT_HEAD = 1024;
+
 	private static final String BEARER = "Bearer ";
 
 	private static final ObjectMapper JSON = new ObjectMapper();
@@ -111,7 +116,23 @@
 			.setStream(parsed.path("stream").asBoolean(false))
 			.setRepeatable(service.idempotent(HttpMethod.POST.name(), routing.request().path()))
 			.setAnswerId((chat ? "chatcmpl-" : "cmpl-") + UUID.randomUUID().toString().replace("-", ""));
-		return new OnlineRequest(account, service, run.build(), timeout(routing.request(), service));
+		return new OnlineRequest(account, service, run.build(), timeout(routing.request(), service),
+				Generation.resumable(parsed, chat), PrefixKey.of(model, prompt(parsed, chat)));
+	}
+
+	// The beginning is long enough to tell the prompt's leading blocks.
+	private static String prompt(JsonNode body, boolean chat) {
+		if (!chat) {
+			return body.path("prompt").asText("");
+		}
+		StringBuilder prompt = new StringBuilder();
+		for (JsonNode message : body.path("messages")) {
+			if (prompt.length() >= PROMPT_HEAD) {
+				break;
+			}
+			prompt.append(message.path("role").asText("")).append(message.path("content").asText(""));
+		}
+		return prompt.toString();
 	}
 
 	/**
@@ -130,7 +151,8 @@
 					"service '" + name + "' is not served"));
 		Run.Builder run = run(routing, account, body(routing)).setPath(path)
 			.setRepeatable(service.idempotent(routing.request().method().name(), path));
-		return new OnlineRequest(account, service, run.build(), timeout(routing.request(), service));
+		return new OnlineRequest(account, service, run.build(), timeout(routing.request(), service), false,
+				OptionalLong.empty());
 	}
 
 	private Run.Builder run(RoutingContext routing, Account account, Buffer body) {
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/Sidecar.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/Sidecar.java
@@ -5,13 +5,13 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 
 import io.netty.channel.EventLoopGroup;
 import org.ragworthook.core.close.Closer;
 import org.ragworthook.core.fleet.Instance;
 import org.ragworthook.core.log.EventLog;
+import org.ragworthook.core.routing.Upstream;
 import org.ragworthook.wire.link.Link;
 import org.ragworthook.wire.link.LinkClient;
 import org.ragworthook.wire.link.LinkListener;
@@ -39,10 +39,12 @@
 
 	private final Map<Lane, LaneState> lanes;
 
-	private final AtomicInteger outstanding = new AtomicInteger();
-
 	private final LinkListener control;
 
+	private final Observer observer;
+
+	private final Upstream upstream;
+
 	private final Closer closer = Closer.empty();
 
 	private volatile Load load = Load.getDefaultInstance();
@@ -51,9 +53,11 @@
 
 	private volatile Remote remote;
 
-	private Sidecar(Instance instance, LinkListener control) {
+	private Sidecar(Instance instance, LinkListener control, Observer observer) {
 		this.instance = Objects.requireNonNull(instance, "instance is null");
 		this.control = Objects.requireNonNull(control, "control is null");
+		this.observer = Objects.requireNonNull(observer, "observer is null");
+		this.upstream = Upstream.of(instance);
 		this.lanes = Map.of(Lane.LANE_ONLINE, new LaneState(), Lane.LANE_BATCH, new LaneState(), Lane.LANE_CONTROL,
 				new LaneState());
 	}
@@ -65,11 +69,12 @@
 	 * @param options how links behave
 	 * @param hello makes the greeting for each lane
 	 * @param control takes what comes on the control lane
+	 * @param observer learns when the sidecar can take online requests and when not
 	 * @return the sidecar, connecting
 	 */
-	public static Sidecar connect(Instance instance, EventLoopGroup loops, LinkOptions options,
-			Function<Lane, Hello> hello, LinkListener control) {
-		Sidecar sidecar = new Sidecar(instance, control);
+	static Sidecar connect(Instance instance, EventLoopGroup loops, LinkOptions options, Function<Lane, Hello> hello,
+			LinkListener control, Observer observer) {
+		Sidecar sidecar = new Sidecar(instance, control, observer);
 		for (Lane lane : LANES) {
 			sidecar.closer.add(LinkClient.connect(loops, instance.link(), options, () -> hello.apply(lane),
 					sidecar.new Listening(sidecar.lanes.get(lane))));
@@ -121,11 +126,19 @@
 	}
 
 	/**
-	 * Returns how many online requests of this entry run there.
-	 * @return a count
+	 * Returns the upstream as a router chooses it.
+	 * @return the upstream behind this sidecar
+	 */
+	public Upstream upstream() {
+		return this.upstream;
+	}
+
+	/**
+	 * Tells whether the sidecar has said that it leaves.
+	 * @return whether its present run leaves
 	 */
-	public int outstanding() {
-		return this.outstanding.get();
+	public boolean leaving() {
+		return this.leaving;
 	}
 
 	/**
@@ -143,32 +156,25 @@
 		}
 		String key = key(run.getRequest(), run.getAttempt());
 		state.exchanges.put(key, exchange);
-		count(lane, 1);
 		if (link.send(Frame.newBuilder().setRun(run).build())) {
 			if (!link.open()) {
-				lost(lane, state, key);
+				lost(state, key);
 			}
 			return true;
 		}
-		if (state.exchanges.remove(key) == null) {
-			return true;
-		}
-		count(lane, -1);
-		return false;
+		return state.exchanges.remove(key) == null;
 	}
 
 	/**
 	 * Ends an exchange whose link was closed between the look at it and the sending. The
 	 * link's own end may have missed the exchange; the map decides which of the two
 	 * reports the loss.
-	 * @param lane on which the request was sent
 	 * @param state the lane's state
 	 * @param key the request and its attempt
 	 */
-	private void lost(Lane lane, LaneState state, String key) {
+	private void lost(LaneState state, String key) {
 		Exchange exchange = state.exchanges.remove(key);
 		if (exchange != null) {
-			count(lane, -1);
 			exchange.lost();
 		}
 	}
@@ -193,12 +199,6 @@
 		return link != null && link.send(frame);
 	}
 
-	private void count(Lane lane, int step) {
-		if (lane == Lane.LANE_ONLINE) {
-			this.outstanding.addAndGet(step);
-		}
-	}
-
 	private static String key(String request, int attempt) {
 		return request + "/" + attempt;
 	}
@@ -213,6 +213,33 @@
 		return this.instance.id();
 	}
 
+	/**
+	 * Learns when a sidecar can take online requests and when not, on the link's thread.
+	 */
+	interface Observer {
+
+		/**
+		 * The online lane is open.
+		 * @param sidecar the sidecar
+		 * @param remote the process at the other end
+		 */
+		void linked(Sidecar sidecar, Remote remote);
+
+		/**
+		 * The sidecar says that it leaves.
+		 * @param sidecar the sidecar
+		 * @param remote the process at the other end
+		 */
+		void leaving(Sidecar sidecar, Remote remote);
+
+		/**
+		 * The online lane is lost.
+		 * @param sidecar the sidecar
+		 */
+		void lost(Sidecar sidecar);
+
+	}
+
 	/**
 	 * The link of one lane and what runs on it.
 	 */
@@ -238,19 +265,22 @@
 		@Override
 		public void opened(Link link) {
 			Sidecar.this.remote = link.remote();
-			Sidecar.this.load = link.remote().load();
+			load(link.remote().load());
 			Sidecar.this.leaving = link.remote().leaving();
 			this.state.link = link;
 			if (link.lane() == Lane.LANE_CONTROL) {
 				Sidecar.this.control.opened(link);
 			}
+			else if (link.lane() == Lane.LANE_ONLINE) {
+				Sidecar.this.observer.linked(Sidecar.this, link.remote());
+			}
 		}
 
 		@Override
 		public void received(Link link, Frame frame) {
 			switch (frame.getBodyCase()) {
 				case OUTPUT -> output(frame);
-				case DONE -> done(link.lane(), frame.getDone());
+				case DONE -> done(frame.getDone());
 				case LOAD -> load(frame.getLoad());
 				case LEAVING -> leaving(link);
 				default -> Sidecar.this.control.received(link, frame);
@@ -267,13 +297,14 @@
 
 		private void load(Load reported) {
 			Sidecar.this.load = reported;
+			Sidecar.this.upstream.reported(reported.getOnlineRunning() + reported.getOnlineQueued(),
+					reported.getLimit());
 		}
 
-		private void done(Lane lane, Done done) {
+		private void done(Done done) {
 			load(done.getLoad());
 			Exchange exchange = this.state.exchanges.remove(key(done.getRequest(), done.getAttempt()));
 			if (exchange != null) {
-				count(lane, -1);
 				exchange.done(done);
 			}
 		}
@@ -285,14 +316,17 @@
 		 */
 		private void leaving(Link link) {
 			Sidecar.this.leaving = true;
+			Sidecar.this.observer.leaving(Sidecar.this, link.remote());
 			LOG.info("sidecar_leaving", "instance", link.remote().instance());
 		}
 
 		@Override
 		public void closed(Link link) {
 			this.state.link = null;
-			List.copyOf(this.state.exchanges.keySet())
-				.forEach((key) -> Sidecar.this.lost(link.lane(), this.state, key));
+			if (link.lane() == Lane.LANE_ONLINE) {
+				Sidecar.this.observer.lost(Sidecar.this);
+			}
+			List.copyOf(this.state.exchanges.keySet()).forEach((key) -> Sidecar.this.lost(this.state, key));
 			if (link.lane() == Lane.LANE_CONTROL) {
 				Sidecar.this.control.closed(link);
 			}
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/UpstreamDirectory.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/UpstreamDirectory.java
@@ -1,10 +1,15 @@
 package org.ragworthook.daemon.entry;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 
 import io.netty.channel.EventLoopGroup;
 import io.vertx.core.Vertx;
@@ -13,15 +18,24 @@
 import org.ragworthook.core.fleet.InstanceList;
 import org.ragworthook.core.fleet.Role;
 import org.ragworthook.core.log.EventLog;
+import org.ragworthook.core.membership.Members;
+import org.ragworthook.core.membership.Membership;
+import org.ragworthook.core.routing.RouteTable;
+import org.ragworthook.core.routing.Router;
+import org.ragworthook.core.routing.Subset;
+import org.ragworthook.core.routing.Upstream;
+import org.ragworthook.core.time.Ticker;
 import org.ragworthook.wire.link.LinkListener;
 import org.ragworthook.wire.link.LinkOptions;
+import org.ragworthook.wire.link.Remote;
 import org.ragworthook.wire.message.Hello;
 import org.ragworthook.wire.message.Lane;
 
 /**
- * Keeps links to the sidecars that the platform lists.
+ * The sidecars that this entry is linked to, and a router for each service over those
+ * that take online requests. It follows the platform's list and the links themselves.
  */
-public final class UpstreamDirectory implements AutoCloseable {
+public final class UpstreamDirectory implements AutoCloseable, Sidecar.Observer {
 
 	private static final EventLog LOG = EventLog.of(UpstreamDirectory.class);
 
@@ -29,6 +43,8 @@
 
 	private final Vertx vertx;
 
+	private final Instance self;
+
 	private final InstanceList list;
 
 	private final EventLoopGroup loops;
@@ -39,17 +55,26 @@
 
 	private final LinkListener control;
 
+	private final Membership membership = Membership.empty();
+
+	private final Subset subset = Subset.usual();
+
 	private final Map<Address, Sidecar> byAddress = new HashMap<>();
 
-	private volatile List<Sidecar> snapshot = List.of();
+	private final Map<String, Router> routers = new ConcurrentHashMap<>();
+
+	private volatile Map<Upstream, Sidecar> byUpstream = Map.of();
+
+	private volatile List<Instance> entries = List.of();
 
 	private long timer;
 
 	private boolean closed;
 
-	private UpstreamDirectory(Vertx vertx, InstanceList list, EventLoopGroup loops, LinkOptions options,
+	private UpstreamDirectory(Vertx vertx, Instance self, InstanceList list, EventLoopGroup loops, LinkOptions options,
 			Function<Lane, Hello> hello, LinkListener control) {
 		this.vertx = Objects.requireNonNull(vertx, "vertx is null");
+		this.self = Objects.requireNonNull(self, "self is null");
 		this.list = Objects.requireNonNull(list, "list is null");
 		this.loops = Objects.requireNonNull(loops, "loops is null");
 		this.options = Objects.requireNonNull(options, "options is null");
@@ -60,6 +85,7 @@
 	/**
 	 * Starts to follow the list.
 	 * @param vertx carries the timer
+	 * @param self this entry
 	 * @param list the platform's list
 	 * @param loops the threads of the links
 	 * @param options how links behave
@@ -67,21 +93,49 @@
 	 * @param control takes what comes on the control lanes
 	 * @return the directory, empty at first
 	 */
-	public static UpstreamDirectory follow(Vertx vertx, InstanceList list, EventLoopGroup loops, LinkOptions options,
-			Function<Lane, Hello> hello, LinkListener control) {
-		UpstreamDirectory directory = new UpstreamDirectory(vertx, list, loops, options, hello, control);
+	public static UpstreamDirectory follow(Vertx vertx, Instance self, InstanceList list, EventLoopGroup loops,
+			LinkOptions options, Function<Lane, Hello> hello, LinkListener control) {
+		UpstreamDirectory directory = new UpstreamDirectory(vertx, self, list, loops, options, hello, control);
 		directory.timer = vertx.setPeriodic(0, REFRESH_MILLIS, (ignored) -> directory.refresh());
 		return directory;
 	}
 
 	/**
-	 * Returns the sidecars known.
+	 * Returns the sidecars that this entry links to.
 	 * @return an immutable snapshot
 	 */
 	public List<Sidecar> sidecars() {
-		return this.snapshot;
+		return List.copyOf(this.byUpstream.values());
+	}
+
+	/**
+	 * Returns the sidecar before an upstream.
+	 * @param upstream an upstream that a router of this directory chose
+	 * @return the sidecar, or empty if it has gone since
+	 */
+	public Optional<Sidecar> sidecar(Upstream upstream) {
+		return Optional.ofNullable(this.byUpstream.get(upstream));
 	}
 
+	/**
+	 * Returns the router of a service.
+	 * @param service the name of the service
+	 * @return its router, without upstreams if none is known
+	 */
+	public Router router(String service) {
+		return this.routers.computeIfAbsent(service, (name) -> Router.of(Ticker.system()));
+	}
+
+	/**
+	 * Returns how many entries there are by the platform's list.
+	 * @return at least one
+	 */
+	public int entries() {
+		return Math.max(1, this.entries.size());
+	}
+
+	// -- the platform's list
+
 	/**
 	 * While the list cannot be read the sidecars stay as they are: their links tell which
 	 * of them are there.
@@ -101,17 +155,64 @@
 		if (this.closed) {
 			return;
 		}
-		Map<Address, Instance> listed = new HashMap<>();
-		instances.stream()
-			.filter((instance) -> instance.role() == Role.SIDECAR)
-			.forEach((instance) -> listed.put(instance.link(), instance));
+		this.entries = instances.stream().filter((instance) -> instance.role() == Role.ENTRY).toList();
+		Members members = this.membership
+			.listed(instances.stream().filter((instance) -> instance.role() == Role.SIDECAR).toList());
+		Map<Address, Instance> wanted = subset(members.wanted());
 		List.copyOf(this.byAddress.keySet())
 			.stream()
-			.filter((address) -> !listed.containsKey(address))
+			.filter((address) -> !wanted.containsKey(address))
 			.forEach((address) -> this.byAddress.remove(address).close());
-		listed.forEach((address, instance) -> this.byAddress.computeIfAbsent(address,
-				(ignored) -> Sidecar.connect(instance, this.loops, this.options, this.hello, this.control)));
-		this.snapshot = List.copyOf(this.byAddress.values());
+		wanted.forEach((address, instance) -> this.byAddress.computeIfAbsent(address,
+				(ignored) -> Sidecar.connect(instance, this.loops, this.options, this.hello, this.control, this)));
+		this.byUpstream = this.byAddress.values()
+			.stream()
+			.collect(Collectors.toUnmodifiableMap(Sidecar::upstream, Function.identity()));
+		publish(this.membership.members());
+	}
+
+	private Map<Address, Instance> subset(List<Instance> sidecars) {
+		Instance listedSelf = this.entries.stream()
+			.filter((entry) -> entry.link().equals(this.self.link()))
+			.findFirst()
+			.orElse(this.self);
+		Map<Address, Instance> chosen = new HashMap<>();
+		Map<String, List<Instance>> byService = sidecars.stream().collect(Collectors.groupingBy(Instance::service));
+		for (List<Instance> ofService : byService.values()) {
+			Set<Instance> linked = this.subset.of(listedSelf, this.entries, ofService);
+			linked.forEach((instance) -> chosen.put(instance.link(), instance));
+		}
+		return chosen;
+	}
+
+	// -- the links
+
+	@Override
+	public synchronized void linked(Sidecar sidecar, Remote remote) {
+		publish(this.membership.linked(sidecar.instance(), remote.instance(), remote.leaving()));
+	}
+
+	@Override
+	public synchronized void leaving(Sidecar sidecar, Remote remote) {
+		publish(this.membership.leaving(sidecar.instance().link(), remote.instance()));
+	}
+
+	@Override
+	public synchronized void lost(Sidecar sidecar) {
+		publish(this.membership.lost(sidecar.instance().link()));
+	}
+
+	private void publish(Members members) {
+		Map<String, List<Upstream>> byService = new HashMap<>();
+		this.routers.keySet().forEach((service) -> byService.put(service, new ArrayList<>()));
+		for (Instance instance : members.routable()) {
+			Sidecar sidecar = this.byAddress.get(instance.link());
+			if (sidecar != null) {
+				byService.computeIfAbsent(sidecar.service(), (ignored) -> new ArrayList<>()).add(sidecar.upstream());
+			}
+		}
+		byService.forEach(
+				(service, upstreams) -> router(service).update(RouteTable.of(this.self.failureDomain(), upstreams)));
 	}
 
 	@Override
@@ -120,7 +221,7 @@
 		this.vertx.cancelTimer(this.timer);
 		this.byAddress.values().forEach(Sidecar::close);
 		this.byAddress.clear();
-		this.snapshot = List.of();
+		this.byUpstream = Map.of();
 	}
 
 }
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/SidecarRuns.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/SidecarRuns.java
@@ -27,6 +27,7 @@
 import org.ragworthook.wire.message.Done;
 import org.ragworthook.wire.message.FenceItems;
 import org.ragworthook.wire.message.Frame;
+import org.ragworthook.wire.message.Lane;
 import org.ragworthook.wire.message.Leaving;
 import org.ragworthook.wire.message.Load;
 import org.ragworthook.wire.message.Outcome;
@@ -42,6 +43,8 @@
 
 	private static final long SWEEP_MILLIS = 200;
 
+	private static final long REPORT_MILLIS = 1_000;
+
 	/** How long a refused request should wait if it finds no other upstream. */
 	private static final int RETRY_AFTER_MILLIS = 200;
 
@@ -69,6 +72,8 @@
 
 	private volatile Load load;
 
+	private Load reported = Load.getDefaultInstance();
+
 	private volatile boolean leaving;
 
 	private CompletableFuture<Void> drained;
@@ -81,7 +86,23 @@
 		this.crashes = new CrashWatch(context.owner(), upstream,
 				() -> (int) this.active.values().stream().filter(ActiveRun::passedOn).count());
 		this.load = newLoad();
-		context.runOnContext((ignored) -> context.owner().setPeriodic(SWEEP_MILLIS, (id) -> perform(gate.swept())));
+		context.runOnContext((ignored) -> {
+			context.owner().setPeriodic(SWEEP_MILLIS, (id) -> perform(gate.swept()));
+			context.owner().setPeriodic(REPORT_MILLIS, (id) -> report());
+		});
+	}
+
+	/**
+	 * Tells entries of a load that has changed. Each answer bears the load as well, but
+	 * an entry that holds requests back because this upstream was full would get no more
+	 * answers from it.
+	 */
+	private void report() {
+		if (!this.load.equals(this.reported)) {
+			this.reported = this.load;
+			Frame frame = Frame.newBuilder().setLoad(this.load).build();
+			this.links.stream().filter((link) -> link.lane() == Lane.LANE_ONLINE).forEach((link) -> link.send(frame));
+		}
 	}
 
 	/**
--- /dev/null
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/entry/TestFleet.java
@@ -0,0 +1,247 @@
+package org.ragworthook.daemon.entry;
+
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.http.HttpServer;
+import io.vertx.ext.web.Router;
+import org.ragworthook.core.close.Closer;
+import org.ragworthook.core.contract.Contract;
+import org.ragworthook.core.contract.KeyHash;
+import org.ragworthook.core.fleet.Address;
+import org.ragworthook.core.fleet.FailureDomain;
+import org.ragworthook.core.fleet.Instance;
+import org.ragworthook.core.fleet.Role;
+import org.ragworthook.daemon.fake.Caller;
+import org.ragworthook.daemon.fake.FakeUpstream;
+import org.ragworthook.daemon.http.ErrorResponses;
+import org.ragworthook.daemon.http.Metrics;
+import org.ragworthook.daemon.settings.DaemonSettings;
+import org.ragworthook.daemon.sidecar.SidecarProcess;
+import org.ragworthook.wire.link.Link;
+import org.ragworthook.wire.link.LinkListener;
+import org.ragworthook.wire.link.LinkOptions;
+import org.ragworthook.wire.message.Frame;
+import org.ragworthook.wire.message.Hello;
+
+/**
+ * An entry's online part and any number of sidecars in one process, over real links, with
+ * fake upstreams.
+ */
+final class TestFleet implements AutoCloseable {
+
+	private static final FailureDomain DOMAIN = FailureDomain.of("region", "domain");
+
+	private static final Address ANY = new Address("127.0.0.1", 0);
+
+	private final Closer closer = Closer.empty();
+
+	private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(2).setWorkerPoolSize(1));
+
+	private final List<Instance> listed = new CopyOnWriteArrayList<>();
+
+	private final AtomicInteger reads = new AtomicInteger();
+
+	private final List<UpstreamDirectory> directories = new ArrayList<>();
+
+	TestFleet() {
+		this.closer.add(() -> this.vertx.close().toCompletionStage().toCompletableFuture().join());
+	}
+
+	Vertx vertx() {
+		return this.vertx;
+	}
+
+	// -- upstreams and sidecars
+
+	FakeUpstream upstream() {
+		return this.closer.add(FakeUpstream.start(this.vertx));
+	}
+
+	SidecarProcess sidecar(String service, FakeUpstream upstream, int limit) {
+		return this.closer.add(SidecarProcess.start(settings(service, upstream, limit)));
+	}
+
+	private static DaemonSettings settings(String service, FakeUpstream upstream, int limit) {
+		return new DaemonSettings(Role.SIDECAR, "sidecar", DOMAIN, ANY, ANY,
+				new DaemonSettings.PlatformSettings(ANY, ANY, "test"),
+				Optional.of(new DaemonSettings.UpstreamSettings(upstream.url(), service, DaemonSettings.Policy.PRIORITY,
+						limit, limit)),
+				Map.of(), Optional.empty(), new DaemonSettings.LimitSettings(1 << 20, 1 << 20, 100, 4, 10_000, 20_000),
+				Optional.empty());
+	}
+
+	/**
+	 * Lists a sidecar, as the platform does, and waits until every entry is linked to it.
+	 */
+	void list(String service, Address address) {
+		this.listed.add(instance(service, address));
+		this.directories.forEach((directory) -> await(() -> directory.router(service)
+			.table()
+			.upstreams()
+			.stream()
+			.anyMatch((upstream) -> upstream.instance().link().equals(address))));
+	}
+
+	void unlist(Address address) {
+		this.listed.removeIf((instance) -> instance.link().equals(address));
+	}
+
+	/**
+	 * Waits until the entries have read the list as it is now.
+	 */
+	void awaitListRead() {
+		int now = this.reads.get();
+		await(() -> this.reads.get() > now + 1);
+	}
+
+	private List<Instance> read() {
+		this.reads.incrementAndGet();
+		return List.copyOf(this.listed);
+	}
+
+	private static Instance instance(String service, Address address) {
+		return new Instance(address.toString(), Role.SIDECAR, service, DOMAIN, address, false);
+	}
+
+	/**
+	 * Starts a sidecar with an upstream of its own and lists it.
+	 */
+	FakeUpstream served(String service, int limit) {
+		FakeUpstream upstream = upstream();
+		list(service, sidecar(service, upstream, limit).linkAddress());
+		return upstream;
+	}
+
+	// -- entries
+
+	TestEntry entry() {
+		return this.closer.add(new TestEntry());
+	}
+
+	static void await(BooleanSupplier condition) {
+		long end = System.nanoTime() + Duration.ofSeconds(20).toNanos();
+		while (!condition.getAsBoolean()) {
+			if (System.nanoTime() - end > 0) {
+				throw new AssertionError("what must happen has not happened");
+			}
+			Thread.onSpinWait();
+			try {
+				TimeUnit.MILLISECONDS.sleep(1);
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+			}
+		}
+	}
+
+	static Contract contract() {
+		return Contract.parse(1, """
+				{"name": "test",
+				 "regions": [{"name": "region", "failureDomains": ["domain"]}],
+				 "services": [
+				  {"name": "desk", "type": "model", "failureDomains": ["domain"], "upstreams": 2,
+				   "models": [{"name": "m", "version": "v1",
+				               "replicas": {"min": 1, "max": 2, "failureDomains": 1}}]},
+				  {"name": "bookings", "type": "plain", "failureDomains": ["domain"], "upstreams": 1,
+				   "nonIdempotentCalls": [{"method": "POST", "path": "/book"}]},
+				  {"name": "letters", "type": "plain", "failureDomains": ["domain"], "upstreams": 1,
+				   "dependsOn": ["bookings"]}],
+				 "accounts": [{"name": "tests", "keys": ["%s"]}]}
+				""".formatted(KeyHash.of(Caller.KEY).text()));
+	}
+
+	@Override
+	public void close() {
+		this.closer.close();
+	}
+
+	/**
+	 * The online part of an entry with its own HTTP server.
+	 */
+	final class TestEntry implements AutoCloseable {
+
+		private final Closer own = Closer.empty();
+
+		private final UpstreamDirectory directory;
+
+		private final OnlinePart online;
+
+		private final HttpServer server;
+
+		private TestEntry() {
+			MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+			this.own.add(loops::shutdownGracefully);
+			Instance self = new Instance("entry", Role.ENTRY, "", DOMAIN, ANY, false);
+			LinkOptions options = LinkOptions.of().heartbeat(Duration.ofMillis(200), Duration.ofMillis(800));
+			this.directory = this.own.add(UpstreamDirectory.follow(TestFleet.this.vertx, self,
+					() -> CompletableFuture.completedFuture(read()), loops, options,
+					(lane) -> Hello.newBuilder().setLane(lane).setInstance("entry-" + hashCode()).build(),
+					new Ignoring()));
+			TestFleet.this.directories.add(this.directory);
+			Metrics metrics = Metrics.of(settings("none", TestFleet.this.upstream(), 1));
+			ErrorResponses errors = ErrorResponses.of(metrics);
+			this.online = this.own.add(OnlinePart.start(TestFleet.this.vertx, this.directory,
+					RequestReader.of(() -> Optional.of(contract()), InstantSource.system()), errors, metrics, 1 << 20));
+			Router router = Router.router(TestFleet.this.vertx);
+			this.online.mount(router);
+			errors.mount(router);
+			this.server = TestFleet.this.vertx.createHttpServer().requestHandler(router);
+			this.server.listen(0, "127.0.0.1").toCompletionStage().toCompletableFuture().join();
+		}
+
+		Caller caller() {
+			return new Caller("http://127.0.0.1:" + this.server.actualPort());
+		}
+
+		OnlinePart online() {
+			return this.online;
+		}
+
+		UpstreamDirectory directory() {
+			return this.directory;
+		}
+
+		@Override
+		public void close() {
+			this.own.close();
+		}
+
+	}
+
+	/**
+	 * A control lane on which nothing is done.
+	 */
+	private static final class Ignoring implements LinkListener {
+
+		@Override
+		public void opened(Link link) {
+			// Tests of online requests send no control frames.
+		}
+
+		@Override
+		public void received(Link link, Frame frame) {
+			// Tests of online requests send no control frames.
+		}
+
+		@Override
+		public void closed(Link link) {
+			// Tests of online requests send no control frames.
+		}
+
+	}
+
+}
--- /dev/null
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/fake/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Fakes of what stands around the daemon, driven step by step by the tests.
+ */
+package org.ragworthook.daemon.fake;
