--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/EntryProcess.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/EntryProcess.java
@@ -28,6 +28,7 @@
 import org.ragworthook.core.fleet.Role;
 import org.ragworthook.core.log.EventLog;
 import org.ragworthook.core.time.Timers;
+import org.ragworthook.daemon.Certificates;
 import org.ragworthook.daemon.DaemonProcess;
 import org.ragworthook.daemon.VertxTimers;
 import org.ragworthook.daemon.http.ErrorResponses;
@@ -39,7 +40,6 @@
 import org.ragworthook.platform.PlatformSettings;
 import org.ragworthook.wire.link.Link;
 import org.ragworthook.wire.link.LinkListener;
-import org.ragworthook.wire.link.LinkOptions;
 import org.ragworthook.wire.message.Frame;
 import org.ragworthook.wire.message.Hello;
 import org.ragworthook.wire.message.Lane;
@@ -87,8 +87,8 @@
 			.add(EndpointSliceList.of(vertx, platform(settings.platform().instances(), settings)));
 		this.closer.add(ContractWatch.start(store, this.inForce, timers, new Random(),
 				(failure) -> LOG.debug("contract_unreadable", "error", failure)));
-		UpstreamDirectory directory = this.closer.add(
-				UpstreamDirectory.follow(vertx, self(), list, loops, LinkOptions.of(), this::hello, new ControlLane()));
+		UpstreamDirectory directory = this.closer.add(UpstreamDirectory.follow(vertx, self(), list, loops,
+				Certificates.links(vertx, settings), this::hello, new ControlLane()));
 		ErrorResponses errors = ErrorResponses.of(metrics);
 		this.online = this.closer
 			.add(OnlinePart.start(vertx, directory, RequestReader.of(this.inForce::contract, InstantSource.system()),
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/entry/TestFleet.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/entry/TestFleet.java
@@ -4,7 +4,6 @@
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -30,6 +29,7 @@
 import org.ragworthook.daemon.http.ErrorResponses;
 import org.ragworthook.daemon.http.Metrics;
 import org.ragworthook.daemon.settings.DaemonSettings;
+import org.ragworthook.daemon.settings.SettingsReader;
 import org.ragworthook.daemon.sidecar.SidecarProcess;
 import org.ragworthook.wire.link.Link;
 import org.ragworthook.wire.link.LinkListener;
@@ -76,12 +76,12 @@
 	}
 
 	private static DaemonSettings settings(String service, FakeUpstream upstream, int limit) {
-		return new DaemonSettings(Role.SIDECAR, "sidecar", DOMAIN, ANY, ANY,
-				new DaemonSettings.PlatformSettings(ANY, ANY, "test"),
-				Optional.of(new DaemonSettings.UpstreamSettings(upstream.url(), service, DaemonSettings.Policy.PRIORITY,
-						limit, limit)),
-				Map.of(), Optional.empty(), new DaemonSettings.LimitSettings(1 << 20, 1 << 20, 100, 4, 10_000, 20_000),
-				Optional.empty());
+		return SettingsReader.parse("test", """
+				{"role": "sidecar", "instance": "sidecar", "region": "region", "failureDomain": "domain",
+				 "http": "127.0.0.1:0", "link": "127.0.0.1:0",
+				 "platform": {"objects": "127.0.0.1:1", "instances": "127.0.0.1:1"},
+				 "upstream": {"url": "%s", "service": "%s", "initialLimit": %d, "maxLimit": %d}}
+				""".formatted(upstream.url(), service, limit, limit));
 	}
 
 	/**
