--- /dev/null
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/whole/WholeFleet.java
@@ -0,0 +1,204 @@
+package org.ragworthook.daemon.whole;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonObject;
+import org.ragworthook.core.close.Closer;
+import org.ragworthook.core.contract.ContractRegister;
+import org.ragworthook.core.contract.OpenWork;
+import org.ragworthook.core.contract.Proposal;
+import org.ragworthook.core.fleet.Address;
+import org.ragworthook.core.store.ConditionalWriter;
+import org.ragworthook.core.store.Stamps;
+import org.ragworthook.daemon.entry.EntryProcess;
+import org.ragworthook.daemon.settings.SettingsReader;
+import org.ragworthook.daemon.sidecar.SidecarProcess;
+import org.ragworthook.platform.HttpObjectStore;
+import org.ragworthook.platform.PlatformSettings;
+import org.ragworthook.standin.StandInServer;
+import org.ragworthook.standin.engine.EngineSettings;
+import org.ragworthook.standin.engine.ModelEngine;
+import org.ragworthook.standin.platform.InstanceListApi;
+import org.ragworthook.standin.platform.ObjectApi;
+
+/**
+ * A small deployment in one process: the platform's stand-ins, engines, sidecars,
+ * entries.
+ */
+final class WholeFleet implements AutoCloseable {
+
+	/** The key of the account that tests use. */
+	static final String KEY = "test-key";
+
+	/** The model that the engines serve. */
+	static final String MODEL = "test-model";
+
+	private static final Duration PATIENCE = Duration.ofSeconds(30);
+
+	private final Closer closer = Closer.empty();
+
+	private final Vertx vertx = Vertx.vertx();
+
+	private final HttpClient http = HttpClient.newHttpClient();
+
+	private final int objects;
+
+	private final int instances;
+
+	private final List<URI> entries = new ArrayList<>();
+
+	private int count;
+
+	WholeFleet(String text) {
+		this.closer.add(() -> wait(this.vertx.close()));
+		this.objects = deploy(new ObjectApi(0));
+		this.instances = deploy(new InstanceListApi(0, Duration.ZERO));
+		accept(text);
+	}
+
+	private int deploy(StandInServer server) {
+		return wait(server.deploy(this.vertx));
+	}
+
+	private static <T> T wait(Future<T> future) {
+		return future.toCompletionStage().toCompletableFuture().join();
+	}
+
+	private void accept(String text) {
+		HttpObjectStore store = this.closer
+			.add(HttpObjectStore.of(this.vertx, PlatformSettings.of(new Address("127.0.0.1", this.objects))));
+		ContractRegister
+			.of(store, ConditionalWriter.of(store, Stamps.of("test")), () -> Instant.ofEpochSecond(1_000_000_000))
+			.accept(new Proposal(text, 0, "test", "first", false), 0, OpenWork.none())
+			.join();
+	}
+
+	/**
+	 * Starts an engine and a sidecar beside it.
+	 * @param slots how many requests the engine runs at once
+	 */
+	void upstream(int slots) {
+		ModelEngine engine = new ModelEngine(0,
+				EngineSettings.builder()
+					.models(List.of(MODEL))
+					.slots(slots)
+					.tokenTime(Duration.ofMillis(1), Duration.ZERO)
+					.build());
+		int port = deploy(engine);
+		String id = "sidecar-" + this.count++;
+		SidecarProcess sidecar = this.closer.add(SidecarProcess.start(SettingsReader.parse(id, """
+				{"role": "sidecar", "instance": "%s", "region": "region", "failureDomain": "domain",
+				 "http": "127.0.0.1:0", "link": "127.0.0.1:0", %s,
+				 "upstream": {"url": "http://127.0.0.1:%d", "service": "desk", "maxLimit": %d},
+				 "limits": {"drainMillis": 100}}
+				""".formatted(id, platform(), port, slots))));
+		list(id, "sidecar", "desk", sidecar.linkAddress().toString());
+	}
+
+	/**
+	 * Starts an entry.
+	 * @return its base URL
+	 */
+	URI entry() {
+		String id = "entry-" + this.count++;
+		int port = freePort();
+		int link = freePort();
+		this.closer.add(EntryProcess.start(SettingsReader.parse(id, """
+				{"role": "entry", "instance": "%s", "region": "region", "failureDomain": "domain",
+				 "http": "127.0.0.1:%d", "link": "127.0.0.1:%d", %s,
+				 "limits": {"drainMillis": 100, "shards": 2, "leaseMillis": 600, "requestBytes": 65536}}
+				""".formatted(id, port, link, platform()))));
+		list(id, "entry", "", "127.0.0.1:" + link);
+		URI url = URI.create("http://127.0.0.1:" + port);
+		this.entries.add(url);
+		return url;
+	}
+
+	private String platform() {
+		return "\"platform\": {\"objects\": \"127.0.0.1:%d\", \"instances\": \"127.0.0.1:%d\"}".formatted(this.objects,
+				this.instances);
+	}
+
+	private static int freePort() {
+		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			return socket.getLocalPort();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	private void list(String id, String role, String service, String address) {
+		JsonObject instance = new JsonObject().put("id", id)
+			.put("role", role)
+			.put("service", service)
+			.put("region", "region")
+			.put("failureDomain", "domain")
+			.put("address", address)
+			.put("state", "live");
+		send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + this.instances + "/control/instances"))
+			.header("Content-Type", "application/json")
+			.POST(HttpRequest.BodyPublishers.ofString(instance.encode()))
+			.build());
+	}
+
+	HttpResponse<String> send(HttpRequest request) {
+		try {
+			return this.http.send(request, HttpResponse.BodyHandlers.ofString());
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw new IllegalStateException("interrupted", ex);
+		}
+	}
+
+	/**
+	 * Waits until every entry answers a request, which takes a contract and a link.
+	 */
+	void awaitServing() {
+		String body = "{\"model\": \"" + MODEL
+				+ "\", \"max_tokens\": 1, \"messages\": [{\"role\": \"user\", \"content\": \"ready\"}]}";
+		this.entries.forEach((entry) -> await(() -> send(HttpRequest.newBuilder(entry.resolve("/v1/chat/completions"))
+			.header("Authorization", "Bearer " + KEY)
+			.header("Content-Type", "application/json")
+			.POST(HttpRequest.BodyPublishers.ofString(body))
+			.build()).statusCode() == 200));
+	}
+
+	/**
+	 * Waits for something that comes sooner or later; only a test that fails waits long.
+	 * @param condition what to wait for
+	 */
+	static void await(BooleanSupplier condition) {
+		long end = System.nanoTime() + PATIENCE.toNanos();
+		while (!condition.getAsBoolean()) {
+			if (System.nanoTime() - end > 0) {
+				throw new AssertionError("nothing came in " + PATIENCE);
+			}
+			Thread.onSpinWait();
+		}
+	}
+
+	@Override
+	public void close() {
+		this.closer.close();
+	}
+
+}
