Let tests follow the instance list closely

The failure tests waited up to a second for each sidecar that they listed. A sidecar that is told to stop twice stops once.

--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/EntryProcess.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/EntryProcess.java
@@ -1,5 +1,6 @@
 package org.ragworthook.daemon.entry;
 
+import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Random;
@@ -55,6 +56,8 @@
 
 	private static final int LINK_THREADS = 2;
 
+	private static final Duration LIST_REFRESH = Duration.ofSeconds(1);
+
 	/** How long a balancer may take to see that an entry is not ready any more. */
 	private static final long FAREWELL_MILLIS = 1_000;
 
@@ -87,7 +90,7 @@
 			.add(EndpointSliceList.of(vertx, platform(settings.platform().instances(), settings)));
 		this.closer.add(ContractWatch.start(store, this.inForce, timers, new Random(),
 				(failure) -> LOG.debug("contract_unreadable", "error", failure)));
-		UpstreamDirectory directory = this.closer.add(UpstreamDirectory.follow(vertx, self(), list, loops,
+		UpstreamDirectory directory = this.closer.add(UpstreamDirectory.follow(vertx, self(), list, LIST_REFRESH, loops,
 				Certificates.links(vertx, settings), this::hello, new ControlLane()));
 		ErrorResponses errors = ErrorResponses.of(metrics);
 		this.online = this.closer
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/UpstreamDirectory.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/UpstreamDirectory.java
@@ -1,5 +1,6 @@
 package org.ragworthook.daemon.entry;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -39,8 +40,6 @@
 
 	private static final EventLog LOG = EventLog.of(UpstreamDirectory.class);
 
-	private static final long REFRESH_MILLIS = 1_000;
-
 	private final Vertx vertx;
 
 	private final Instance self;
@@ -87,16 +86,17 @@
 	 * @param vertx carries the timer
 	 * @param self this entry
 	 * @param list the platform's list
+	 * @param refresh how often the list is read
 	 * @param loops the threads of the links
 	 * @param options how links behave
 	 * @param hello makes the greeting for each lane
 	 * @param control takes what comes on the control lanes
 	 * @return the directory, empty at first
 	 */
-	public static UpstreamDirectory follow(Vertx vertx, Instance self, InstanceList list, EventLoopGroup loops,
-			LinkOptions options, Function<Lane, Hello> hello, LinkListener control) {
+	public static UpstreamDirectory follow(Vertx vertx, Instance self, InstanceList list, Duration refresh,
+			EventLoopGroup loops, LinkOptions options, Function<Lane, Hello> hello, LinkListener control) {
 		UpstreamDirectory directory = new UpstreamDirectory(vertx, self, list, loops, options, hello, control);
-		directory.timer = vertx.setPeriodic(0, REFRESH_MILLIS, (ignored) -> directory.refresh());
+		directory.timer = vertx.setPeriodic(0, refresh.toMillis(), (ignored) -> directory.refresh());
 		return directory;
 	}
 
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/SidecarProcess.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/SidecarProcess.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -49,6 +50,8 @@
 
 	private final Duration drainTime;
 
+	private final AtomicBoolean closing = new AtomicBoolean();
+
 	private final String instance;
 
 	private SidecarProcess(DaemonSettings settings) {
@@ -112,6 +115,9 @@
 	 */
 	@Override
 	public void close() {
+		if (!this.closing.compareAndSet(false, true)) {
+			return;
+		}
 		try {
 			this.runs.leave().get(this.drainTime.toMillis(), TimeUnit.MILLISECONDS);
 		}
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/entry/OnlineFailureTests.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/entry/OnlineFailureTests.java
@@ -1,6 +1,7 @@
 package org.ragworthook.daemon.entry;
 
 import java.net.http.HttpResponse;
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 
 import org.junit.jupiter.api.AfterEach;
@@ -218,7 +219,7 @@
 	@Test
 	void shouldFinishAnswersOfSidecarThatStops() {
 		FakeUpstream first = this.fleet.upstream();
-		SidecarProcess sidecar = this.fleet.sidecar("desk", first, 4);
+		SidecarProcess sidecar = this.fleet.sidecar("desk", first, 4, Duration.ofSeconds(20));
 		this.fleet.list("desk", sidecar.linkAddress());
 		CompletableFuture<HttpResponse<String>> answer = this.caller.chat("hello", true);
 		FakeCall running = first.next().greet().tokens("a");
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/entry/TestFleet.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/entry/TestFleet.java
@@ -72,16 +72,21 @@
 	}
 
 	SidecarProcess sidecar(String service, FakeUpstream upstream, int limit) {
-		return this.closer.add(SidecarProcess.start(settings(service, upstream, limit)));
+		return sidecar(service, upstream, limit, Duration.ofMillis(1));
 	}
 
-	private static DaemonSettings settings(String service, FakeUpstream upstream, int limit) {
+	SidecarProcess sidecar(String service, FakeUpstream upstream, int limit, Duration drain) {
+		return this.closer.add(SidecarProcess.start(settings(service, upstream, limit, drain)));
+	}
+
+	private static DaemonSettings settings(String service, FakeUpstream upstream, int limit, Duration drain) {
 		return SettingsReader.parse("test", """
 				{"role": "sidecar", "instance": "sidecar", "region": "region", "failureDomain": "domain",
 				 "http": "127.0.0.1:0", "link": "127.0.0.1:0",
 				 "platform": {"objects": "127.0.0.1:1", "instances": "127.0.0.1:1"},
-				 "upstream": {"url": "%s", "service": "%s", "initialLimit": %d, "maxLimit": %d}}
-				""".formatted(upstream.url(), service, limit, limit));
+				 "upstream": {"url": "%s", "service": "%s", "initialLimit": %d, "maxLimit": %d},
+				 "limits": {"drainMillis": %d}}
+				""".formatted(upstream.url(), service, limit, limit, drain.toMillis()));
 	}
 
 	/**
@@ -188,11 +193,11 @@
 			Instance self = new Instance("entry", Role.ENTRY, "", DOMAIN, ANY, false);
 			LinkOptions options = LinkOptions.of().heartbeat(Duration.ofMillis(200), Duration.ofMillis(800));
 			this.directory = this.own.add(UpstreamDirectory.follow(TestFleet.this.vertx, self,
-					() -> CompletableFuture.completedFuture(read()), loops, options,
+					() -> CompletableFuture.completedFuture(read()), Duration.ofMillis(20), loops, options,
 					(lane) -> Hello.newBuilder().setLane(lane).setInstance("entry-" + hashCode()).build(),
 					new Ignoring()));
 			TestFleet.this.directories.add(this.directory);
-			Metrics metrics = Metrics.of(settings("none", TestFleet.this.upstream(), 1));
+			Metrics metrics = Metrics.of(settings("none", TestFleet.this.upstream(), 1, Duration.ZERO));
 			ErrorResponses errors = ErrorResponses.of(metrics);
 			this.online = this.own.add(OnlinePart.start(TestFleet.this.vertx, this.directory,
 					RequestReader.of(() -> Optional.of(contract()), InstantSource.system()), errors, metrics, 1 << 20));
