--- a/modules/core/src/main/java/org/ragworthook/core/error/ErrorCode.java
+++ b/modules/core/src/main/java/org/ragworthook/core/error/ErrorCode.java
@@ -116,6 +116,36 @@
 	/** A batch job has ended and cannot be cancelled. */
 	JOB_ENDED(3006, 409, "read the job's results; it ended before the cancel"),
 
+	/** A file was sent again under the same key with other content. */
+	FILE_KEY_REUSED(3007, 422, "use a new Idempotency-Key for a different file"),
+
+	/** A file could not be stored; nothing of it is kept. */
+	FILE_NOT_STORED(3008, 503, "upload the file again; an upload that broke off is collected"),
+
+	/** A job's request is not well-formed. */
+	JOB_MALFORMED(3009, 400, "send a JSON body as the OpenAI batch API describes it"),
+
+	/** Every attempt at an item of a job failed. */
+	ITEM_FAILED(3010, 502, "send the item again in a new job"),
+
+	/** An item of a job crashes the upstreams that run it. */
+	ITEM_POISONED(3011, 422, "change the item before it is sent again"),
+
+	/** An item that may run only once was passed on and its outcome is not known. */
+	ITEM_OUTCOME_UNKNOWN(3012, 502, "check with the service before the item is sent again"),
+
+	/** An item was stopped with its job. */
+	ITEM_CANCELLED(3013, 409, "send the item again in a new job if it is still wanted"),
+
+	/** The answer to an item is larger than a record takes. */
+	ITEM_RESULT_TOO_LARGE(3014, 413, "ask for a shorter answer"),
+
+	/** A file's lines cannot be used while a job needs them. */
+	FILE_IN_USE(3015, 409, "wait until the jobs that read the file have ended, or cancel them"),
+
+	/** The platform's answer to the acceptance of a job was lost. */
+	JOB_OUTCOME_UNKNOWN(3016, 503, "send the job again with the same Idempotency-Key; it is found if it was accepted"),
+
 	/** A conditional write found another version than it expected. */
 	STORE_CONFLICT(4001, 409, "read the object again and repeat the change on its newest version"),
 
--- /dev/null
+++ b/modules/core/src/main/java/org/ragworthook/core/job/JobIntake.java
@@ -0,0 +1,111 @@
+package org.ragworthook.core.job;
+
+import java.time.InstantSource;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+
+import org.ragworthook.core.error.ErrorCode;
+import org.ragworthook.core.error.JobException;
+import org.ragworthook.core.store.ConditionalWriter;
+import org.ragworthook.core.store.ObjectStore;
+import org.ragworthook.core.store.Stamps;
+import org.ragworthook.core.store.Stored;
+import org.ragworthook.core.time.Timers;
+
+/**
+ * Accepts jobs. A job exists from one conditional create on; a job that is sent again, to
+ * any entry, meets its own record there.
+ */
+public final class JobIntake {
+
+	private final ObjectStore store;
+
+	private final ConditionalWriter writer;
+
+	private final StoreRetry retry;
+
+	private final InstantSource clock;
+
+	private final FileIntake files;
+
+	private final int shards;
+
+	private JobIntake(FileIntake files, Stamps stamps, Timers timers, InstantSource clock, int shards) {
+		this.files = Objects.requireNonNull(files, "files is null");
+		this.store = files.store();
+		this.writer = ConditionalWriter.of(this.store, stamps);
+		this.retry = new StoreRetry(timers);
+		this.clock = Objects.requireNonNull(clock, "clock is null");
+		this.shards = shards;
+	}
+
+	/**
+	 * Returns an intake.
+	 * @param files where the items come from
+	 * @param stamps marks each write
+	 * @param timers wait between two tries
+	 * @param clock the time of day
+	 * @param shards over how many shards jobs are spread, the same at all entries
+	 * @return the intake
+	 */
+	public static JobIntake of(FileIntake files, Stamps stamps, Timers timers, InstantSource clock, int shards) {
+		return new JobIntake(files, stamps, timers, clock, shards);
+	}
+
+	/**
+	 * Accepts a job, or finds it if it was accepted before.
+	 * @param spec what the account asks for
+	 * @return the job's record; fails with a {@link JobException} if it was refused
+	 */
+	public CompletableFuture<JobRecord> accept(JobSpec spec) {
+		return this.retry.call(() -> this.files.file(spec.account(), spec.input())).exceptionally((failure) -> {
+			throw refused(failure);
+		})
+			.thenCompose((found) -> found.map((file) -> create(spec, file))
+				.orElseThrow(() -> new JobException(ErrorCode.FILE_NOT_FOUND, "no file " + spec.input().id())));
+	}
+
+	private CompletableFuture<JobRecord> create(JobSpec spec, FileRecord file) {
+		if (!file.endpoint().equals(spec.endpoint())) {
+			throw new JobException(ErrorCode.JOB_MALFORMED,
+					"the items go to " + file.endpoint() + ", the job to " + spec.endpoint());
+		}
+		JobRecord job = JobRecord.accepted(spec.id(), spec, file, this.shards, this.clock.millis());
+		return this.retry.call(() -> this.writer.create(job.id().key(), job.text(), job.labels()))
+			.handle((stored, failure) -> {
+				if (failure == null) {
+					return CompletableFuture.completedFuture(job);
+				}
+				return StoreRetry.conflict(failure) ? existing(job)
+						: CompletableFuture.<JobRecord>failedFuture(refused(failure));
+			})
+			.thenCompose((accepted) -> accepted);
+	}
+
+	private CompletableFuture<JobRecord> existing(JobRecord again) {
+		return this.retry.call(() -> this.store.read(again.id().key())).handle((found, failure) -> {
+			if (failure != null) {
+				throw refused(failure);
+			}
+			JobRecord first = found.map(Stored::text).map(JobRecord::parse).orElseThrow(() -> refused(null));
+			if (!first.fingerprint().equals(again.fingerprint())) {
+				throw new JobException(ErrorCode.JOB_KEY_REUSED,
+						first.id() + " was accepted under this key with other content");
+			}
+			return first;
+		});
+	}
+
+	// After an unknown outcome the job may be there. The message says so, and the remedy
+	// is the same: sent again under its key, it is either found or accepted.
+	private static JobException refused(Throwable failure) {
+		boolean unknown = failure != null && ConditionalWriter.codeOf(failure)
+			.filter((code) -> code == ErrorCode.STORE_OUTCOME_UNKNOWN)
+			.isPresent();
+		return unknown
+				? new JobException(ErrorCode.JOB_OUTCOME_UNKNOWN, "the store's answer was lost", Failures.root(failure))
+				: new JobException(ErrorCode.JOB_NOT_ACCEPTED, "the store did not take the job",
+						Failures.root(failure));
+	}
+
+}
--- /dev/null
+++ b/modules/core/src/main/java/org/ragworthook/core/job/LineChecks.java
@@ -0,0 +1,71 @@
+package org.ragworthook.core.job;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Objects;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Function;
+
+import org.apache.commons.codec.digest.MurmurHash3;
+
+/**
+ * Checks the lines of one file, each for itself and against those before it.
+ */
+final class LineChecks {
+
+	private static final int MAX_MODELS = 32;
+
+	private final HashSet64 customIds = new HashSet64();
+
+	private final Set<String> models = new TreeSet<>();
+
+	private final Function<BatchItem, String> rule;
+
+	private String endpoint = "";
+
+	LineChecks(Function<BatchItem, String> rule) {
+		this.rule = Objects.requireNonNull(rule, "rule is null");
+	}
+
+	/**
+	 * Checks a line.
+	 * @param number its number, from 1
+	 * @param line the line
+	 * @throws org.ragworthook.core.error.JobException if it is broken
+	 */
+	void check(int number, String line) {
+		BatchItem item = BatchItem.parse(number, line);
+		if (!this.customIds.add(hash(item.customId()))) {
+			throw BatchItem.broken(number, "repeats the custom_id '" + item.customId() + "'", null);
+		}
+		if (this.endpoint.isEmpty()) {
+			this.endpoint = item.url();
+		}
+		if (!this.endpoint.equals(item.url())) {
+			throw BatchItem.broken(number, "goes to " + item.url() + ", the first to " + this.endpoint, null);
+		}
+		String fault = this.rule.apply(item);
+		if (!fault.isEmpty()) {
+			throw BatchItem.broken(number, fault, null);
+		}
+		if (this.models.size() < MAX_MODELS) {
+			this.models.add(item.model());
+		}
+	}
+
+	private static long hash(String customId) {
+		byte[] bytes = customId.getBytes(StandardCharsets.UTF_8);
+		long[] hash = MurmurHash3.hash128x64(bytes, 0, bytes.length, 0);
+		return hash[0];
+	}
+
+	List<String> models() {
+		return this.models.stream().filter((model) -> !model.isEmpty()).toList();
+	}
+
+	String endpoint() {
+		return this.endpoint;
+	}
+
+}
--- a/modules/core/src/main/java/org/ragworthook/core/store/ConditionalWriter.java
+++ b/modules/core/src/main/java/org/ragworthook/core/store/ConditionalWriter.java
@@ -66,7 +66,19 @@
 	 * and with {@code STORE_OUTCOME_UNKNOWN} only if it cannot be read back
 	 */
 	public CompletableFuture<Stored> update(Stored seen, String text) {
-		Draft draft = new Draft(text, seen.draft().labels(), this.stamps.next());
+		return update(seen, text, seen.draft().labels());
+	}
+
+	/**
+	 * Replaces an object and its labels, if it still has the version that was read.
+	 * @param seen the object as it was read
+	 * @param text its new value
+	 * @param labels its new labels
+	 * @return the object; fails with {@code STORE_CONFLICT} if another write came first,
+	 * and with {@code STORE_OUTCOME_UNKNOWN} only if it cannot be read back
+	 */
+	public CompletableFuture<Stored> update(Stored seen, String text, Labels labels) {
+		Draft draft = new Draft(text, labels, this.stamps.next());
 		return attempt(() -> this.store.update(seen.key(), draft, seen.version()), seen.key(), draft, ATTEMPTS, false);
 	}
 
