--- a/modules/core/src/main/java/org/ragworthook/core/job/FileRecord.java
+++ b/modules/core/src/main/java/org/ragworthook/core/job/FileRecord.java
@@ -77,8 +77,20 @@
 	}
 
 	FileRecord withoutAbandoned() {
-		return new FileRecord(this.hex, this.account, this.state, this.input, List.of(), this.purpose, this.filename,
-				this.chunks, this.items, this.bytes, this.sha256, this.models, this.endpoint, this.createdMillis,
+		return with(this.state, List.of());
+	}
+
+	FileRecord deleting() {
+		return with(State.DELETING, this.abandoned);
+	}
+
+	FileRecord kept() {
+		return with(State.STORED, this.abandoned);
+	}
+
+	private FileRecord with(State next, List<String> tries) {
+		return new FileRecord(this.hex, this.account, next, this.input, tries, this.purpose, this.filename, this.chunks,
+				this.items, this.bytes, this.sha256, this.models, this.endpoint, this.createdMillis,
 				this.expiresMillis);
 	}
 
@@ -122,7 +134,10 @@
 		UPLOADING,
 
 		/** All chunks are stored. */
-		STORED
+		STORED,
+
+		/** It is being removed. */
+		DELETING
 
 	}
 
--- a/modules/core/src/main/java/org/ragworthook/core/job/ItemRuns.java
+++ b/modules/core/src/main/java/org/ragworthook/core/job/ItemRuns.java
@@ -18,6 +18,8 @@
 
 	private static final Duration RETRY = Duration.ofSeconds(1);
 
+	private static final Duration STOPPED_PAUSE = Duration.ofSeconds(1);
+
 	private static final Duration FENCED_PAUSE = Duration.ofSeconds(1);
 
 	private static final Duration SHORTEST_PAUSE = Duration.ofMillis(100);
@@ -120,9 +122,16 @@
 			failed(chunk, index, without(chunk, index, ItemEnd.FAILED, ErrorCode.ITEM_FAILED, broken.detail()));
 		}
 		else {
-			ready(chunk, index);
+			stopped(chunk, index);
 		}
-		this.owner.pump(Integer.MAX_VALUE);
+		this.owner.wake();
+	}
+
+	// Sidecars may know of a cancel that this owner has not heard of yet. Sent again at
+	// once, the item would come back at once, and the entry would do nothing else.
+	private void stopped(ChunkRun chunk, int index) {
+		retry(chunk, index, STOPPED_PAUSE);
+		this.owner.later(STOPPED_PAUSE, this.owner::relist);
 	}
 
 	private void answered(ChunkRun chunk, int index, ItemOutcome.Answered answer) {
@@ -172,7 +181,7 @@
 		}
 		this.owner.later(pause, () -> {
 			ready(chunk, index);
-			this.owner.pump(Integer.MAX_VALUE);
+			this.owner.wake();
 		});
 	}
 
--- a/modules/core/src/main/java/org/ragworthook/core/job/JobIntake.java
+++ b/modules/core/src/main/java/org/ragworthook/core/job/JobIntake.java
@@ -74,7 +74,7 @@
 		return this.retry.call(() -> this.writer.create(job.id().key(), job.text(), job.labels()))
 			.handle((stored, failure) -> {
 				if (failure == null) {
-					return CompletableFuture.completedFuture(job);
+					return confirmed(stored, job, spec);
 				}
 				return StoreRetry.conflict(failure) ? existing(job)
 						: CompletableFuture.<JobRecord>failedFuture(refused(failure));
@@ -82,6 +82,26 @@
 			.thenCompose((accepted) -> accepted);
 	}
 
+	// The file may have been removed at the same moment; see JobCollector. The job is
+	// then
+	// withdrawn before it is acknowledged.
+	private CompletableFuture<JobRecord> confirmed(Stored stored, JobRecord job, JobSpec spec) {
+		return this.retry.call(() -> this.files.file(spec.account(), spec.input())).handle((file, failure) -> {
+			if (failure != null) {
+				return CompletableFuture.<JobRecord>failedFuture(new JobException(ErrorCode.JOB_OUTCOME_UNKNOWN,
+						"the job's file could not be read again", Failures.root(failure)));
+			}
+			if (file.isPresent()) {
+				return CompletableFuture.completedFuture(job);
+			}
+			JobRecord withdrawn = job.ended(JobStatus.CANCELLED, this.clock.millis());
+			return this.retry.call(() -> this.writer.update(stored, withdrawn.text(), withdrawn.labels()))
+				.<JobRecord>thenApply((written) -> {
+					throw new JobException(ErrorCode.FILE_NOT_FOUND, "no file " + spec.input().id());
+				});
+		}).thenCompose((settled) -> settled);
+	}
+
 	private CompletableFuture<JobRecord> existing(JobRecord again) {
 		return this.retry.call(() -> this.store.read(again.id().key())).handle((found, failure) -> {
 			if (failure != null) {
--- a/modules/core/src/main/java/org/ragworthook/core/job/JobRecords.java
+++ b/modules/core/src/main/java/org/ragworthook/core/job/JobRecords.java
@@ -117,7 +117,7 @@
 			return;
 		}
 		check(job);
-		this.owner.pump(Integer.MAX_VALUE);
+		this.owner.wake();
 	}
 
 	private void readAgain(JobRun job) {
@@ -134,7 +134,7 @@
 			}
 			job.adopt(newest.get(), JobRecord.parse(newest.get().text()));
 			check(job);
-			this.owner.pump(Integer.MAX_VALUE);
+			this.owner.wake();
 		}, this.owner.serial());
 	}
 
--- a/modules/core/src/main/java/org/ragworthook/core/job/ShardOwner.java
+++ b/modules/core/src/main/java/org/ragworthook/core/job/ShardOwner.java
@@ -160,7 +160,7 @@
 			}
 			this.loaded = true;
 			listing.objects().forEach(this::take);
-			pump(Integer.MAX_VALUE);
+			wake();
 		}, this.serial);
 	}
 
@@ -171,7 +171,7 @@
 	public void changed(Stored stored) {
 		this.serial.execute(() -> {
 			take(stored);
-			pump(Integer.MAX_VALUE);
+			wake();
 		});
 	}
 
@@ -213,7 +213,16 @@
 		return sent;
 	}
 
-	int pump(int most) {
+	void wake() {
+		if (this.builder.wake.isPresent()) {
+			this.builder.wake.get().run();
+		}
+		else {
+			pump(Integer.MAX_VALUE);
+		}
+	}
+
+	private int pump(int most) {
 		if (!mayAct()) {
 			return 0;
 		}
@@ -312,7 +321,7 @@
 			later(RETRY, () -> {
 				job.notOpened(number);
 				this.records.check(job);
-				pump(Integer.MAX_VALUE);
+				wake();
 			});
 		}, this.serial);
 	}
@@ -326,7 +335,7 @@
 			job.add(new ChunkRun(job, number, claimed));
 		}
 		this.records.check(job);
-		pump(Integer.MAX_VALUE);
+		wake();
 	}
 
 	// -- for the parts of this owner
@@ -421,6 +430,8 @@
 
 		Function<Integer, Optional<Lease>> held;
 
+		Optional<Runnable> wake = Optional.empty();
+
 		private Builder(ObjectStore store, Stamps stamps, ItemSender sender) {
 			this.store = Objects.requireNonNull(store, "store is null");
 			this.stamps = Objects.requireNonNull(stamps, "stamps is null");
@@ -471,6 +482,17 @@
 			return this;
 		}
 
+		/**
+		 * Sets who is told that items could be sent, so that it shares room out over the
+		 * owners of several shards. Without it each owner sends what it can.
+		 * @param wake calls {@link ShardOwner#pumpUpTo} soon
+		 * @return this builder
+		 */
+		public Builder wake(Runnable wake) {
+			this.wake = Optional.of(wake);
+			return this;
+		}
+
 		/**
 		 * Builds an owner.
 		 * @param shard its shard
--- a/modules/core/src/main/java/org/ragworthook/core/lease/LeaseKeeper.java
+++ b/modules/core/src/main/java/org/ragworthook/core/lease/LeaseKeeper.java
@@ -50,6 +50,10 @@
 
 	private final AtomicBoolean writing = new AtomicBoolean();
 
+	private volatile CompletableFuture<?> lastWrite = CompletableFuture.completedFuture(null);
+
+	private volatile boolean resigned;
+
 	private LeaseKeeper(Builder builder, String name, Labels labels) {
 		this.store = builder.store;
 		this.writer = ConditionalWriter.of(builder.store, builder.stamps);
@@ -85,7 +89,8 @@
 	 */
 	public Optional<Lease> held() {
 		View now = this.view.get();
-		return (this.ticker.nanos() - now.until() < 0) ? now.own() : Optional.empty();
+		boolean believed = !this.resigned && this.ticker.nanos() - now.until() < 0;
+		return believed ? now.own() : Optional.empty();
 	}
 
 	/**
@@ -162,11 +167,19 @@
 
 	/**
 	 * Releases the lease, so that another may take it at once. The keeper stops believing
-	 * before the write is sent.
+	 * before the write is sent, and lets a renewal under way come first, which would
+	 * otherwise revive the lease.
 	 * @return completes when the write has taken effect or failed; a release that failed
 	 * is made up for by the period
 	 */
 	public CompletableFuture<Void> release() {
+		this.resigned = true;
+		return this.lastWrite.handle((done, failure) -> null)
+			.thenCompose((done) -> giveBack())
+			.whenComplete((done, failure) -> this.resigned = false);
+	}
+
+	private CompletableFuture<Void> giveBack() {
 		View last = this.view.getAndUpdate(View::resigned);
 		if (last.own().isEmpty()) {
 			return CompletableFuture.completedFuture(null);
@@ -208,10 +221,12 @@
 	}
 
 	private <T> CompletableFuture<T> alone(Supplier<CompletableFuture<T>> step, Supplier<T> otherwise) {
-		if (!this.writing.compareAndSet(false, true)) {
+		if (this.resigned || !this.writing.compareAndSet(false, true)) {
 			return CompletableFuture.completedFuture(otherwise.get());
 		}
-		return step.get().whenComplete((result, failure) -> this.writing.set(false));
+		CompletableFuture<T> write = step.get().whenComplete((result, failure) -> this.writing.set(false));
+		this.lastWrite = write;
+		return write;
 	}
 
 	/**
--- a/modules/core/src/main/java/org/ragworthook/core/lease/ShardMap.java
+++ b/modules/core/src/main/java/org/ragworthook/core/lease/ShardMap.java
@@ -132,16 +132,14 @@
 			return;
 		}
 		this.builder.timers.schedule(this.builder.period.dividedBy(RENEWALS_PER_PERIOD), this::renewLoop);
-		all(staying(), (shard) -> this.keepers.get(shard).renew()).thenRun(this::announce);
+		all(shards(), (shard) -> this.keepers.get(shard).renew()).thenRun(this::announce);
 	}
 
-	// Lapsed leases are among them: after an outage in which nobody could take them over,
-	// a renewal brings them back under the same epoch.
-	private synchronized List<Integer> staying() {
-		return IntStream.range(0, this.builder.shards)
-			.filter((shard) -> !this.leaving.containsKey(shard))
-			.boxed()
-			.toList();
+	// Lapsed leases are renewed, too: after an outage in which nobody could take them
+	// over
+	// they come back under the same epoch.
+	private List<Integer> shards() {
+		return IntStream.range(0, this.builder.shards).boxed().toList();
 	}
 
 	// -- taking and giving
--- /dev/null
+++ b/modules/core/src/test/java/org/ragworthook/core/job/FakeSidecars.java
@@ -0,0 +1,155 @@
+package org.ragworthook.core.job;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+
+/**
+ * A model of all sidecars together: they hold a bounded number of items, refuse older
+ * epochs and cancelled jobs, and count what they start.
+ */
+final class FakeSidecars {
+
+	private final List<Running> running = new ArrayList<>();
+
+	private final Map<String, Integer> starts = new HashMap<>();
+
+	private final List<ItemRequest> requests = new ArrayList<>();
+
+	private final Map<Integer, Long> fences = new HashMap<>();
+
+	private final Set<JobId> cancelled = new HashSet<>();
+
+	private final Set<String> dead = new HashSet<>();
+
+	private final int capacity;
+
+	private boolean fencing = true;
+
+	FakeSidecars(int capacity) {
+		this.capacity = capacity;
+	}
+
+	void withoutFencing() {
+		this.fencing = false;
+	}
+
+	/**
+	 * Returns the way of one entry to the sidecars.
+	 * @param entry the entry's name
+	 * @return a sender
+	 */
+	ItemSender of(String entry) {
+		return new ItemSender() {
+
+			@Override
+			public int room(String route) {
+				int free = FakeSidecars.this.capacity - FakeSidecars.this.running.size();
+				return FakeSidecars.this.dead.contains(entry) ? 0 : free;
+			}
+
+			@Override
+			public CompletableFuture<ItemOutcome> send(ItemRequest request) {
+				return start(entry, request);
+			}
+
+			@Override
+			public void cancel(JobId job) {
+				FakeSidecars.this.cancelled.add(job);
+				stop((item) -> item.request().name().job().equals(job));
+			}
+
+			@Override
+			public void callBack(JobId job) {
+				stop((item) -> item.entry().equals(entry) && item.request().name().job().equals(job));
+			}
+
+		};
+	}
+
+	private CompletableFuture<ItemOutcome> start(String entry, ItemRequest request) {
+		if (this.dead.contains(entry)) {
+			return new CompletableFuture<>();
+		}
+		long fence = this.fences.merge(request.shard(), request.epoch(), Math::max);
+		if (this.fencing && request.epoch() < fence) {
+			return CompletableFuture.completedFuture(new ItemOutcome.Fenced());
+		}
+		if (this.cancelled.contains(request.name().job())) {
+			return CompletableFuture.completedFuture(new ItemOutcome.Cancelled());
+		}
+		Running item = new Running(entry, request, new CompletableFuture<>());
+		this.running.add(item);
+		this.requests.add(request);
+		this.starts.merge(request.name().requestId(), 1, Integer::sum);
+		return item.outcome();
+	}
+
+	private void stop(Function<Running, Boolean> which) {
+		List<Running> stopping = this.running.stream().filter(which::apply).toList();
+		this.running.removeAll(stopping);
+		stopping.forEach((item) -> item.outcome().complete(new ItemOutcome.Cancelled()));
+	}
+
+	void lose(String entry) {
+		this.dead.add(entry);
+	}
+
+	/**
+	 * Lets running items end, the oldest first, until none runs.
+	 * @param outcome what becomes of an attempt
+	 */
+	void run(Function<ItemRequest, ItemOutcome> outcome) {
+		while (!this.running.isEmpty()) {
+			end(0, outcome);
+		}
+	}
+
+	/**
+	 * Lets one running item end.
+	 * @param position which one
+	 * @param outcome what becomes of it
+	 */
+	void end(int position, Function<ItemRequest, ItemOutcome> outcome) {
+		Running item = this.running.remove(position);
+		ItemOutcome end = outcome.apply(item.request());
+		if (end instanceof ItemOutcome.NotPassedOn) {
+			this.starts.merge(item.request().name().requestId(), -1, Integer::sum);
+		}
+		item.outcome().complete(end);
+	}
+
+	static ItemOutcome answer(ItemRequest request) {
+		return new ItemOutcome.Answered(200, "{\"echo\":\"" + request.name().customId() + "\"}");
+	}
+
+	int runningCount() {
+		return this.running.size();
+	}
+
+	/**
+	 * Returns how many attempts at an item were passed on to an upstream.
+	 * @param requestId the item
+	 * @return the count
+	 */
+	int starts(String requestId) {
+		return this.starts.getOrDefault(requestId, 0);
+	}
+
+	int allStarts() {
+		return this.requests.size();
+	}
+
+	List<ItemRequest> requests() {
+		return List.copyOf(this.requests);
+	}
+
+	private record Running(String entry, ItemRequest request, CompletableFuture<ItemOutcome> outcome) {
+	}
+
+}
--- /dev/null
+++ b/modules/core/src/test/java/org/ragworthook/core/job/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of batch jobs.
+ */
+package org.ragworthook.core.job;
