--- a/modules/daemon/src/main/java/org/ragworthook/daemon/settings/SettingsReader.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/settings/SettingsReader.java
@@ -23,6 +23,7 @@
 import org.ragworthook.core.fleet.Address;
 import org.ragworthook.core.fleet.FailureDomain;
 import org.ragworthook.core.fleet.Role;
+import org.ragworthook.daemon.settings.DaemonSettings.HttpTlsSettings;
 import org.ragworthook.daemon.settings.DaemonSettings.LimitSettings;
 import org.ragworthook.daemon.settings.DaemonSettings.PlatformSettings;
 import org.ragworthook.daemon.settings.DaemonSettings.Policy;
@@ -38,7 +39,6 @@
 		.enable(JsonParser.Feature.ALLOW_COMMENTS)
 		.enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION)
 		.enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
-		.enable(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES)
 		.enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
 		.disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT)
 		.disable(MapperFeature.ALLOW_COERCION_OF_SCALARS)
@@ -58,7 +58,7 @@
 
 	private static final int SHARDS = 16;
 
-	private static final int LEASE_MILLIS = 3_000;
+	private static final int LEASE_MILLIS = 6_000;
 
 	private static final int DRAIN_MILLIS = 30_000;
 
@@ -97,22 +97,27 @@
 			return new Checker(source).settings(MAPPER.readValue(text, SettingsFile.class));
 		}
 		catch (UnrecognizedPropertyException ex) {
-			throw error(ErrorCode.SETTINGS_UNKNOWN_KEY, source, ex, "unknown key '" + path(ex) + "'");
+			throw error(ErrorCode.SETTINGS_UNKNOWN_KEY, source, KeyPlaces.of(text).find(path(ex)), ex,
+					"unknown key '" + path(ex) + "'");
 		}
 		catch (MismatchedInputException ex) {
 			boolean missing = ex.getMessage().startsWith("Missing required creator property");
-			throw missing ? error(ErrorCode.SETTINGS_MISSING_KEY, source, ex, "missing key '" + path(ex) + "'")
-					: error(ErrorCode.SETTINGS_BAD_VALUE, source, ex, "wrong type of value for '" + path(ex) + "'");
+			throw missing
+					? error(ErrorCode.SETTINGS_MISSING_KEY, source, Optional.empty(), ex,
+							"missing key '" + path(ex) + "'")
+					: error(ErrorCode.SETTINGS_BAD_VALUE, source, KeyPlaces.of(text).find(path(ex)), ex,
+							"wrong type of value for '" + path(ex) + "'");
 		}
 		catch (JsonProcessingException ex) {
-			throw error(ErrorCode.SETTINGS_MALFORMED, source, ex, ex.getOriginalMessage());
+			throw error(ErrorCode.SETTINGS_MALFORMED, source, Optional.ofNullable(ex.getLocation()), ex,
+					ex.getOriginalMessage());
 		}
 	}
 
-	private static ConfigException error(ErrorCode code, String source, JsonProcessingException ex, String detail) {
-		JsonLocation location = ex.getLocation();
-		String place = (location != null) ? ":" + location.getLineNr() + ":" + location.getColumnNr() : "";
-		return new ConfigException(code, source + place + ": " + detail, ex);
+	private static ConfigException error(ErrorCode code, String source, Optional<JsonLocation> place,
+			JsonProcessingException ex, String detail) {
+		String at = place.map((location) -> ":" + location.getLineNr() + ":" + location.getColumnNr()).orElse("");
+		return new ConfigException(code, source + at + ": " + detail, ex);
 	}
 
 	private static String path(JsonMappingException ex) {
@@ -142,7 +147,8 @@
 					FailureDomain.of(text("region", file.region()), text("failureDomain", file.failureDomain())),
 					address("http", file.http()), address("link", file.link()), platform(file.platform()), upstream,
 					keys, Optional.ofNullable(file.dataFolder()).map(Path::of), limits(file.limits()),
-					Optional.ofNullable(file.tls()).map(this::tls));
+					Optional.ofNullable(file.tls()).map(this::tls),
+					Optional.ofNullable(file.httpTls()).map(this::httpTls));
 		}
 
 		private PlatformSettings platform(SettingsFile.Platform platform) {
@@ -180,6 +186,10 @@
 					file("tls.authority", tls.authority()));
 		}
 
+		private HttpTlsSettings httpTls(SettingsFile.HttpTls tls) {
+			return new HttpTlsSettings(file("httpTls.certificate", tls.certificate()), file("httpTls.key", tls.key()));
+		}
+
 		private Path file(String key, String value) {
 			Path path = Path.of(text(key, value));
 			if (!Files.isReadable(path)) {
