--- a/modules/core/src/main/java/org/ragworthook/core/job/FileIntake.java
+++ b/modules/core/src/main/java/org/ragworthook/core/job/FileIntake.java
@@ -61,7 +61,7 @@
 				if (failure == null) {
 					return CompletableFuture.completedFuture(new Upload(this, stored, record));
 				}
-				return StoreRetry.conflict(failure) ? beginAgain(id, input)
+				return StoreRetry.undecided(failure) ? beginAgain(id, input)
 						: CompletableFuture.<Upload>failedFuture(refused(failure));
 			})
 			.thenCompose((upload) -> upload);
--- a/modules/core/src/main/java/org/ragworthook/core/job/JobCancel.java
+++ b/modules/core/src/main/java/org/ragworthook/core/job/JobCancel.java
@@ -76,7 +76,7 @@
 			if (failure == null) {
 				return CompletableFuture.completedFuture(next);
 			}
-			return (StoreRetry.conflict(failure) && tries > 1) ? attempt(next.account(), next.id(), tries - 1)
+			return (StoreRetry.undecided(failure) && tries > 1) ? attempt(next.account(), next.id(), tries - 1)
 					: CompletableFuture.<JobRecord>failedFuture(Failures.root(failure));
 		}).thenCompose((settled) -> settled);
 	}
--- a/modules/core/src/main/java/org/ragworthook/core/job/JobIntake.java
+++ b/modules/core/src/main/java/org/ragworthook/core/job/JobIntake.java
@@ -76,7 +76,7 @@
 				if (failure == null) {
 					return confirmed(stored, job, spec);
 				}
-				return StoreRetry.conflict(failure) ? existing(job)
+				return StoreRetry.undecided(failure) ? existing(job)
 						: CompletableFuture.<JobRecord>failedFuture(refused(failure));
 			})
 			.thenCompose((accepted) -> accepted);
@@ -105,9 +105,9 @@
 	private CompletableFuture<JobRecord> existing(JobRecord again) {
 		return this.retry.call(() -> this.store.read(again.id().key())).handle((found, failure) -> {
 			if (failure != null) {
-				throw refused(failure);
+				throw unknown();
 			}
-			JobRecord first = found.map(Stored::text).map(JobRecord::parse).orElseThrow(() -> refused(null));
+			JobRecord first = found.map(Stored::text).map(JobRecord::parse).orElseThrow(JobIntake::unknown);
 			if (!first.fingerprint().equals(again.fingerprint())) {
 				throw new JobException(ErrorCode.JOB_KEY_REUSED,
 						first.id() + " was accepted under this key with other content");
@@ -116,16 +116,14 @@
 		});
 	}
 
-	// After an unknown outcome the job may be there. The message says so, and the remedy
-	// is the same: sent again under its key, it is either found or accepted.
+	// After an unknown outcome the job may be there or may still appear. Sent again under
+	// its key, it is either found or accepted.
+	private static JobException unknown() {
+		return new JobException(ErrorCode.JOB_OUTCOME_UNKNOWN, "the store's answer was lost");
+	}
+
 	private static JobException refused(Throwable failure) {
-		boolean unknown = failure != null && ConditionalWriter.codeOf(failure)
-			.filter((code) -> code == ErrorCode.STORE_OUTCOME_UNKNOWN)
-			.isPresent();
-		return unknown
-				? new JobException(ErrorCode.JOB_OUTCOME_UNKNOWN, "the store's answer was lost", Failures.root(failure))
-				: new JobException(ErrorCode.JOB_NOT_ACCEPTED, "the store did not take the job",
-						Failures.root(failure));
+		return new JobException(ErrorCode.JOB_NOT_ACCEPTED, "the store did not take the job", Failures.root(failure));
 	}
 
 }
--- a/modules/core/src/main/java/org/ragworthook/core/job/SerialExecutor.java
+++ b/modules/core/src/main/java/org/ragworthook/core/job/SerialExecutor.java
@@ -5,12 +5,16 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicInteger;
 
+import org.ragworthook.core.log.EventLog;
+
 /**
  * Runs tasks one after another, in the threads of those who hand them in. A task that is
  * handed in while another runs waits for it without holding up its thread.
  */
 final class SerialExecutor implements Executor {
 
+	private static final EventLog LOG = EventLog.of(SerialExecutor.class);
+
 	private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
 
 	private final AtomicInteger waiting = new AtomicInteger();
@@ -35,8 +39,7 @@
 			task.run();
 		}
 		catch (RuntimeException ex) {
-			Thread thread = Thread.currentThread();
-			thread.getUncaughtExceptionHandler().uncaughtException(thread, ex);
+			LOG.warning("internal_error", "error", ex);
 		}
 	}
 
--- a/modules/core/src/main/java/org/ragworthook/core/job/StoreRetry.java
+++ b/modules/core/src/main/java/org/ragworthook/core/job/StoreRetry.java
@@ -65,4 +65,15 @@
 		return ConditionalWriter.codeOf(failure).filter((code) -> code == ErrorCode.STORE_CONFLICT).isPresent();
 	}
 
+	/**
+	 * Tells whether the object must be read again to know what became of a write.
+	 * @param failure what a future of the store failed with
+	 * @return whether another write came first, or may have
+	 */
+	static boolean undecided(Throwable failure) {
+		return conflict(failure) || ConditionalWriter.codeOf(failure)
+			.filter((code) -> code == ErrorCode.STORE_OUTCOME_UNKNOWN)
+			.isPresent();
+	}
+
 }
--- a/modules/core/src/main/java/org/ragworthook/core/job/Upload.java
+++ b/modules/core/src/main/java/org/ragworthook/core/job/Upload.java
@@ -127,14 +127,23 @@
 				this.checks.endpoint());
 		FileRecord ready = this.record.stored(size);
 		return settle(0).thenCompose((done) -> this.retry.call(() -> this.writer.update(this.begun, ready.text())))
-			.handle((stored, failure) -> {
-				if (failure != null) {
-					throw refused(failure);
-				}
-				return ready;
+			.thenApply((stored) -> ready)
+			.exceptionallyCompose((failure) -> StoreRetry.undecided(failure) ? settled(ready, failure)
+					: CompletableFuture.failedFuture(failure))
+			.exceptionally((failure) -> {
+				throw refused(failure);
 			});
 	}
 
+	private CompletableFuture<FileRecord> settled(FileRecord ready, Throwable failure) {
+		return this.store.read(this.begun.key()).thenApply((found) -> {
+			if (found.map(Stored::text).filter(ready.text()::equals).isEmpty()) {
+				throw refused(failure);
+			}
+			return ready;
+		});
+	}
+
 	private CompletableFuture<FileRecord> same() {
 		if (hash().equals(this.record.sha256())) {
 			return CompletableFuture.completedFuture(this.record);
