--- a/modules/standin/src/main/java/org/ragworthook/standin/command/StandInProgram.java
+++ b/modules/standin/src/main/java/org/ragworthook/standin/command/StandInProgram.java
@@ -13,7 +13,7 @@
  */
 public final class StandInProgram {
 
-	private static final String NAMES = "object-api|instances|platform|engine|service|weights|keys";
+	private static final String NAMES = "object-api|instances|platform|engine|service|weights|keys|routing";
 
 	@Argument(handler = SubCommandHandler.class, required = true, metaVar = NAMES, usage = "what to run")
 	@SubCommands({ @SubCommand(name = "object-api", impl = ObjectApiCommand.class),
@@ -22,7 +22,8 @@
 			@SubCommand(name = "engine", impl = EngineCommand.class),
 			@SubCommand(name = "service", impl = ServiceCommand.class),
 			@SubCommand(name = "weights", impl = WeightsCommand.class),
-			@SubCommand(name = "keys", impl = KeysCommand.class) })
+			@SubCommand(name = "keys", impl = KeysCommand.class),
+			@SubCommand(name = "routing", impl = RoutingCommand.class) })
 	private Subcommand subcommand;
 
 	private StandInProgram() {
