Find the limit from any start and withdraw waiting items first

Failure tests on whole processes found two faults. The learnt limit began with a window at half its value, so that batch got half the slots of a fresh engine; and started far above an engine's capacity it took the queue for normal. It now starts at its value, looks at half the limit every 64 windows over 8 outputs, and stays there when first outputs are more than twice as quick: capacities of 4, 16 and 64 are found from 8 and from 256. And when a job was cancelled or fenced off, the slot of its running item was taken by its next waiting one, which was then passed on although it was to stop; those that wait go first now.

Requests wait at a sidecar in a histogram by class, so that it shows how soon batch gives way.

--- a/modules/core/src/main/java/org/ragworthook/core/admission/ConcurrencyLimit.java
+++ b/modules/core/src/main/java/org/ragworthook/core/admission/ConcurrencyLimit.java
@@ -13,7 +13,7 @@
  * tokens take longer than their target, when the engine reports a queue, or when it
  * refuses a request; it rises by one when a window shows none of this although the limit
  * was in use. How quick a first output can be is learnt in an occasional window with half
- * the limit, the first one among them.
+ * the limit.
  */
 public final class ConcurrencyLimit {
 
@@ -21,7 +21,11 @@
 
 	private static final double LOWER = 0.85;
 
-	private static final int PROBE_EVERY = 32;
+	private static final int PROBE_SAMPLES = 8;
+
+	private static final int PROBE_EVERY = 64;
+
+	private static final int PROBE_AGAIN = 2;
 
 	private static final double BASELINE_RISE = 1.2;
 
@@ -47,7 +51,7 @@
 
 	private int samples;
 
-	private int untilProbe;
+	private int untilProbe = PROBE_AGAIN;
 
 	private boolean inUse;
 
@@ -83,7 +87,11 @@
 	 * @return how many requests may be at the engine
 	 */
 	public int value() {
-		return (this.untilProbe > 0) ? (int) this.limit : Math.max(this.minimum, (int) (this.limit / 2));
+		return (this.untilProbe > 0) ? (int) this.limit : probeValue();
+	}
+
+	private int probeValue() {
+		return Math.max(this.minimum, (int) (this.limit / 2));
 	}
 
 	/**
@@ -92,8 +100,12 @@
 	 */
 	public void firstOutput(long nanos) {
 		this.windowMinimum = Math.min(this.windowMinimum, Math.max(1, nanos));
+		sampled();
+	}
+
+	private void sampled() {
 		this.samples++;
-		if (this.samples >= WINDOW) {
+		if (this.samples >= ((this.untilProbe > 0) ? WINDOW : PROBE_SAMPLES)) {
 			closeWindow();
 		}
 	}
@@ -124,16 +136,12 @@
 			lower();
 		}
 		this.strained = true;
-		this.samples++;
-		if (this.samples >= WINDOW) {
-			closeWindow();
-		}
+		sampled();
 	}
 
 	private void closeWindow() {
 		if (this.untilProbe == 0) {
-			learnBaseline();
-			this.untilProbe = PROBE_EVERY;
+			endProbe();
 		}
 		else {
 			adjust();
@@ -147,9 +155,25 @@
 		this.strained = false;
 	}
 
+	// First outputs that are much quicker at half the limit show that the engine had a
+	// queue all along, even if no window was slower than the one before.
+	private void endProbe() {
+		if (muchSlower(this.baselineNanos, this.windowMinimum)) {
+			this.limit = probeValue();
+			this.untilProbe = PROBE_AGAIN;
+		}
+		else {
+			this.untilProbe = PROBE_EVERY;
+		}
+		learnBaseline();
+	}
+
+	private boolean muchSlower(long nanos, long base) {
+		return nanos != Long.MAX_VALUE && base != Long.MAX_VALUE && nanos > (base * this.tolerance) + SLACK_NANOS;
+	}
+
 	private void adjust() {
-		boolean slow = this.baselineNanos != Long.MAX_VALUE && this.windowMinimum != Long.MAX_VALUE
-				&& this.windowMinimum > (this.baselineNanos * this.tolerance) + SLACK_NANOS;
+		boolean slow = muchSlower(this.windowMinimum, this.baselineNanos);
 		if (slow || slowTokens()) {
 			if (!this.strained) {
 				lower();
--- a/modules/core/src/test/java/org/ragworthook/core/admission/ConcurrencyLimitTests.java
+++ b/modules/core/src/test/java/org/ragworthook/core/admission/ConcurrencyLimitTests.java
@@ -4,7 +4,7 @@
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.ValueSource;
+import org.junit.jupiter.params.provider.CsvSource;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -28,9 +28,9 @@
 	 * engine's queue behind batch, or slots would stay empty.
 	 */
 	@ParameterizedTest
-	@ValueSource(ints = { 4, 16, 64 })
-	void shouldFindCapacityOfEngine(int capacity) {
-		ConcurrencyLimit limit = ConcurrencyLimit.builder().bounds(2, 256).initial(8).build();
+	@CsvSource({ "4, 8", "4, 256", "16, 8", "16, 256", "64, 8", "64, 256" })
+	void shouldFindCapacityOfEngine(int capacity, int initial) {
+		ConcurrencyLimit limit = ConcurrencyLimit.builder().bounds(2, 256).initial(initial).build();
 		long highest = 0;
 		long sum = 0;
 		for (int i = 0; i < 6_000; i++) {
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/engine/UpstreamCall.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/engine/UpstreamCall.java
@@ -47,6 +47,10 @@
 	private void send(HttpClientRequest connected) {
 		this.request = connected;
 		this.sent = true;
+		// Failures end the call by way of the response; without a handler Vert.x would
+		// log each cancelled call as an error.
+		connected.exceptionHandler((failure) -> {
+		});
 		if (!this.run.getContentType().isEmpty()) {
 			connected.putHeader(HttpHeaders.CONTENT_TYPE, this.run.getContentType());
 		}
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/http/Metrics.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/http/Metrics.java
@@ -3,8 +3,10 @@
 import java.time.Duration;
 import java.util.Locale;
 import java.util.Objects;
+import java.util.function.Supplier;
 
 import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
@@ -21,6 +23,10 @@
 			Duration.ofMillis(100), Duration.ofMillis(250), Duration.ofMillis(500), Duration.ofSeconds(1),
 			Duration.ofSeconds(5), Duration.ofSeconds(20) };
 
+	private static final Duration[] WAIT_BUCKETS = { Duration.ofMillis(1), Duration.ofMillis(2), Duration.ofMillis(5),
+			Duration.ofMillis(10), Duration.ofMillis(20), Duration.ofMillis(50), Duration.ofMillis(200),
+			Duration.ofSeconds(1), Duration.ofSeconds(10) };
+
 	private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
 
 	private Metrics(DaemonSettings settings) {
@@ -66,6 +72,36 @@
 			.register(this.registry);
 	}
 
+	/**
+	 * Returns the histogram of the time from a request's arrival at a sidecar until it is
+	 * passed on to the upstream.
+	 * @param requestClass online or batch
+	 * @return a timer
+	 */
+	public Timer upstreamWait(String requestClass) {
+		return Timer.builder("ragworthook.upstream.wait")
+			.tag("class", requestClass)
+			.serviceLevelObjectives(WAIT_BUCKETS)
+			.register(this.registry);
+	}
+
+	/**
+	 * Counts batch requests that gave way to online requests.
+	 * @return a counter
+	 */
+	public Counter preemptions() {
+		return this.registry.counter("ragworthook.preemptions");
+	}
+
+	/**
+	 * Shows a number as it is at the moment.
+	 * @param name the metric
+	 * @param value gives the number
+	 */
+	public void gauge(String name, Supplier<Number> value) {
+		Gauge.builder(name, value).strongReference(true).register(this.registry);
+	}
+
 	/**
 	 * Counts an error that a caller or operator was told of.
 	 * @param code the error
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/ActiveRun.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/ActiveRun.java
@@ -30,6 +30,8 @@
 
 	private final Link link;
 
+	private final long arrivedNanos;
+
 	private UpstreamCall call;
 
 	private int offset;
@@ -38,7 +40,8 @@
 
 	private boolean yielding;
 
-	ActiveRun(Run run, Link link) {
+	ActiveRun(Run run, Link link, long arrivedNanos) {
+		this.arrivedNanos = arrivedNanos;
 		this.run = Objects.requireNonNull(run, "run is null");
 		this.link = Objects.requireNonNull(link, "link is null");
 	}
@@ -51,15 +54,22 @@
 		return RunKey.of(this.link.remote().instance() + "/" + this.run.getRequest(), this.run.getAttempt());
 	}
 
+	/**
+	 * Returns when the request came.
+	 * @return the ticker's reading
+	 */
+	long arrivedNanos() {
+		return this.arrivedNanos;
+	}
+
 	/**
 	 * Returns the request as the gate sees it.
-	 * @param nowNanos the ticker's reading
 	 * @return the offer
 	 */
-	Offer offer(long nowNanos) {
+	Offer offer() {
 		Offer offer = Offer.of(key());
 		if (this.run.getDeadlineMillis() > 0) {
-			offer = offer.withDeadline(nowNanos + this.run.getDeadlineMillis() * 1_000_000L);
+			offer = offer.withDeadline(this.arrivedNanos + this.run.getDeadlineMillis() * 1_000_000L);
 		}
 		if (this.run.getAlone()) {
 			offer = offer.asSuspect();
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/SidecarProcess.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/SidecarProcess.java
@@ -63,12 +63,17 @@
 		Context context = vertx.getOrCreateContext();
 		UpstreamClient upstream = this.closer
 			.add(UpstreamClient.of(vertx, upstreamSettings.url(), upstreamSettings.maxLimit()));
-		this.runs = new SidecarRuns(context, upstream, Ticker.system(), gate(upstreamSettings));
+		Metrics metrics = Metrics.of(settings);
+		this.runs = new SidecarRuns(context, upstream, Ticker.system(), gate(upstreamSettings), metrics);
+		metrics.gauge("ragworthook.upstream.limit", () -> this.runs.load().getLimit());
+		metrics.gauge("ragworthook.upstream.online", () -> this.runs.load().getOnlineRunning());
+		metrics.gauge("ragworthook.upstream.batch", () -> this.runs.load().getBatchRunning());
+		metrics.gauge("ragworthook.upstream.crashes", () -> this.runs.load().getCrashes());
 		MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(LINK_THREADS, NioIoHandler.newFactory());
 		this.closer.add(loops::shutdownGracefully);
 		this.links = this.closer.add(LinkServer.listen(loops, settings.link(), Certificates.links(vertx, settings),
 				() -> welcome(settings, upstreamSettings), this.runs));
-		this.closer.add(HealthServer.listen(vertx, settings.http(), Metrics.of(settings)));
+		this.closer.add(HealthServer.listen(vertx, settings.http(), metrics));
 		LOG.info("sidecar_started", "instance", this.instance, "service", upstreamSettings.service(), "link",
 				this.links.address());
 	}
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/SidecarRuns.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/SidecarRuns.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 
 import io.vertx.core.Context;
@@ -21,6 +22,7 @@
 import org.ragworthook.daemon.engine.CallListener;
 import org.ragworthook.daemon.engine.CallOutput;
 import org.ragworthook.daemon.engine.UpstreamClient;
+import org.ragworthook.daemon.http.Metrics;
 import org.ragworthook.wire.link.Link;
 import org.ragworthook.wire.link.LinkListener;
 import org.ragworthook.wire.message.Cancel;
@@ -60,6 +62,8 @@
 
 	private final Ticker ticker;
 
+	private final Metrics metrics;
+
 	private final EngineGate gate;
 
 	private final CrashWatch crashes;
@@ -78,11 +82,12 @@
 
 	private CompletableFuture<Void> drained;
 
-	SidecarRuns(Context context, UpstreamClient upstream, Ticker ticker, EngineGate gate) {
+	SidecarRuns(Context context, UpstreamClient upstream, Ticker ticker, EngineGate gate, Metrics metrics) {
 		this.context = Objects.requireNonNull(context, "context is null");
 		this.upstream = Objects.requireNonNull(upstream, "upstream is null");
 		this.ticker = Objects.requireNonNull(ticker, "ticker is null");
 		this.gate = Objects.requireNonNull(gate, "gate is null");
+		this.metrics = Objects.requireNonNull(metrics, "metrics is null");
 		this.crashes = new CrashWatch(context.owner(), upstream,
 				() -> (int) this.active.values().stream().filter(ActiveRun::passedOn).count());
 		this.load = newLoad();
@@ -157,7 +162,7 @@
 	// -- requests
 
 	private void accept(Link link, Run run) {
-		ActiveRun accepted = new ActiveRun(run, link);
+		ActiveRun accepted = new ActiveRun(run, link, this.ticker.nanos());
 		if (run.hasItem() && !this.fence.admits(run.getItem())) {
 			accepted.done(done(Outcome.OUTCOME_FENCED, "a newer epoch of the shard is known"));
 			return;
@@ -166,8 +171,7 @@
 			accepted.done(done(Outcome.OUTCOME_NOT_PASSED_ON, "this attempt is already here"));
 			return;
 		}
-		perform(accepted.online() ? this.gate.offerOnline(accepted.offer(this.ticker.nanos()))
-				: this.gate.offerBatch(accepted.offer(this.ticker.nanos())));
+		perform(accepted.online() ? this.gate.offerOnline(accepted.offer()) : this.gate.offerBatch(accepted.offer()));
 	}
 
 	private void cancel(Cancel cancel) {
@@ -181,16 +185,16 @@
 				&& (!run.started() || run.run().getRepeatable()));
 	}
 
+	// Those that wait go first: a slot that a cancelled run frees would else be taken by
+	// one that is to be given up as well.
 	private void giveUp(Predicate<ActiveRun> which) {
-		List.copyOf(this.active.values()).stream().filter(which).forEach((run) -> {
-			if (this.gate.withdrawn(run.key())) {
-				this.active.remove(run.key());
-				run.done(done(Outcome.OUTCOME_NOT_PASSED_ON, "cancelled while it waited"));
-			}
-			else {
-				run.cancel();
-			}
+		List<ActiveRun> given = this.active.values().stream().filter(which).toList();
+		List<ActiveRun> running = given.stream().filter((run) -> !this.gate.withdrawn(run.key())).toList();
+		given.stream().filter((run) -> !running.contains(run)).forEach((run) -> {
+			this.active.remove(run.key());
+			run.done(done(Outcome.OUTCOME_NOT_PASSED_ON, "cancelled while it waited"));
 		});
+		running.forEach(ActiveRun::cancel);
 		perform(this.gate.swept());
 	}
 
@@ -198,9 +202,10 @@
 		for (GateAction action : actions) {
 			ActiveRun run = this.active.get(action.run());
 			if (action instanceof GateAction.Start) {
-				run.started(this.upstream.start(run.run(), new Answering(run)));
+				start(run);
 			}
 			else if (action instanceof GateAction.Cancel) {
+				this.metrics.preemptions().increment();
 				run.giveWay();
 			}
 			else if (action instanceof GateAction.Refuse refusal) {
@@ -215,6 +220,12 @@
 		}
 	}
 
+	private void start(ActiveRun run) {
+		this.metrics.upstreamWait(run.online() ? "online" : "batch")
+			.record(this.ticker.nanos() - run.arrivedNanos(), TimeUnit.NANOSECONDS);
+		run.started(this.upstream.start(run.run(), new Answering(run)));
+	}
+
 	private static String detail(GateAction.Reason reason) {
 		return switch (reason) {
 			case FULL -> "the queue before the upstream is full";
