--- a/modules/core/src/main/java/org/ragworthook/core/contract/ContractWatch.java
+++ b/modules/core/src/main/java/org/ragworthook/core/contract/ContractWatch.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Objects;
+import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
@@ -38,6 +39,8 @@
 
 	private final RandomGenerator random;
 
+	private final Executor work;
+
 	private final Consumer<Throwable> failures;
 
 	private final AtomicLong round = new AtomicLong();
@@ -48,12 +51,13 @@
 
 	private boolean closed;
 
-	private ContractWatch(ObjectStore store, InForce inForce, Timers timers, RandomGenerator random,
+	private ContractWatch(ObjectStore store, InForce inForce, Timers timers, RandomGenerator random, Executor work,
 			Consumer<Throwable> failures) {
 		this.store = Objects.requireNonNull(store, "store is null");
 		this.inForce = Objects.requireNonNull(inForce, "inForce is null");
 		this.timers = Objects.requireNonNull(timers, "timers is null");
 		this.random = Objects.requireNonNull(random, "random is null");
+		this.work = Objects.requireNonNull(work, "work is null");
 		this.failures = Objects.requireNonNull(failures, "failures is null");
 	}
 
@@ -63,12 +67,14 @@
 	 * @param inForce what to keep up
 	 * @param timers delays listings
 	 * @param random draws delays
+	 * @param work reads texts; a long one takes some milliseconds, which must not be an
+	 * event loop's
 	 * @param failures is told of listings that failed and of texts that cannot be read
 	 * @return the watch, which goes on until it is closed
 	 */
 	public static ContractWatch start(ObjectStore store, InForce inForce, Timers timers, RandomGenerator random,
-			Consumer<Throwable> failures) {
-		ContractWatch started = new ContractWatch(store, inForce, timers, random, failures);
+			Executor work, Consumer<Throwable> failures) {
+		ContractWatch started = new ContractWatch(store, inForce, timers, random, work, failures);
 		started.list(started.round.incrementAndGet());
 		return started;
 	}
@@ -92,6 +98,7 @@
 		listing.objects().forEach(this::take);
 		ObjectStore.Watch opened = this.store.watch(Kind.CONFIG, ContractRegister.NEWEST_LABELS, listing.version(),
 				(event) -> {
+					recovered();
 					if (!event.gone()) {
 						take(event.object());
 					}
@@ -100,15 +107,21 @@
 			opened.close();
 			return;
 		}
-		this.timers.schedule(between(RELIST.dividedBy(2), RELIST), () -> again(current, Duration.ZERO));
+		this.timers.schedule(between(RELIST.dividedBy(2), RELIST), () -> {
+			recovered();
+			again(current, Duration.ZERO);
+		});
 	}
 
 	private void take(Stored object) {
+		if (ContractRegister.NEWEST.equals(object.key())) {
+			this.work.execute(() -> offer(object));
+		}
+	}
+
+	private void offer(Stored object) {
 		try {
-			if (ContractRegister.NEWEST.equals(object.key())) {
-				this.inForce.offer(RevisionCodec.decode(object.text()));
-				recovered();
-			}
+			this.inForce.offer(RevisionCodec.decode(object.text()));
 		}
 		catch (ConfigException ex) {
 			this.failures.accept(ex);
--- a/modules/core/src/main/java/org/ragworthook/core/error/ErrorCode.java
+++ b/modules/core/src/main/java/org/ragworthook/core/error/ErrorCode.java
@@ -152,6 +152,9 @@
 	/** The key is valid but does not allow this call. */
 	ACCESS_FORBIDDEN(6002, 403, "use an operator's key for operators' calls and an account's key for its own"),
 
+	/** An operator named an instance that no process knows. */
+	INSTANCE_UNKNOWN(6003, 404, "take the name from 'ragworthook status'"),
+
 	/** A link to another process failed. */
 	LINK_FAILED(6010, 502, "check the address and the certificates of the two processes"),
 
--- a/modules/core/src/test/java/org/ragworthook/core/contract/InForceTests.java
+++ b/modules/core/src/test/java/org/ragworthook/core/contract/InForceTests.java
@@ -63,7 +63,8 @@
 		ManualTime time = ManualTime.of();
 		InForce inForce = InForce.empty();
 		List<Throwable> failures = new ArrayList<>();
-		try (ContractWatch watch = ContractWatch.start(store, inForce, time, new Random(1), failures::add)) {
+		try (ContractWatch watch = ContractWatch.start(store, inForce, time, new Random(1), Runnable::run,
+				failures::add)) {
 			register.accept(new Proposal(Texts.desk(), 0, "ana", "first", false), 0, OpenWork.none()).join();
 			assertThat(inForce.version()).isEqualTo(1);
 			store.failCallsFrom(1, FaultyStore.Fault.OUTAGE);
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/EntryProcess.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/EntryProcess.java
@@ -3,6 +3,7 @@
 import java.time.InstantSource;
 import java.util.Random;
 import java.util.UUID;
+import java.util.concurrent.Executor;
 
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -23,17 +24,16 @@
 import org.ragworthook.core.time.Timers;
 import org.ragworthook.daemon.DaemonProcess;
 import org.ragworthook.daemon.VertxTimers;
+import org.ragworthook.daemon.control.ControlPart;
 import org.ragworthook.daemon.http.ErrorResponses;
 import org.ragworthook.daemon.http.HealthRoutes;
 import org.ragworthook.daemon.http.Metrics;
+import org.ragworthook.daemon.peer.PeerLinks;
 import org.ragworthook.daemon.settings.DaemonSettings;
 import org.ragworthook.platform.EndpointSliceList;
 import org.ragworthook.platform.HttpObjectStore;
 import org.ragworthook.platform.PlatformSettings;
-import org.ragworthook.wire.link.Link;
-import org.ragworthook.wire.link.LinkListener;
 import org.ragworthook.wire.link.LinkOptions;
-import org.ragworthook.wire.message.Frame;
 import org.ragworthook.wire.message.Hello;
 import org.ragworthook.wire.message.Lane;
 
@@ -69,14 +69,25 @@
 			.add(HttpObjectStore.of(vertx, platform(settings.platform().objects(), settings)));
 		EndpointSliceList list = this.closer
 			.add(EndpointSliceList.of(vertx, platform(settings.platform().instances(), settings)));
-		this.closer.add(ContractWatch.start(store, this.inForce, timers, new Random(),
+		Executor work = worker(vertx);
+		this.closer.add(ContractWatch.start(store, this.inForce, timers, new Random(), work,
 				(failure) -> LOG.debug("contract_unreadable", "error", failure)));
-		UpstreamDirectory directory = this.closer
-			.add(UpstreamDirectory.follow(vertx, list, loops, LinkOptions.of(), this::hello, new ControlLane()));
 		ErrorResponses errors = ErrorResponses.of(metrics);
+		PeerLinks peers = this.closer
+			.add(PeerLinks.of(loops, list, timers, settings.link(), LinkOptions.of(), () -> hello(Lane.LANE_PEER)));
+		ControlPart control = this.closer.add(ControlPart.builder(settings, this.instance, this.inForce)
+			.store(store)
+			.peers(peers)
+			.time(timers, work)
+			.errors(errors)
+			.build());
+		UpstreamDirectory directory = this.closer
+			.add(UpstreamDirectory.follow(vertx, list, loops, LinkOptions.of(), this::hello, control.lane()));
 		OnlineRoutes online = new OnlineRoutes(RequestReader.of(this.inForce::contract, InstantSource.system()),
 				new OnlinePath(directory, errors, metrics), settings.limits().requestBytes());
-		serve(vertx, metrics, errors, online);
+		peers.start();
+		control.start();
+		serve(vertx, metrics, errors, online, control);
 		LOG.info("entry_started", "instance", this.instance, "http", settings.http());
 	}
 
@@ -93,6 +104,13 @@
 		return PlatformSettings.of(address).inNamespace(settings.platform().namespace());
 	}
 
+	private static Executor worker(Vertx vertx) {
+		return (task) -> vertx.executeBlocking(() -> {
+			task.run();
+			return null;
+		}, false);
+	}
+
 	private Hello hello(Lane lane) {
 		return Hello.newBuilder()
 			.setLane(lane)
@@ -103,10 +121,10 @@
 			.build();
 	}
 
-	private void serve(Vertx vertx, Metrics metrics, ErrorResponses errors, OnlineRoutes online) {
+	private void serve(Vertx vertx, Metrics metrics, ErrorResponses errors, OnlineRoutes online, ControlPart control) {
 		try {
 			vertx
-				.deployVerticle(() -> new HttpVerticle(metrics, errors, online),
+				.deployVerticle(() -> new HttpVerticle(metrics, errors, online, control),
 						new DeploymentOptions().setInstances(EVENT_LOOPS))
 				.toCompletionStage()
 				.toCompletableFuture()
@@ -134,16 +152,20 @@
 
 		private final OnlineRoutes online;
 
-		private HttpVerticle(Metrics metrics, ErrorResponses errors, OnlineRoutes online) {
+		private final ControlPart control;
+
+		private HttpVerticle(Metrics metrics, ErrorResponses errors, OnlineRoutes online, ControlPart control) {
 			this.metrics = metrics;
 			this.errors = errors;
 			this.online = online;
+			this.control = control;
 		}
 
 		@Override
 		public Future<HttpServer> start() {
 			Router router = Router.router(this.vertx);
 			HealthRoutes.mount(router, this.metrics, () -> EntryProcess.this.inForce.contract().isPresent());
+			this.control.mount(router);
 			this.online.mount(router);
 			this.errors.mount(router);
 			DaemonSettings own = EntryProcess.this.settings;
@@ -152,26 +174,4 @@
 
 	}
 
-	/**
-	 * The control lane, for which nothing is sent yet.
-	 */
-	private static final class ControlLane implements LinkListener {
-
-		@Override
-		public void opened(Link link) {
-			LOG.debug("control_opened", "remote", link.remote().instance());
-		}
-
-		@Override
-		public void received(Link link, Frame frame) {
-			LOG.debug("control_received", "frame", frame.getBodyCase());
-		}
-
-		@Override
-		public void closed(Link link) {
-			LOG.debug("control_closed", "remote", link.remote().instance());
-		}
-
-	}
-
 }
--- /dev/null
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/peer/PeerCalls.java
@@ -0,0 +1,135 @@
+package org.ragworthook.daemon.peer;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.google.protobuf.ByteString;
+import org.ragworthook.core.error.ErrorCode;
+import org.ragworthook.core.error.LinkException;
+import org.ragworthook.core.error.RagworthookException;
+import org.ragworthook.core.time.Timers;
+import org.ragworthook.wire.link.Link;
+import org.ragworthook.wire.message.Call;
+import org.ragworthook.wire.message.Frame;
+import org.ragworthook.wire.message.Reply;
+
+/**
+ * Calls over links: gives each call a number, finds the handler of a verb, and fails what
+ * is not answered in time or whose link is lost.
+ */
+final class PeerCalls {
+
+	private final Timers timers;
+
+	private final AtomicLong numbers = new AtomicLong();
+
+	private final Map<String, PeerCall> handlers = new ConcurrentHashMap<>();
+
+	private final Map<Long, Waiting> waiting = new ConcurrentHashMap<>();
+
+	PeerCalls(Timers timers) {
+		this.timers = Objects.requireNonNull(timers, "timers is null");
+	}
+
+	void handle(String verb, PeerCall handler) {
+		this.handlers.put(verb, handler);
+	}
+
+	// -- the caller's side
+
+	CompletableFuture<ByteString> call(Link link, String verb, ByteString body, Duration timeout) {
+		long number = this.numbers.incrementAndGet();
+		Waiting call = new Waiting(link, new CompletableFuture<>());
+		this.waiting.put(number, call);
+		Timers.Timer timer = this.timers.schedule(timeout,
+				() -> fail(number, "no answer to " + verb + " from " + link + " in " + timeout));
+		call.answer().whenComplete((answer, failure) -> timer.cancel());
+		Call.Builder frame = Call.newBuilder().setNumber(number).setVerb(verb).setBody(body);
+		if (!link.send(Frame.newBuilder().setCall(frame).build())) {
+			fail(number, link + " is closed");
+		}
+		return call.answer();
+	}
+
+	void closed(Link link) {
+		List.copyOf(this.waiting.entrySet())
+			.stream()
+			.filter((entry) -> entry.getValue().link() == link)
+			.forEach((entry) -> fail(entry.getKey(), link + " was lost"));
+	}
+
+	private void fail(long number, String detail) {
+		Waiting call = this.waiting.remove(number);
+		if (call != null) {
+			call.answer().completeExceptionally(new LinkException(ErrorCode.LINK_FAILED, detail));
+		}
+	}
+
+	void replied(Link link, Reply reply) {
+		Waiting call = this.waiting.remove(reply.getNumber());
+		if (call == null) {
+			return;
+		}
+		if (reply.getError() == 0) {
+			call.answer().complete(reply.getBody());
+		}
+		else {
+			call.answer().completeExceptionally(new LinkException(code(reply.getError()), reply.getDetail()));
+		}
+	}
+
+	private static ErrorCode code(int number) {
+		for (ErrorCode code : ErrorCode.values()) {
+			if (code.number() == number) {
+				return code;
+			}
+		}
+		return ErrorCode.INTERNAL;
+	}
+
+	// -- the answering side
+
+	void called(Link link, Call call) {
+		PeerCall handler = this.handlers.get(call.getVerb());
+		if (handler == null) {
+			reply(link, call, ErrorCode.LINK_FAILED, "verb '" + call.getVerb() + "' is not known here");
+			return;
+		}
+		handler.answer(link.remote().instance(), call.getBody()).whenComplete((body, failure) -> {
+			if (failure == null) {
+				send(link, Reply.newBuilder().setNumber(call.getNumber()).setBody(body));
+			}
+			else {
+				RagworthookException known = known(failure);
+				reply(link, call, known.code(), known.detail());
+			}
+		});
+	}
+
+	private static RagworthookException known(Throwable failure) {
+		Throwable cause = failure;
+		while (cause instanceof CompletionException && cause.getCause() != null) {
+			cause = cause.getCause();
+		}
+		return (cause instanceof RagworthookException error) ? error
+				: new LinkException(ErrorCode.INTERNAL, String.valueOf(cause));
+	}
+
+	private static void reply(Link link, Call call, ErrorCode code, String detail) {
+		send(link, Reply.newBuilder().setNumber(call.getNumber()).setError(code.number()).setDetail(detail));
+	}
+
+	private static void send(Link link, Reply.Builder reply) {
+		link.send(Frame.newBuilder().setReply(reply).build());
+	}
+
+	private record Waiting(Link link, CompletableFuture<ByteString> answer) {
+	}
+
+}
