--- a/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/SidecarProcess.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/SidecarProcess.java
@@ -19,6 +19,7 @@
 import org.ragworthook.core.log.EventLog;
 import org.ragworthook.core.time.Ticker;
 import org.ragworthook.daemon.DaemonProcess;
+import org.ragworthook.daemon.control.SidecarControl;
 import org.ragworthook.daemon.engine.UpstreamClient;
 import org.ragworthook.daemon.http.HealthServer;
 import org.ragworthook.daemon.http.Metrics;
@@ -47,6 +48,8 @@
 
 	private final SidecarRuns runs;
 
+	private final SidecarControl control;
+
 	private final Duration drainTime;
 
 	private final String instance;
@@ -61,10 +64,11 @@
 		UpstreamClient upstream = this.closer
 			.add(UpstreamClient.of(vertx, upstreamSettings.url(), upstreamSettings.maxLimit()));
 		this.runs = new SidecarRuns(context, upstream, Ticker.system(), gate(upstreamSettings));
+		this.control = SidecarControl.of(this.runs::leave);
 		MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(LINK_THREADS, NioIoHandler.newFactory());
 		this.closer.add(loops::shutdownGracefully);
 		this.links = this.closer.add(LinkServer.listen(loops, settings.link(), LinkOptions.of(),
-				() -> welcome(settings, upstreamSettings), this.runs));
+				() -> welcome(settings, upstreamSettings), new LaneListeners(this.runs, this.control)));
 		this.closer.add(HealthServer.listen(vertx, settings.http(), Metrics.of(settings)));
 		LOG.info("sidecar_started", "instance", this.instance, "service", upstreamSettings.service(), "link",
 				this.links.address());
@@ -87,6 +91,7 @@
 			.setService(upstream.service())
 			.setLoad(this.runs.load())
 			.setLeaving(this.runs.leaving())
+			.setContractVersion(this.control.inForce().version())
 			.build();
 	}
 
