--- a/modules/core/src/main/java/org/ragworthook/core/contract/ContractWatch.java
+++ b/modules/core/src/main/java/org/ragworthook/core/contract/ContractWatch.java
@@ -41,6 +41,8 @@
 
 	private final Executor work;
 
+	private final RevisionStore revisions;
+
 	private final Consumer<Throwable> failures;
 
 	private final AtomicLong round = new AtomicLong();
@@ -58,6 +60,7 @@
 		this.timers = Objects.requireNonNull(timers, "timers is null");
 		this.random = Objects.requireNonNull(random, "random is null");
 		this.work = Objects.requireNonNull(work, "work is null");
+		this.revisions = RevisionStore.of(store);
 		this.failures = Objects.requireNonNull(failures, "failures is null");
 	}
 
@@ -95,12 +98,12 @@
 	}
 
 	private void follow(long current, Listing listing) {
-		listing.objects().forEach(this::take);
+		listing.objects().forEach((object) -> take(current, object));
 		ObjectStore.Watch opened = this.store.watch(Kind.CONFIG, ContractRegister.NEWEST_LABELS, listing.version(),
 				(event) -> {
 					recovered();
 					if (!event.gone()) {
-						take(event.object());
+						take(current, event.object());
 					}
 				}, () -> again(current, backOff()));
 		if (!replaceWatch(current, opened)) {
@@ -113,15 +116,24 @@
 		});
 	}
 
-	private void take(Stored object) {
+	private void take(long current, Stored object) {
 		if (ContractRegister.NEWEST.equals(object.key())) {
-			this.work.execute(() -> offer(object));
+			this.work.execute(() -> restore(current, object));
 		}
 	}
 
-	private void offer(Stored object) {
+	// A text that cannot be put together, because a part of it could not be read, would
+	// stay out of force until the next change; so the listing is repeated soon.
+	private void restore(long current, Stored object) {
 		try {
-			this.inForce.offer(RevisionCodec.decode(object.text()));
+			this.revisions.restore(RevisionCodec.parseHead(object.text()))
+				.thenAcceptAsync(this.inForce::offer, this.work)
+				.whenComplete((done, failure) -> {
+					if (failure != null) {
+						this.failures.accept(failure);
+						again(current, backOff());
+					}
+				});
 		}
 		catch (ConfigException ex) {
 			this.failures.accept(ex);
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/control/AdminRoutes.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/control/AdminRoutes.java
@@ -169,7 +169,10 @@
 	private CompletableFuture<JsonObject> history() {
 		return this.register.history().thenApply((revisions) -> {
 			JsonArray changes = new JsonArray();
-			revisions.forEach((revision) -> changes.add(json(revision)));
+			revisions.forEach((head) -> changes.add(new JsonObject().put("version", head.version())
+				.put("author", head.author())
+				.put("reason", head.reason())
+				.put("accepted", head.accepted().toString())));
 			return new JsonObject().put("changes", changes);
 		});
 	}
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/EntryProcess.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/EntryProcess.java
@@ -1,9 +1,14 @@
 package org.ragworthook.daemon.entry;
 
 import java.time.InstantSource;
+import java.util.List;
 import java.util.Random;
 import java.util.UUID;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -20,8 +25,11 @@
 import org.ragworthook.core.error.ErrorCode;
 import org.ragworthook.core.error.LinkException;
 import org.ragworthook.core.fleet.Address;
+import org.ragworthook.core.fleet.Instance;
+import org.ragworthook.core.fleet.Role;
 import org.ragworthook.core.log.EventLog;
 import org.ragworthook.core.time.Timers;
+import org.ragworthook.daemon.Certificates;
 import org.ragworthook.daemon.DaemonProcess;
 import org.ragworthook.daemon.VertxTimers;
 import org.ragworthook.daemon.control.ControlPart;
@@ -33,7 +41,6 @@
 import org.ragworthook.platform.EndpointSliceList;
 import org.ragworthook.platform.HttpObjectStore;
 import org.ragworthook.platform.PlatformSettings;
-import org.ragworthook.wire.link.LinkOptions;
 import org.ragworthook.wire.message.Hello;
 import org.ragworthook.wire.message.Lane;
 
@@ -48,6 +55,9 @@
 
 	private static final int LINK_THREADS = 2;
 
+	/** How long a balancer may take to see that an entry is not ready any more. */
+	private static final long FAREWELL_MILLIS = 1_000;
+
 	private final Closer closer = Closer.empty();
 
 	private final DaemonSettings settings;
@@ -56,6 +66,14 @@
 
 	private final InForce inForce = InForce.empty();
 
+	private final ControlPart control;
+
+	private final OnlinePart online;
+
+	private final List<HttpServer> servers = new CopyOnWriteArrayList<>();
+
+	private volatile boolean leaving;
+
 	private EntryProcess(DaemonSettings settings) {
 		this.settings = settings;
 		this.instance = settings.instance() + "-" + UUID.randomUUID().toString().substring(0, 8);
@@ -73,21 +91,22 @@
 		this.closer.add(ContractWatch.start(store, this.inForce, timers, new Random(), work,
 				(failure) -> LOG.debug("contract_unreadable", "error", failure)));
 		ErrorResponses errors = ErrorResponses.of(metrics);
-		PeerLinks peers = this.closer
-			.add(PeerLinks.of(loops, list, timers, settings.link(), LinkOptions.of(), () -> hello(Lane.LANE_PEER)));
-		ControlPart control = this.closer.add(ControlPart.builder(settings, this.instance, this.inForce)
+		PeerLinks peers = this.closer.add(PeerLinks.of(loops, list, timers, settings.link(),
+				Certificates.links(vertx, settings), () -> hello(Lane.LANE_PEER)));
+		this.control = this.closer.add(ControlPart.builder(settings, this.instance, this.inForce)
 			.store(store)
 			.peers(peers)
 			.time(timers, work)
 			.errors(errors)
 			.build());
-		UpstreamDirectory directory = this.closer
-			.add(UpstreamDirectory.follow(vertx, list, loops, LinkOptions.of(), this::hello, control.lane()));
-		OnlineRoutes online = new OnlineRoutes(RequestReader.of(this.inForce::contract, InstantSource.system()),
-				new OnlinePath(directory, errors, metrics), settings.limits().requestBytes());
+		UpstreamDirectory directory = this.closer.add(UpstreamDirectory.follow(vertx, self(), list, loops,
+				Certificates.links(vertx, settings), this::hello, this.control.lane()));
+		this.online = this.closer
+			.add(OnlinePart.start(vertx, directory, RequestReader.of(this.inForce::contract, InstantSource.system()),
+					errors, metrics, settings.limits().requestBytes()));
 		peers.start();
-		control.start();
-		serve(vertx, metrics, errors, online, control);
+		this.control.start();
+		serve(vertx, metrics, errors);
 		LOG.info("entry_started", "instance", this.instance, "http", settings.http());
 	}
 
@@ -104,6 +123,10 @@
 		return PlatformSettings.of(address).inNamespace(settings.platform().namespace());
 	}
 
+	private Instance self() {
+		return new Instance(this.instance, Role.ENTRY, "", this.settings.failureDomain(), this.settings.link(), false);
+	}
+
 	private static Executor worker(Vertx vertx) {
 		return (task) -> vertx.executeBlocking(() -> {
 			task.run();
@@ -121,10 +144,10 @@
 			.build();
 	}
 
-	private void serve(Vertx vertx, Metrics metrics, ErrorResponses errors, OnlineRoutes online, ControlPart control) {
+	private void serve(Vertx vertx, Metrics metrics, ErrorResponses errors) {
 		try {
 			vertx
-				.deployVerticle(() -> new HttpVerticle(metrics, errors, online, control),
+				.deployVerticle(() -> new HttpVerticle(metrics, errors),
 						new DeploymentOptions().setInstances(EVENT_LOOPS))
 				.toCompletionStage()
 				.toCompletableFuture()
@@ -136,9 +159,38 @@
 		}
 	}
 
+	private boolean ready() {
+		return !this.leaving && this.inForce.contract().isPresent();
+	}
+
+	/**
+	 * Leaves gracefully: says that it is not ready, goes on serving until the balancer
+	 * has seen that, and ends when the requests in progress have.
+	 */
 	@Override
 	public void close() {
+		this.leaving = true;
+		LOG.info("entry_draining", "requests", this.online.inProgress());
+		int drainMillis = this.settings.limits().drainMillis();
+		try {
+			Thread.sleep(Math.min(FAREWELL_MILLIS, drainMillis));
+			List<Future<Void>> stopping = this.servers.stream()
+				.map((server) -> server.shutdown(drainMillis, TimeUnit.MILLISECONDS))
+				.toList();
+			Future.join(stopping).toCompletionStage().toCompletableFuture().get(drainMillis, TimeUnit.MILLISECONDS);
+			this.online.drain().get(drainMillis, TimeUnit.MILLISECONDS);
+		}
+		catch (TimeoutException ex) {
+			LOG.warning("drain_cut_short", "requests", this.online.inProgress());
+		}
+		catch (ExecutionException ex) {
+			LOG.warning("drain_failed", "error", ex.getCause());
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
 		this.closer.close();
+		LOG.info("entry_stopped", "instance", this.instance);
 	}
 
 	/**
@@ -150,26 +202,22 @@
 
 		private final ErrorResponses errors;
 
-		private final OnlineRoutes online;
-
-		private final ControlPart control;
-
-		private HttpVerticle(Metrics metrics, ErrorResponses errors, OnlineRoutes online, ControlPart control) {
+		private HttpVerticle(Metrics metrics, ErrorResponses errors) {
 			this.metrics = metrics;
 			this.errors = errors;
-			this.online = online;
-			this.control = control;
 		}
 
 		@Override
 		public Future<HttpServer> start() {
 			Router router = Router.router(this.vertx);
-			HealthRoutes.mount(router, this.metrics, () -> EntryProcess.this.inForce.contract().isPresent());
-			this.control.mount(router);
-			this.online.mount(router);
+			HealthRoutes.mount(router, this.metrics, EntryProcess.this::ready);
+			EntryProcess.this.control.mount(router);
+			EntryProcess.this.online.mount(router);
 			this.errors.mount(router);
 			DaemonSettings own = EntryProcess.this.settings;
-			return this.vertx.createHttpServer().requestHandler(router).listen(own.http().port(), own.http().host());
+			HttpServer server = this.vertx.createHttpServer().requestHandler(router);
+			EntryProcess.this.servers.add(server);
+			return server.listen(own.http().port(), own.http().host());
 		}
 
 	}
