--- /dev/null
+++ b/modules/core/src/main/java/org/ragworthook/core/reconcile/ModelPlan.java
@@ -0,0 +1,206 @@
+package org.ragworthook.core.reconcile;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+import org.ragworthook.core.contract.Model;
+
+/**
+ * What one model needs: replicas first, then their spread, then adapters and its version,
+ * then balance.
+ */
+final class ModelPlan {
+
+	private static final int LOOK_AHEAD = 4;
+
+	private final Model model;
+
+	private final StepLimits limits;
+
+	private final StepMemory memory;
+
+	private final long now;
+
+	private final List<UpstreamView> current = new ArrayList<>();
+
+	private final List<UpstreamView> outdated = new ArrayList<>();
+
+	private final List<UpstreamView> free = new ArrayList<>();
+
+	private final Map<String, Integer> byDomain = new HashMap<>();
+
+	private final String version;
+
+	private int replicas;
+
+	ModelPlan(Model model, List<UpstreamView> upstreams, StepLimits limits, StepMemory memory, long now) {
+		this.model = model;
+		this.limits = limits;
+		this.memory = memory;
+		this.now = now;
+		Map<String, Step> loading = memory.running()
+			.stream()
+			.filter((step) -> step.kind() == Step.Kind.LOAD_MODEL && step.model().equals(model.name()))
+			.collect(Collectors.toMap(Step::upstream, Function.identity()));
+		upstreams.forEach((view) -> sort(view, loading.containsKey(view.id())));
+		this.version = versionToHold();
+		this.free.sort(Comparator.comparingInt(UpstreamView::models).thenComparing(UpstreamView::id));
+	}
+
+	private void sort(UpstreamView view, boolean loading) {
+		this.byDomain.merge(view.failureDomain(), 0, Integer::sum);
+		Optional<String> version = view.version(this.model.name());
+		if (version.isPresent() || loading) {
+			this.replicas++;
+			this.byDomain.merge(view.failureDomain(), 1, Integer::sum);
+		}
+		if (loading) {
+			return;
+		}
+		if (version.isEmpty()) {
+			if (view.models() < this.limits.modelsPerUpstream() && !this.memory.busy(view.id())) {
+				this.free.add(view);
+			}
+		}
+		else if (version.get().equals(this.model.version())) {
+			this.current.add(view);
+		}
+		else {
+			this.outdated.add(view);
+		}
+	}
+
+	void add(int target, List<Step> steps) {
+		int missing = target - this.replicas;
+		// No more can begin now; looking for all at once would take a large fleet
+		// seconds.
+		for (int index = 0; index < Math.min(missing, LOOK_AHEAD * this.limits.loads()); index++) {
+			boolean below = this.replicas < this.model.replicas().min();
+			load(below ? Step.Priority.RESTORE : Step.Priority.BALANCE, steps);
+		}
+		spread(steps);
+		adapters(steps);
+		rollOut(steps);
+		if (missing <= 0 && this.outdated.isEmpty()) {
+			balance(target, steps);
+		}
+	}
+
+	// -- replicas and spread
+
+	private void load(Step.Priority priority, List<Step> steps) {
+		candidate((domain) -> true).ifPresent((view) -> load(view, priority, steps));
+	}
+
+	private void load(UpstreamView view, Step.Priority priority, List<Step> steps) {
+		this.free.remove(view);
+		this.replicas++;
+		this.byDomain.merge(view.failureDomain(), 1, Integer::sum);
+		steps.add(step(Step.Kind.LOAD_MODEL, priority, view, this.version));
+	}
+
+	private Optional<UpstreamView> candidate(Function<String, Boolean> domains) {
+		return this.free.stream()
+			.filter((view) -> domains.apply(view.failureDomain()))
+			.filter((view) -> !this.memory.waits(view.id(), this.model.name() + "@" + this.version, this.now))
+			.min(Comparator.comparingInt((view) -> this.byDomain.getOrDefault(view.failureDomain(), 0)));
+	}
+
+	private void spread(List<Step> steps) {
+		long covered = this.byDomain.values().stream().filter((count) -> count > 0).count();
+		for (long lacking = this.model.replicas().failureDomains() - covered; lacking > 0; lacking--) {
+			candidate((domain) -> this.byDomain.getOrDefault(domain, 0) == 0)
+				.ifPresent((view) -> load(view, Step.Priority.SPREAD, steps));
+		}
+	}
+
+	private void adapters(List<Step> steps) {
+		for (UpstreamView view : this.current) {
+			for (String adapter : this.model.adapters()) {
+				if (!view.loaded().contains(adapter)) {
+					steps.add(step(Step.Kind.LOAD_ADAPTER, Step.Priority.ADAPTER, view, adapter));
+				}
+			}
+		}
+	}
+
+	// -- versions
+
+	// A version that fails to load on several upstreams would fail on the others too, and
+	// each of them is out while it tries. The roll-out then stops, and the upstreams that
+	// have it go back to the version that most of the others hold. Until then the
+	// upstreams
+	// that have not failed yet go first, or one bad upstream would look like a bad
+	// version.
+	private void rollOut(List<Step> steps) {
+		String subject = this.model.name() + "@" + this.version;
+		List<UpstreamView> from = this.version.equals(this.model.version()) ? this.outdated : this.current;
+		long under = this.memory.running()
+			.stream()
+			.filter((step) -> step.priority() == Step.Priority.ROLL_OUT && step.model().equals(this.model.name()))
+			.count();
+		from.stream()
+			.filter((view) -> !this.memory.busy(view.id()))
+			.filter((view) -> !this.memory.waits(view.id(), subject, this.now))
+			.sorted(Comparator.comparingInt((UpstreamView view) -> this.memory.failures(view.id(), subject))
+				.thenComparing(UpstreamView::id))
+			.limit(Math.max(0, this.limits.rollOuts() - under))
+			.forEach((view) -> steps.add(step(Step.Kind.LOAD_MODEL, Step.Priority.ROLL_OUT, view, this.version)));
+	}
+
+	private String versionToHold() {
+		boolean back = this.memory.widespread(this.model.id()) && !this.outdated.isEmpty();
+		return back ? mostHeld() : this.model.version();
+	}
+
+	private String mostHeld() {
+		return this.outdated.stream()
+			.map((view) -> view.version(this.model.name()).orElseThrow())
+			.collect(Collectors.groupingBy(Function.identity(), Collectors.counting()))
+			.entrySet()
+			.stream()
+			.max(Map.Entry.<String, Long>comparingByValue().thenComparing(Map.Entry.comparingByKey()))
+			.orElseThrow()
+			.getKey();
+	}
+
+	// -- balance
+
+	// A move costs a load from the weight store and a cold prefix cache, so small
+	// differences are left alone; without the threshold replicas wander with every
+	// restart.
+	private void balance(int target, List<Step> steps) {
+		int most = this.byDomain.values().stream().mapToInt(Integer::intValue).max().orElse(0);
+		int least = this.byDomain.values().stream().mapToInt(Integer::intValue).min().orElse(0);
+		boolean uneven = most - least > Math.max(1, this.limits.threshold());
+		if (this.replicas > this.model.replicas().max() || this.replicas - target > this.limits.threshold()
+				|| (uneven && this.replicas > target)) {
+			unload(steps);
+		}
+		else if (uneven) {
+			int fewest = least;
+			candidate((domain) -> this.byDomain.getOrDefault(domain, 0) == fewest)
+				.ifPresent((view) -> load(view, Step.Priority.BALANCE, steps));
+		}
+	}
+
+	private void unload(List<Step> steps) {
+		this.current.stream()
+			.filter((view) -> !this.memory.busy(view.id()))
+			.max(Comparator.comparingInt((UpstreamView view) -> this.byDomain.get(view.failureDomain()))
+				.thenComparing(UpstreamView::id))
+			.ifPresent(
+					(view) -> steps.add(step(Step.Kind.UNLOAD_MODEL, Step.Priority.TIDY, view, this.model.version())));
+	}
+
+	private Step step(Step.Kind kind, Step.Priority priority, UpstreamView view, String detail) {
+		return new Step(kind, priority, view.id(), view.failureDomain(), this.model.name(), detail);
+	}
+
+}
--- /dev/null
+++ b/modules/core/src/main/java/org/ragworthook/core/reconcile/Pace.java
@@ -0,0 +1,65 @@
+package org.ragworthook.core.reconcile;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Lets as many steps begin as the limits allow.
+ */
+final class Pace {
+
+	private final StepLimits limits;
+
+	private final StepMemory memory;
+
+	private final long now;
+
+	private final Set<String> upstreams = new HashSet<>();
+
+	private final Map<String, Integer> byDomain = new HashMap<>();
+
+	private int loads;
+
+	private int loadsThisMinute;
+
+	Pace(StepLimits limits, StepMemory memory, long now) {
+		this.limits = limits;
+		this.memory = memory;
+		this.now = now;
+		this.loadsThisMinute = memory.loadsInTheLastMinute(now);
+		memory.running().forEach(this::count);
+	}
+
+	private void count(Step step) {
+		this.upstreams.add(step.upstream());
+		this.byDomain.merge(step.failureDomain(), 1, Integer::sum);
+		this.loads += step.kind().isLoad() ? 1 : 0;
+	}
+
+	List<Step> choose(List<Step> wanted) {
+		List<Step> chosen = new ArrayList<>();
+		for (Step step : wanted) {
+			if (fits(step)) {
+				chosen.add(step);
+				count(step);
+				this.loadsThisMinute += step.kind().isLoad() ? 1 : 0;
+			}
+		}
+		return chosen;
+	}
+
+	private boolean fits(Step step) {
+		if (this.upstreams.contains(step.upstream())
+				|| this.byDomain.getOrDefault(step.failureDomain(), 0) >= this.limits.perFailureDomain()
+				|| this.memory.waits(step.upstream(), step.subject(), this.now)) {
+			return false;
+		}
+		return !step.kind().isLoad()
+				|| (this.loads < this.limits.loads() && this.loadsThisMinute < this.limits.loadsPerMinute());
+	}
+
+}
--- /dev/null
+++ b/modules/core/src/main/java/org/ragworthook/core/reconcile/Reconciler.java
@@ -0,0 +1,98 @@
+package org.ragworthook.core.reconcile;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.function.ToIntFunction;
+
+import org.ragworthook.core.contract.Contract;
+import org.ragworthook.core.contract.Model;
+import org.ragworthook.core.contract.Service;
+import org.ragworthook.core.contract.ServiceType;
+
+/**
+ * Compares what the text demands with what is observed and chooses the next steps.
+ * <p>
+ * Each call starts from the observation anew and returns only what may begin now, so a
+ * step that came to nothing, an upstream that was replaced or a text that changed halfway
+ * needs no undoing. Steps under way are never interrupted.
+ */
+public final class Reconciler {
+
+	private final StepLimits limits;
+
+	private final ToIntFunction<Model> demand;
+
+	private Reconciler(StepLimits limits, ToIntFunction<Model> demand) {
+		this.limits = Objects.requireNonNull(limits, "limits is null");
+		this.demand = Objects.requireNonNull(demand, "demand is null");
+	}
+
+	/**
+	 * Returns a reconciler.
+	 * @param limits how much may change at once
+	 * @param demand how many replicas of a model its requests need; kept within the
+	 * text's bounds
+	 * @return the reconciler
+	 */
+	public static Reconciler of(StepLimits limits, ToIntFunction<Model> demand) {
+		return new Reconciler(limits, demand);
+	}
+
+	/**
+	 * Chooses the steps that may begin now.
+	 * @param contract the contract in force
+	 * @param observed the upstreams that can be reached and do not leave
+	 * @param memory what is under way and what failed
+	 * @param now the ticker's reading
+	 * @return the steps, the most urgent first, at most one an upstream
+	 */
+	public List<Step> plan(Contract contract, List<UpstreamView> observed, StepMemory memory, long now) {
+		Map<String, List<UpstreamView>> byService = new HashMap<>();
+		observed.forEach((view) -> byService.computeIfAbsent(view.service(), (service) -> new ArrayList<>()).add(view));
+		List<Step> wanted = new ArrayList<>();
+		for (Service service : contract.services()) {
+			if (service.type() == ServiceType.MODEL) {
+				List<UpstreamView> upstreams = byService.getOrDefault(service.name(), List.of());
+				wanted.addAll(wanted(service, upstreams, memory, now));
+			}
+		}
+		wanted.sort(Comparator.comparing(Step::priority));
+		return new Pace(this.limits, memory, now).choose(wanted);
+	}
+
+	private List<Step> wanted(Service service, List<UpstreamView> upstreams, StepMemory memory, long now) {
+		List<Step> steps = new ArrayList<>();
+		for (Model model : service.models()) {
+			new ModelPlan(model, upstreams, this.limits, memory, now).add(target(model), steps);
+		}
+		if (steps.stream().noneMatch((step) -> step.kind().isLoad())) {
+			tidy(service, upstreams, steps);
+		}
+		return steps;
+	}
+
+	private int target(Model model) {
+		int wanted = Math.max(model.replicas().min(), this.demand.applyAsInt(model));
+		return Math.min(wanted, model.replicas().max());
+	}
+
+	// Only what no model of the service needs any more, and only when nothing is left to
+	// load: an unload that came first could take the last replica.
+	private static void tidy(Service service, List<UpstreamView> upstreams, List<Step> steps) {
+		for (UpstreamView view : upstreams) {
+			for (String held : view.loaded()) {
+				int at = held.indexOf('@');
+				String name = (at < 0) ? held : held.substring(0, at);
+				if (service.model(name).isEmpty()) {
+					steps.add(new Step((at < 0) ? Step.Kind.UNLOAD_ADAPTER : Step.Kind.UNLOAD_MODEL, Step.Priority.TIDY,
+							view.id(), view.failureDomain(), name, (at < 0) ? held : held.substring(at + 1)));
+				}
+			}
+		}
+	}
+
+}
--- /dev/null
+++ b/modules/core/src/main/java/org/ragworthook/core/reconcile/StepLimits.java
@@ -0,0 +1,43 @@
+package org.ragworthook.core.reconcile;
+
+import org.ragworthook.core.contract.WeightStore;
+
+/**
+ * How much may change at once. Each upstream carries out one step at a time.
+ *
+ * @param perFailureDomain steps under way in one failure domain
+ * @param loads loads under way
+ * @param loadsPerMinute loads begun in a minute
+ * @param rollOuts upstreams of one model whose version is replaced at once
+ * @param modelsPerUpstream models that an upstream has room for
+ * @param threshold replicas by which failure domains may differ, and by which replicas
+ * may exceed demand, before one is moved
+ */
+public record StepLimits(int perFailureDomain, int loads, int loadsPerMinute, int rollOuts, int modelsPerUpstream,
+		int threshold) {
+
+	private static final int PER_FAILURE_DOMAIN = 16;
+
+	private static final int MODELS_PER_UPSTREAM = 2;
+
+	/**
+	 * Returns the limits for a weight store.
+	 * @param weightStore what the store bears
+	 * @return limits with a threshold of one replica
+	 */
+	public static StepLimits of(WeightStore weightStore) {
+		return new StepLimits(PER_FAILURE_DOMAIN, weightStore.concurrentLoads(), weightStore.loadsPerMinute(), 1,
+				MODELS_PER_UPSTREAM, 1);
+	}
+
+	/**
+	 * Returns these limits with another threshold.
+	 * @param replicas the threshold
+	 * @return the new limits
+	 */
+	public StepLimits withThreshold(int replicas) {
+		return new StepLimits(this.perFailureDomain, this.loads, this.loadsPerMinute, this.rollOuts,
+				this.modelsPerUpstream, replicas);
+	}
+
+}
--- /dev/null
+++ b/modules/core/src/test/java/org/ragworthook/core/reconcile/ReconcilerTests.java
@@ -0,0 +1,140 @@
+package org.ragworthook.core.reconcile;
+
+import java.time.Duration;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.ragworthook.core.contract.Contract;
+import org.ragworthook.core.contract.WeightStore;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class ReconcilerTests {
+
+	private static final Duration ROUND = Duration.ofSeconds(10);
+
+	private final Reconciler reconciler = Reconciler.of(StepLimits.of(new WeightStore(600, 4)), (model) -> 0);
+
+	private static Contract contract(String version, int min, int max, int domains) {
+		return Contract.parse(1, """
+				{"name": "t", "regions": [{"name": "r", "failureDomains": ["a", "b", "c"]}],
+				 "services": [{"name": "desk", "failureDomains": ["a", "b", "c"], "upstreams": 100,
+				 "models": [{"name": "m", "version": "%s", "adapters": ["cut"],
+				 "replicas": {"min": %d, "max": %d, "failureDomains": %d}}]}]}
+				""".formatted(version, min, max, domains));
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "1, 1", "2, 2", "6, 3", "9, 3" })
+	void shouldLoadAndSpreadWhatTheTextDemands(int min, int domains) {
+		FakeFleet fleet = new FakeFleet().add("a", 5).add("b", 5).add("c", 5);
+		int rounds = fleet.settle(this.reconciler, contract("1", min, 12, domains), 50);
+		assertThat(rounds).isLessThan(50);
+		assertThat(fleet.holders("m@1").values().stream().mapToInt(Integer::intValue).sum()).isEqualTo(min);
+		assertThat(fleet.holders("m@1").size()).isAtLeast(domains);
+		assertThat(fleet.holders("cut")).isEqualTo(fleet.holders("m@1"));
+	}
+
+	@Test
+	void shouldRestoreReplicasBeforeAnythingElse() {
+		FakeFleet fleet = new FakeFleet().add("a", 3, "m@0", "stray@1").add("b", 3).add("c", 3);
+		List<Step> steps = fleet.plan(this.reconciler, contract("1", 6, 8, 3));
+		assertThat(steps.get(0).priority()).isEqualTo(Step.Priority.RESTORE);
+		assertThat(steps.stream().map(Step::priority).toList()).isInOrder();
+		assertThat(steps.stream().map(Step::kind).toList()).doesNotContain(Step.Kind.UNLOAD_MODEL);
+		fleet.settle(this.reconciler, contract("1", 6, 8, 3), 50);
+		assertThat(fleet.holders("stray@1")).isEmpty();
+	}
+
+	@Test
+	void shouldKeepEveryReplicaAnsweringDuringARollOut() {
+		FakeFleet fleet = new FakeFleet().add("a", 3, "m@1", "cut").add("b", 3, "m@1", "cut");
+		Contract next = contract("2", 6, 6, 2);
+		for (int round = 0; round < 30; round++) {
+			List<Step> steps = fleet.round(this.reconciler, next, ROUND);
+			assertThat(steps.size()).isAtMost(1);
+		}
+		assertThat(fleet.holders("m@2")).containsExactly("a", 3, "b", 3);
+		assertThat(fleet.carriedOut().stream().filter((step) -> !step.kind().isLoad()).toList()).isEmpty();
+	}
+
+	// The weights of the new version are broken, so every load fails. Without a memory
+	// the
+	// roll-out would take one upstream after the other out of service. It must stop after
+	// a
+	// few, go back where it got through, and show why.
+	@Test
+	void shouldStopARollOutThatFailsAndGoBack() {
+		FakeFleet fleet = new FakeFleet().add("a", 5, "m@1", "cut").add("b", 5, "m@1", "cut");
+		Contract next = contract("2", 10, 10, 2);
+		fleet.round(this.reconciler, next, ROUND);
+		assertThat(fleet.holders("m@2")).containsExactly("a", 1);
+		fleet.failing((step) -> step.subject().equals("m@2"));
+		for (int round = 0; round < 6; round++) {
+			fleet.round(this.reconciler, next, ROUND);
+		}
+		assertThat(fleet.holders("m@1")).containsExactly("a", 5, "b", 5);
+		assertThat(fleet.memory().failures().stream().map(Failure::upstream).toList()).contains("");
+		assertThat(fleet.memory().failures().stream().map(Failure::detail).toList()).contains("out of memory");
+	}
+
+	// A single upstream cannot load the model, ever. It must be tried less and less often
+	// while the others are served, or it would eat the weight store's rate.
+	@Test
+	void shouldTryALoadThatFailsRepeatedlyLessAndLessOften() {
+		FakeFleet fleet = new FakeFleet().add("a", 1);
+		fleet.failing((step) -> true);
+		int tries = 0;
+		for (int round = 0; round < 60; round++) {
+			tries += fleet.round(this.reconciler, contract("1", 1, 1, 1), ROUND).size();
+		}
+		assertThat(tries).isAtLeast(4);
+		assertThat(tries).isAtMost(9);
+		assertThat(fleet.memory().failures().get(0).count()).isEqualTo(tries);
+	}
+
+	// The weight store hands out few loads a minute. Asked for more it answers 429 to
+	// everybody, also to the upstream that has to come back at once.
+	@Test
+	void shouldKeepToTheWeightStoresRate() {
+		Reconciler slow = Reconciler.of(StepLimits.of(new WeightStore(6, 2)), (model) -> 0);
+		FakeFleet fleet = new FakeFleet().add("a", 20).add("b", 20).add("c", 20);
+		int begun = 0;
+		for (int round = 0; round < 12; round++) {
+			List<Step> steps = fleet.round(slow, contract("1", 40, 60, 3), Duration.ofSeconds(5));
+			assertThat(steps.size()).isAtMost(2);
+			begun += steps.size();
+		}
+		assertThat(begun).isEqualTo(6);
+	}
+
+	// A failure domain is lost in the middle of a roll-out. Its replicas must come up
+	// elsewhere before the roll-out goes on, and nothing may be left waiting for the
+	// upstreams that are gone.
+	@Test
+	void shouldRestoreElsewhereWhenAFailureDomainIsLostInARollOut() {
+		FakeFleet fleet = new FakeFleet().add("a", 6, "m@1", "cut").add("b", 6, "m@1", "cut").add("c", 12);
+		Contract next = contract("2", 12, 14, 2);
+		fleet.round(this.reconciler, next, ROUND);
+		fleet.lose("b");
+		List<Step> steps = fleet.plan(this.reconciler, next);
+		assertThat(steps.get(0).priority()).isEqualTo(Step.Priority.RESTORE);
+		fleet.settle(this.reconciler, next, 60);
+		assertThat(fleet.holders("m@2").get("a") + fleet.holders("m@2").get("c")).isAtLeast(12);
+		assertThat(fleet.holders("m@1")).isEmpty();
+		assertThat(fleet.memory().running()).isEmpty();
+	}
+
+	@Test
+	void shouldGrowWithDemandWithinTheTextsBounds() {
+		FakeFleet fleet = new FakeFleet().add("a", 10).add("b", 10);
+		Reconciler demanding = Reconciler.of(StepLimits.of(new WeightStore(600, 4)), (model) -> 50);
+		fleet.settle(demanding, contract("1", 2, 8, 2), 50);
+		assertThat(fleet.holders("m@1")).containsExactly("a", 4, "b", 4);
+		fleet.settle(this.reconciler, contract("1", 2, 8, 2), 50);
+		assertThat(fleet.holders("m@1").values().stream().mapToInt(Integer::intValue).sum()).isAtMost(3);
+	}
+
+}
