--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/EntryProcess.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/EntryProcess.java
@@ -1,5 +1,6 @@
 package org.ragworthook.daemon.entry;
 
+import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Random;
@@ -55,6 +56,8 @@
 
 	private static final int LINK_THREADS = 2;
 
+	private static final Duration LIST_REFRESH = Duration.ofSeconds(1);
+
 	/** How long a balancer may take to see that an entry is not ready any more. */
 	private static final long FAREWELL_MILLIS = 1_000;
 
@@ -98,8 +101,9 @@
 			.peers(peers)
 			.time(timers, work)
 			.errors(errors)
+			.drain(() -> this.leaving = true)
 			.build());
-		UpstreamDirectory directory = this.closer.add(UpstreamDirectory.follow(vertx, self(), list, loops,
+		UpstreamDirectory directory = this.closer.add(UpstreamDirectory.follow(vertx, self(), list, LIST_REFRESH, loops,
 				Certificates.links(vertx, settings), this::hello, this.control.lane()));
 		this.online = this.closer
 			.add(OnlinePart.start(vertx, directory, RequestReader.of(this.inForce::contract, InstantSource.system()),
