--- a/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/SidecarProcess.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/SidecarProcess.java
@@ -21,6 +21,7 @@
 import org.ragworthook.core.time.Ticker;
 import org.ragworthook.daemon.Certificates;
 import org.ragworthook.daemon.DaemonProcess;
+import org.ragworthook.daemon.control.SidecarControl;
 import org.ragworthook.daemon.engine.UpstreamClient;
 import org.ragworthook.daemon.http.HealthServer;
 import org.ragworthook.daemon.http.Metrics;
@@ -48,6 +49,8 @@
 
 	private final SidecarRuns runs;
 
+	private final SidecarControl control;
+
 	private final Duration drainTime;
 
 	private final AtomicBoolean closing = new AtomicBoolean();
@@ -69,10 +72,11 @@
 		metrics.gauge("ragworthook.upstream.online", () -> this.runs.load().getOnlineRunning());
 		metrics.gauge("ragworthook.upstream.batch", () -> this.runs.load().getBatchRunning());
 		metrics.gauge("ragworthook.upstream.crashes", () -> this.runs.load().getCrashes());
+		this.control = SidecarControl.of(this.runs::leave);
 		MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(LINK_THREADS, NioIoHandler.newFactory());
 		this.closer.add(loops::shutdownGracefully);
 		this.links = this.closer.add(LinkServer.listen(loops, settings.link(), Certificates.links(vertx, settings),
-				() -> welcome(settings, upstreamSettings), this.runs));
+				() -> welcome(settings, upstreamSettings), new LaneListeners(this.runs, this.control)));
 		this.closer.add(HealthServer.listen(vertx, settings.http(), metrics));
 		LOG.info("sidecar_started", "instance", this.instance, "service", upstreamSettings.service(), "link",
 				this.links.address());
@@ -95,6 +99,7 @@
 			.setService(upstream.service())
 			.setLoad(this.runs.load())
 			.setLeaving(this.runs.leaving())
+			.setContractVersion(this.control.inForce().version())
 			.build();
 	}
 
