--- a/modules/daemon/src/main/java/org/ragworthook/daemon/control/AdminRoutes.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/control/AdminRoutes.java
@@ -193,7 +193,7 @@
 	// -- the fleet
 
 	private CompletableFuture<JsonObject> status() {
-		return this.status.processes().thenApply((processes) -> {
+		return this.status.processes().thenCombine(this.status.failures(), (processes, failures) -> {
 			long newest = processes.stream().mapToLong(ProcessVersion::getVersion).max().orElse(0);
 			JsonArray rows = new JsonArray();
 			processes.forEach((process) -> rows.add(new JsonObject().put("instance", process.getInstance())
@@ -201,7 +201,7 @@
 				.put("failureDomain", process.getFailureDomain())
 				.put("version", process.getVersion())
 				.put("lag", newest - process.getVersion())));
-			return new JsonObject().put("version", newest).put("processes", rows);
+			return new JsonObject().put("version", newest).put("processes", rows).put("repeatedFailures", failures);
 		});
 	}
 
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/control/ControlPart.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/control/ControlPart.java
@@ -38,6 +38,8 @@
 
 	private final PeerContract peerContract;
 
+	private final FleetReconciler reconciler;
+
 	private final AdminRoutes admin;
 
 	private ControlPart(Builder builder) {
@@ -50,11 +52,14 @@
 					.setInstance(builder.instance)
 					.setContractVersion(builder.inForce.version())
 					.build());
+		this.reconciler = new FleetReconciler(builder.inForce, builder.store, builder.peers, builder.instance,
+				builder.timers, builder.work);
+		this.lane.listen(this.reconciler);
 		ContractRegister register = ContractRegister.of(builder.store,
 				ConditionalWriter.of(builder.store, Stamps.of(builder.instance + "/control")), InstantSource.system());
 		this.admin = new AdminRoutes(new Parts(register, builder.inForce,
 				new OperatorAccess(builder.inForce, builder.settings.operatorKeys()),
-				new FleetStatus(builder.peers, this::processes),
+				new FleetStatus(builder.peers, this::processes, this.reconciler::failures),
 				new Drains(this.lane, builder.peers, builder.instance, builder.drain), builder.openWork,
 				builder.errors), builder.work);
 	}
@@ -91,6 +96,7 @@
 	 */
 	public void start() {
 		this.peerContract.start();
+		this.reconciler.start();
 	}
 
 	private List<ProcessVersion> processes() {
@@ -107,6 +113,7 @@
 	@Override
 	public void close() {
 		this.peerContract.close();
+		this.reconciler.close();
 	}
 
 	/**
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/control/FleetStatus.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/control/FleetStatus.java
@@ -7,12 +7,17 @@
 import java.util.Objects;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
 import org.ragworthook.core.error.ErrorCode;
 import org.ragworthook.core.error.LinkException;
+import org.ragworthook.core.reconcile.Failure;
+import org.ragworthook.core.time.Ticker;
 import org.ragworthook.daemon.peer.PeerLinks;
 import org.ragworthook.wire.message.PeerState;
 import org.ragworthook.wire.message.ProcessVersion;
@@ -25,15 +30,22 @@
 
 	private static final String VERB = "status";
 
+	private static final String FAILURES = "failures";
+
 	private static final Duration TIMEOUT = Duration.ofSeconds(1);
 
 	private final PeerLinks peers;
 
 	private final Supplier<List<ProcessVersion>> own;
 
-	FleetStatus(PeerLinks peers, Supplier<List<ProcessVersion>> own) {
+	private final Supplier<List<Failure>> ownFailures;
+
+	FleetStatus(PeerLinks peers, Supplier<List<ProcessVersion>> own, Supplier<List<Failure>> ownFailures) {
 		this.peers = Objects.requireNonNull(peers, "peers is null");
 		this.own = Objects.requireNonNull(own, "own is null");
+		this.ownFailures = Objects.requireNonNull(ownFailures, "ownFailures is null");
+		peers.handle(FAILURES,
+				(instance, body) -> CompletableFuture.completedFuture(ByteString.copyFromUtf8(ownFailures().encode())));
 		peers.handle(VERB, (instance, body) -> CompletableFuture
 			.completedFuture(PeerState.newBuilder().addAllProcesses(own.get()).build().toByteString()));
 	}
@@ -53,6 +65,36 @@
 		});
 	}
 
+	/**
+	 * Asks all peers which steps fail again and again; the one that leads knows.
+	 * @return the failures as operators see them
+	 */
+	CompletableFuture<JsonArray> failures() {
+		List<CompletableFuture<JsonArray>> answers = this.peers.peers()
+			.stream()
+			.map((peer) -> this.peers.call(peer, FAILURES, ByteString.EMPTY, TIMEOUT)
+				.thenApply((body) -> new JsonArray(body.toStringUtf8()))
+				.exceptionally((failure) -> new JsonArray()))
+			.toList();
+		return CompletableFuture.allOf(answers.toArray(CompletableFuture[]::new)).thenApply((done) -> {
+			JsonArray all = ownFailures();
+			answers.forEach((answer) -> all.addAll(answer.join()));
+			return all;
+		});
+	}
+
+	private JsonArray ownFailures() {
+		JsonArray failures = new JsonArray();
+		long now = Ticker.system().nanos();
+		this.ownFailures.get()
+			.forEach((failure) -> failures.add(new JsonObject().put("upstream", failure.upstream())
+				.put("subject", failure.subject())
+				.put("failures", failure.count())
+				.put("detail", failure.detail())
+				.put("retrySeconds", Math.max(0, TimeUnit.NANOSECONDS.toSeconds(failure.retryNanos() - now)))));
+		return failures;
+	}
+
 	private static void merge(Map<String, ProcessVersion> merged, ProcessVersion process) {
 		merged.merge(process.getInstance(), process,
 				(left, right) -> (left.getVersion() >= right.getVersion()) ? left : right);
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/peer/PeerLinks.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/peer/PeerLinks.java
@@ -53,7 +53,7 @@
 
 	private final LinkListener listening = new Listening();
 
-	private final PeerCalls calls;
+	private final LinkCalls calls;
 
 	private final EventLoopGroup loops;
 
@@ -77,7 +77,7 @@
 		this.own = Objects.requireNonNull(own, "own is null");
 		this.options = Objects.requireNonNull(options, "options is null");
 		this.hello = Objects.requireNonNull(hello, "hello is null");
-		this.calls = new PeerCalls(timers);
+		this.calls = new LinkCalls(timers);
 	}
 
 	/**
