Test acceptance, newcomers and stale orders on whole processes

The parts are tested with fakes; whether an order of an old leader reaches an engine that ignores fencing numbers, and whether a newcomer serves while the platform is out, shows only with links and processes.

--- a/modules/daemon/src/test/java/org/ragworthook/daemon/whole/WholeFleet.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/whole/WholeFleet.java
@@ -156,6 +156,35 @@
 			.build());
 	}
 
+	/**
+	 * Has the platform's object API fail or work.
+	 * @param out whether it is out
+	 */
+	void outage(boolean out) {
+		send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + this.objects + "/control/faults"))
+			.header("Content-Type", "application/json")
+			.POST(HttpRequest.BodyPublishers.ofString(new JsonObject().put("outage", out).encode()))
+			.build());
+	}
+
+	/**
+	 * Makes an operator's call.
+	 * @param entry base URL of the entry
+	 * @param method the HTTP method
+	 * @param path the path with its query
+	 * @param key the bearer key
+	 * @param base the version that was edited
+	 * @param body what to send
+	 * @return the answer
+	 */
+	HttpResponse<String> operate(URI entry, String method, String path, String key, long base, String body) {
+		return send(HttpRequest.newBuilder(entry.resolve(path))
+			.header("Authorization", "Bearer " + key)
+			.header("If-Match", "\"" + base + "\"")
+			.method(method, HttpRequest.BodyPublishers.ofString(body))
+			.build());
+	}
+
 	HttpResponse<String> send(HttpRequest request) {
 		try {
 			return this.http.send(request, HttpResponse.BodyHandlers.ofString());
