Refuse a text that would strand accepted jobs

Jobs that were accepted and have not ended were not counted, so an account or model that they need could be taken out of the text unseen. Only a text that takes an account or model away lists the open jobs.

--- a/modules/daemon/src/main/java/org/ragworthook/daemon/control/AdminRoutes.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/control/AdminRoutes.java
@@ -6,7 +6,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.function.Function;
-import java.util.function.Supplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -53,7 +52,7 @@
 
 	private final Drains drains;
 
-	private final Supplier<CompletableFuture<OpenWork>> openWork;
+	private final OpenJobs openJobs;
 
 	private final Executor work;
 
@@ -65,7 +64,7 @@
 		this.access = parts.access();
 		this.status = parts.status();
 		this.drains = parts.drains();
-		this.openWork = parts.openWork();
+		this.openJobs = parts.openJobs();
 		this.errors = parts.errors();
 		this.work = Objects.requireNonNull(work, "work is null");
 	}
@@ -126,7 +125,7 @@
 		boolean strand = Boolean.parseBoolean(routing.request().getParam("strand"));
 		Proposal proposal = new Proposal(text(routing), version(match), operator, reason, strand);
 		Optional<Contract> before = this.inForce.contract();
-		return this.openWork.get()
+		return openWork(proposal.text())
 			.thenComposeAsync((open) -> this.register.accept(proposal, this.inForce.version(), open), this.work)
 			.thenApplyAsync((accepted) -> accepted(before, accepted), this.work);
 	}
@@ -144,7 +143,7 @@
 
 	private CompletableFuture<JsonObject> diff(RoutingContext routing) {
 		String text = text(routing);
-		return this.openWork.get().thenApplyAsync((open) -> {
+		return openWork(text).thenApplyAsync((open) -> {
 			Contract after = Contract.parse(this.inForce.version() + 1, text);
 			JsonArray warnings = new JsonArray();
 			open.strandedBy(after)
@@ -158,6 +157,12 @@
 		}, this.work);
 	}
 
+	private CompletableFuture<OpenWork> openWork(String text) {
+		return CompletableFuture
+			.supplyAsync(() -> Contract.review(this.inForce.version() + 1, text).contract(), this.work)
+			.thenCompose((after) -> this.openJobs.concernedBy(this.inForce.contract(), after));
+	}
+
 	private static JsonArray changes(List<Change> changes) {
 		JsonArray array = new JsonArray();
 		changes.forEach((change) -> array.add(new JsonObject().put("effect", change.effect().name())
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/control/ControlPart.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/control/ControlPart.java
@@ -4,14 +4,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
-import java.util.function.Supplier;
 
 import io.vertx.ext.web.Router;
 import org.ragworthook.core.contract.ContractRegister;
 import org.ragworthook.core.contract.InForce;
-import org.ragworthook.core.contract.OpenWork;
 import org.ragworthook.core.store.ConditionalWriter;
 import org.ragworthook.core.store.ObjectStore;
 import org.ragworthook.core.store.Stamps;
@@ -60,7 +57,7 @@
 		this.admin = new AdminRoutes(new Parts(register, builder.inForce,
 				new OperatorAccess(builder.inForce, builder.settings.operatorKeys()),
 				new FleetStatus(builder.peers, this::processes, this.reconciler::failures),
-				new Drains(this.lane, builder.peers, builder.instance, builder.drain), builder.openWork,
+				new Drains(this.lane, builder.peers, builder.instance, builder.drain), new OpenJobs(builder.store),
 				builder.errors), builder.work);
 	}
 
@@ -124,11 +121,11 @@
 	 * @param access finds the operator behind a call
 	 * @param status asks which process acts by which version
 	 * @param drains drains instances
-	 * @param openWork counts accepted jobs that have not ended
+	 * @param openJobs counts accepted jobs that have not ended
 	 * @param errors writes errors
 	 */
 	record Parts(ContractRegister register, InForce inForce, OperatorAccess access, FleetStatus status, Drains drains,
-			Supplier<CompletableFuture<OpenWork>> openWork, ErrorResponses errors) {
+			OpenJobs openJobs, ErrorResponses errors) {
 	}
 
 	/**
@@ -152,9 +149,6 @@
 
 		private ErrorResponses errors;
 
-		private Supplier<CompletableFuture<OpenWork>> openWork = () -> CompletableFuture
-			.completedFuture(OpenWork.none());
-
 		private Runnable drain = () -> {
 		};
 
@@ -206,16 +200,6 @@
 			return this;
 		}
 
-		/**
-		 * Sets what counts accepted jobs that have not ended.
-		 * @param value counts them
-		 * @return this builder
-		 */
-		public Builder openWork(Supplier<CompletableFuture<OpenWork>> value) {
-			this.openWork = value;
-			return this;
-		}
-
 		/**
 		 * Sets what drains this entry.
 		 * @param value has this entry finish its work and take no more
