Keep status from showing an older version than before

A peer that did not answer in a second was listed with version 0, and a sidecar that it knew best with what this entry had heard late. The highest version that each process has reported is kept.

--- a/modules/daemon/src/main/java/org/ragworthook/daemon/control/FleetStatus.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/control/FleetStatus.java
@@ -7,6 +7,7 @@
 import java.util.Objects;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
@@ -40,6 +41,12 @@
 
 	private final Supplier<List<Failure>> ownFailures;
 
+	// The highest version that each process has reported. A peer that does not answer in
+	// time knows of sidecars that this entry hears late; left out, it would look as if
+	// they
+	// had gone back to an older version.
+	private final Map<String, ProcessVersion> known = new ConcurrentHashMap<>();
+
 	FleetStatus(PeerLinks peers, Supplier<List<ProcessVersion>> own, Supplier<List<Failure>> ownFailures) {
 		this.peers = Objects.requireNonNull(peers, "peers is null");
 		this.own = Objects.requireNonNull(own, "own is null");
@@ -53,7 +60,7 @@
 	/**
 	 * Asks all peers.
 	 * @return the processes by name, each with the highest version that anybody knows of;
-	 * a peer that does not answer in a second is listed with version 0
+	 * a peer that does not answer in a second is listed with what it last said
 	 */
 	CompletableFuture<Collection<ProcessVersion>> processes() {
 		List<CompletableFuture<List<ProcessVersion>>> answers = this.peers.peers().stream().map(this::ask).toList();
@@ -61,6 +68,9 @@
 			Map<String, ProcessVersion> merged = new TreeMap<>();
 			this.own.get().forEach((process) -> merge(merged, process));
 			answers.forEach((answer) -> answer.join().forEach((process) -> merge(merged, process)));
+			this.known.keySet().retainAll(merged.keySet());
+			merged.forEach((instance, process) -> this.known.merge(instance, process, FleetStatus::higher));
+			merged.replaceAll((instance, process) -> this.known.getOrDefault(instance, process));
 			return merged.values();
 		});
 	}
@@ -96,8 +106,11 @@
 	}
 
 	private static void merge(Map<String, ProcessVersion> merged, ProcessVersion process) {
-		merged.merge(process.getInstance(), process,
-				(left, right) -> (left.getVersion() >= right.getVersion()) ? left : right);
+		merged.merge(process.getInstance(), process, FleetStatus::higher);
+	}
+
+	private static ProcessVersion higher(ProcessVersion left, ProcessVersion right) {
+		return (left.getVersion() >= right.getVersion()) ? left : right;
 	}
 
 	private CompletableFuture<List<ProcessVersion>> ask(String peer) {
