--- a/modules/core/src/main/java/org/ragworthook/core/reconcile/Step.java
+++ b/modules/core/src/main/java/org/ragworthook/core/reconcile/Step.java
@@ -40,26 +40,37 @@
 	public enum Kind {
 
 		/** Loads a model; another version of it is replaced. */
-		LOAD_MODEL(true, false),
+		LOAD_MODEL("load-model", true, false),
 
 		/** Unloads a model. */
-		UNLOAD_MODEL(false, false),
+		UNLOAD_MODEL("unload-model", false, false),
 
 		/** Loads an adapter. */
-		LOAD_ADAPTER(true, true),
+		LOAD_ADAPTER("load-adapter", true, true),
 
 		/** Unloads an adapter. */
-		UNLOAD_ADAPTER(false, true);
+		UNLOAD_ADAPTER("unload-adapter", false, true);
+
+		private final String verb;
 
 		private final boolean load;
 
 		private final boolean adapter;
 
-		Kind(boolean load, boolean adapter) {
+		Kind(String verb, boolean load, boolean adapter) {
+			this.verb = verb;
 			this.load = load;
 			this.adapter = adapter;
 		}
 
+		/**
+		 * Returns the verb of the order.
+		 * @return the verb on the link to the sidecar
+		 */
+		public String verb() {
+			return this.verb;
+		}
+
 		/**
 		 * Tells whether this reads from the weight store.
 		 * @return whether something is loaded
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/peer/PeerCalls.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/peer/LinkCalls.java
@@ -23,7 +23,7 @@
  * Calls over links: gives each call a number, finds the handler of a verb, and fails what
  * is not answered in time or whose link is lost.
  */
-final class PeerCalls {
+public final class LinkCalls {
 
 	private final Timers timers;
 
@@ -33,17 +33,36 @@
 
 	private final Map<Long, Waiting> waiting = new ConcurrentHashMap<>();
 
-	PeerCalls(Timers timers) {
+	/**
+	 * Creates calls without handlers.
+	 * @param timers ends calls that are not answered
+	 */
+	public LinkCalls(Timers timers) {
 		this.timers = Objects.requireNonNull(timers, "timers is null");
 	}
 
-	void handle(String verb, PeerCall handler) {
+	/**
+	 * Has a verb answered.
+	 * @param verb the verb
+	 * @param handler answers its calls
+	 */
+	public void handle(String verb, PeerCall handler) {
 		this.handlers.put(verb, handler);
 	}
 
 	// -- the caller's side
 
-	CompletableFuture<ByteString> call(Link link, String verb, ByteString body, Duration timeout) {
+	/**
+	 * Calls the other end of a link.
+	 * @param link the link
+	 * @param verb the verb
+	 * @param body what to send
+	 * @param timeout how long to wait for the answer
+	 * @return the answer; fails with the other end's own code, or with
+	 * {@code LINK_FAILED} if there was none and it is not known whether the call was
+	 * carried out
+	 */
+	public CompletableFuture<ByteString> call(Link link, String verb, ByteString body, Duration timeout) {
 		long number = this.numbers.incrementAndGet();
 		Waiting call = new Waiting(link, new CompletableFuture<>());
 		this.waiting.put(number, call);
@@ -57,7 +76,11 @@
 		return call.answer();
 	}
 
-	void closed(Link link) {
+	/**
+	 * Fails the calls that wait on a link.
+	 * @param link the link that was closed or lost
+	 */
+	public void closed(Link link) {
 		List.copyOf(this.waiting.entrySet())
 			.stream()
 			.filter((entry) -> entry.getValue().link() == link)
@@ -71,7 +94,12 @@
 		}
 	}
 
-	void replied(Link link, Reply reply) {
+	/**
+	 * Takes a reply.
+	 * @param link the link on which it came
+	 * @param reply the reply; one to a call that was given up is dropped
+	 */
+	public void replied(Link link, Reply reply) {
 		Waiting call = this.waiting.remove(reply.getNumber());
 		if (call == null) {
 			return;
@@ -95,7 +123,12 @@
 
 	// -- the answering side
 
-	void called(Link link, Call call) {
+	/**
+	 * Answers a call.
+	 * @param link the link on which it came
+	 * @param call the call
+	 */
+	public void called(Link link, Call call) {
 		PeerCall handler = this.handlers.get(call.getVerb());
 		if (handler == null) {
 			reply(link, call, ErrorCode.LINK_FAILED, "verb '" + call.getVerb() + "' is not known here");
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/SidecarProcess.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/SidecarProcess.java
@@ -18,15 +18,20 @@
 import org.ragworthook.core.close.Closer;
 import org.ragworthook.core.fleet.Address;
 import org.ragworthook.core.log.EventLog;
+import org.ragworthook.core.order.OrderFence;
 import org.ragworthook.core.time.Ticker;
 import org.ragworthook.daemon.Certificates;
 import org.ragworthook.daemon.DaemonProcess;
+import org.ragworthook.daemon.VertxTimers;
 import org.ragworthook.daemon.control.SidecarControl;
+import org.ragworthook.daemon.control.SidecarOrders;
 import org.ragworthook.daemon.engine.UpstreamClient;
 import org.ragworthook.daemon.http.HealthServer;
 import org.ragworthook.daemon.http.Metrics;
 import org.ragworthook.daemon.settings.DaemonSettings;
 import org.ragworthook.daemon.settings.DaemonSettings.UpstreamSettings;
+import org.ragworthook.platform.HttpObjectStore;
+import org.ragworthook.platform.PlatformSettings;
 import org.ragworthook.wire.link.LinkServer;
 import org.ragworthook.wire.message.Welcome;
 
@@ -72,7 +77,10 @@
 		metrics.gauge("ragworthook.upstream.online", () -> this.runs.load().getOnlineRunning());
 		metrics.gauge("ragworthook.upstream.batch", () -> this.runs.load().getBatchRunning());
 		metrics.gauge("ragworthook.upstream.crashes", () -> this.runs.load().getCrashes());
-		this.control = SidecarControl.of(this.runs::leave);
+		HttpObjectStore store = this.closer.add(HttpObjectStore.of(vertx, platform(settings)));
+		this.control = SidecarControl.of(this.runs::leave,
+				new SidecarOrders(context, upstream, OrderFence.of(store, SidecarControl.RECONCILER)),
+				VertxTimers.of(vertx));
 		MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(LINK_THREADS, NioIoHandler.newFactory());
 		this.closer.add(loops::shutdownGracefully);
 		this.links = this.closer.add(LinkServer.listen(loops, settings.link(), Certificates.links(vertx, settings),
@@ -91,6 +99,10 @@
 		return new SidecarProcess(settings);
 	}
 
+	private static PlatformSettings platform(DaemonSettings settings) {
+		return PlatformSettings.of(settings.platform().objects()).inNamespace(settings.platform().namespace());
+	}
+
 	private Welcome welcome(DaemonSettings settings, UpstreamSettings upstream) {
 		return Welcome.newBuilder()
 			.setInstance(this.instance)
