Add a load driver that checks every answer

Online load needs arrivals that do not wait for slow answers, and every answer is to be compared with the one that its prompt must have.

--- a/modules/standin/src/main/java/org/ragworthook/standin/command/StandInProgram.java
+++ b/modules/standin/src/main/java/org/ragworthook/standin/command/StandInProgram.java
@@ -13,7 +13,7 @@
  */
 public final class StandInProgram {
 
-	private static final String NAMES = "object-api|instances|platform|engine|service|weights";
+	private static final String NAMES = "object-api|instances|platform|engine|service|weights|load";
 
 	@Argument(handler = SubCommandHandler.class, required = true, metaVar = NAMES, usage = "what to run")
 	@SubCommands({ @SubCommand(name = "object-api", impl = ObjectApiCommand.class),
@@ -21,7 +21,8 @@
 			@SubCommand(name = "platform", impl = PlatformCommand.class),
 			@SubCommand(name = "engine", impl = EngineCommand.class),
 			@SubCommand(name = "service", impl = ServiceCommand.class),
-			@SubCommand(name = "weights", impl = WeightsCommand.class) })
+			@SubCommand(name = "weights", impl = WeightsCommand.class),
+			@SubCommand(name = "load", impl = LoadCommand.class) })
 	private Subcommand subcommand;
 
 	private StandInProgram() {
