Add bin/demo: a whole deployment with load, faults and a table of promises

The system has to be seen whole: stand-ins, three entries and thirteen sidecars as real processes. The script starts and ends them and obeys the driver's orders to kill, stop and start one; the driver sends online calls, calls that must not run twice and batch jobs, brings faults about and judges each promise from its own records and the stand-ins' counts. A promise that could not be tested counts as not run, and the exit code is 0 only if all were tested and held.

--- a/modules/standin/src/main/java/org/ragworthook/standin/command/StandInProgram.java
+++ b/modules/standin/src/main/java/org/ragworthook/standin/command/StandInProgram.java
@@ -13,7 +13,7 @@
  */
 public final class StandInProgram {
 
-	private static final String NAMES = "object-api|instances|platform|engine|service|weights|load";
+	private static final String NAMES = "object-api|instances|platform|engine|service|weights|load|demo-plan|demo-stand-ins|demo";
 
 	@Argument(handler = SubCommandHandler.class, required = true, metaVar = NAMES, usage = "what to run")
 	@SubCommands({ @SubCommand(name = "object-api", impl = ObjectApiCommand.class),
@@ -22,7 +22,10 @@
 			@SubCommand(name = "engine", impl = EngineCommand.class),
 			@SubCommand(name = "service", impl = ServiceCommand.class),
 			@SubCommand(name = "weights", impl = WeightsCommand.class),
-			@SubCommand(name = "load", impl = LoadCommand.class) })
+			@SubCommand(name = "load", impl = LoadCommand.class),
+			@SubCommand(name = "demo-plan", impl = DemoPlanCommand.class),
+			@SubCommand(name = "demo-stand-ins", impl = DemoStandInsCommand.class),
+			@SubCommand(name = "demo", impl = DemoCommand.class) })
 	private Subcommand subcommand;
 
 	private StandInProgram() {
--- /dev/null
+++ b/modules/standin/src/main/java/org/ragworthook/standin/demo/PlannedStandIns.java
@@ -0,0 +1,68 @@
+package org.ragworthook.standin.demo;
+
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+import org.ragworthook.core.contract.Service;
+import org.ragworthook.core.contract.ServiceType;
+import org.ragworthook.core.fleet.Address;
+import org.ragworthook.standin.StandInServer;
+import org.ragworthook.standin.engine.EngineSettings;
+import org.ragworthook.standin.engine.ModelEngine;
+import org.ragworthook.standin.platform.InstanceListApi;
+import org.ragworthook.standin.platform.ObjectApi;
+import org.ragworthook.standin.service.PlainService;
+import org.ragworthook.standin.service.WeightStore;
+
+/**
+ * The stand-ins of a plan.
+ */
+public final class PlannedStandIns {
+
+	private static final Duration LIST_LAG = Duration.ofSeconds(2);
+
+	private static final long BOOKING_MILLIS = 20;
+
+	private static final double DOWNLOADS_PER_SECOND = 2;
+
+	private static final int WEIGHT_BYTES = 1 << 16;
+
+	private PlannedStandIns() {
+	}
+
+	/**
+	 * Returns the stand-ins of a plan by name.
+	 * @param plan the plan
+	 * @return servers that do not listen yet
+	 */
+	public static Map<String, StandInServer> of(DemoPlan plan) {
+		Map<String, StandInServer> servers = new LinkedHashMap<>();
+		servers.put("object-api", new ObjectApi(plan.objectApi().port()));
+		servers.put("instances", new InstanceListApi(plan.instanceList().port(), LIST_LAG));
+		servers.put("weights", new WeightStore(plan.weightStore().port(), DOWNLOADS_PER_SECOND, WEIGHT_BYTES));
+		EngineSettings engine = engine(plan);
+		for (PlannedProcess sidecar : plan.sidecars(ServiceType.MODEL)) {
+			servers.put("upstream of " + sidecar.name(), new ModelEngine(port(sidecar), engine));
+		}
+		for (PlannedProcess sidecar : plan.sidecars(ServiceType.PLAIN)) {
+			servers.put("upstream of " + sidecar.name(), new PlainService(port(sidecar), BOOKING_MILLIS));
+		}
+		return servers;
+	}
+
+	private static EngineSettings engine(DemoPlan plan) {
+		Service service = plan.deployment().modelService();
+		return EngineSettings.builder()
+			.models(service.models().stream().map((model) -> model.id()).toList())
+			.slots(plan.slots())
+			.fencingChecked(service.checksFencing())
+			.weightsPort(plan.weightStore().port())
+			.build();
+	}
+
+	private static int port(PlannedProcess sidecar) {
+		return sidecar.upstream().map(Address::port).orElseThrow();
+	}
+
+}
--- a/modules/standin/src/main/java/org/ragworthook/standin/engine/EngineSettings.java
+++ b/modules/standin/src/main/java/org/ragworthook/standin/engine/EngineSettings.java
@@ -163,7 +163,7 @@
 
 		/**
 		 * Sets the models that are loaded at the start.
-		 * @param names names
+		 * @param names names, each with or without {@code @version}
 		 * @return this builder
 		 */
 		public Builder models(List<String> names) {
--- a/modules/standin/src/main/java/org/ragworthook/standin/engine/ModelTable.java
+++ b/modules/standin/src/main/java/org/ragworthook/standin/engine/ModelTable.java
@@ -29,7 +29,10 @@
 	private long highestToken;
 
 	ModelTable(Collection<String> models, boolean fencingChecked) {
-		models.forEach((model) -> this.loaded.put(model, "1"));
+		models.forEach((model) -> {
+			int at = model.indexOf('@');
+			this.loaded.put((at < 0) ? model : model.substring(0, at), (at < 0) ? "1" : model.substring(at + 1));
+		});
 		this.fencingChecked = fencingChecked;
 	}
 
--- a/modules/standin/src/main/java/org/ragworthook/standin/load/Attempt.java
+++ b/modules/standin/src/main/java/org/ragworthook/standin/load/Attempt.java
@@ -31,6 +31,8 @@
 
 	private String error = "";
 
+	private boolean sent;
+
 	private boolean done;
 
 	/**
@@ -49,10 +51,10 @@
 		if (!target.key().isEmpty()) {
 			options.putHeader("Authorization", "Bearer " + target.key());
 		}
-		return client.request(options)
-			.compose((opened) -> opened.send(request.body().toBuffer()))
-			.compose(this::take)
-			.map(this);
+		return client.request(options).compose((opened) -> {
+			this.sent = true;
+			return opened.send(request.body().toBuffer());
+		}).compose(this::take).map(this);
 	}
 
 	private Future<Void> take(HttpClientResponse response) {
@@ -102,6 +104,10 @@
 		}
 	}
 
+	boolean sent() {
+		return this.sent;
+	}
+
 	String text() {
 		return this.text.toString();
 	}
--- a/modules/standin/src/main/java/org/ragworthook/standin/load/CallRecord.java
+++ b/modules/standin/src/main/java/org/ragworthook/standin/load/CallRecord.java
@@ -10,12 +10,13 @@
  * @param end how it ended
  * @param status the HTTP status of the last attempt, or 0 if there was none
  * @param detail the error code or what was wrong
- * @param resends how often the caller sent it again after its connection broke
+ * @param resends how often the caller sent it again
+ * @param cutOffs how often its connection broke after it was sent
  * @param startNanos when it was first sent
  * @param tokenNanos when each piece of text came in the last attempt
  * @param endNanos when it ended
  */
-public record CallRecord(String tag, End end, int status, String detail, int resends, long startNanos,
+public record CallRecord(String tag, End end, int status, String detail, int resends, int cutOffs, long startNanos,
 		List<Long> tokenNanos, long endNanos) {
 
 	/**
--- a/modules/standin/src/main/java/org/ragworthook/standin/load/ChatCaller.java
+++ b/modules/standin/src/main/java/org/ragworthook/standin/load/ChatCaller.java
@@ -45,34 +45,62 @@
 	 * @return how it ended; never fails
 	 */
 	public Future<CallRecord> call(List<Target> targets, PromptMix.Request request) {
-		return attempt(targets, request, System.nanoTime(), 0);
+		return new Call(targets, request).attempt();
 	}
 
-	private Future<CallRecord> attempt(List<Target> targets, PromptMix.Request request, long start, int resends) {
-		Target target = targets.get(resends % targets.size());
-		return new Attempt().run(this.client, target, request)
-			.map((attempt) -> record(attempt, request, start, resends))
-			.recover((failure) -> {
-				if (resends < MOST_RESENDS) {
-					return this.vertx.timer(PAUSE_MILLIS)
-						.compose((nothing) -> attempt(targets, request, start, resends + 1));
-				}
-				return Future.succeededFuture(new CallRecord(request.tag(), CallRecord.End.BROKEN, 0,
-						String.valueOf(failure.getMessage()), resends, start, List.of(), System.nanoTime()));
-			});
-	}
+	private final class Call {
+
+		private final List<Target> targets;
+
+		private final PromptMix.Request request;
+
+		private final long startNanos = System.nanoTime();
+
+		private int resends;
+
+		private int cutOffs;
+
+		Call(List<Target> targets, PromptMix.Request request) {
+			this.targets = targets;
+			this.request = request;
+		}
 
-	private static CallRecord record(Attempt attempt, PromptMix.Request request, long start, int resends) {
-		CallRecord.End end = CallRecord.End.REFUSED;
-		String detail = attempt.error();
-		if (detail.isEmpty()) {
-			String expected = request.expected();
-			boolean whole = attempt.text().equals(expected);
-			end = whole ? CallRecord.End.WHOLE : CallRecord.End.WRONG;
-			detail = whole ? "" : "got '" + attempt.text() + "' for '" + expected + "'";
+		Future<CallRecord> attempt() {
+			Target target = this.targets.get(this.resends % this.targets.size());
+			Attempt attempt = new Attempt();
+			return attempt.run(ChatCaller.this.client, target, this.request)
+				.map(this::answered)
+				.recover((failure) -> broke(attempt, failure));
 		}
-		return new CallRecord(request.tag(), end, attempt.status(), detail, resends, start, attempt.tokenNanos(),
-				System.nanoTime());
+
+		private Future<CallRecord> broke(Attempt attempt, Throwable failure) {
+			if (attempt.sent()) {
+				this.cutOffs++;
+			}
+			if (this.resends < MOST_RESENDS) {
+				this.resends++;
+				return ChatCaller.this.vertx.timer(PAUSE_MILLIS).compose((nothing) -> attempt());
+			}
+			return Future.succeededFuture(record(CallRecord.End.BROKEN, 0, String.valueOf(failure), List.of()));
+		}
+
+		private CallRecord answered(Attempt attempt) {
+			if (!attempt.error().isEmpty()) {
+				return record(CallRecord.End.REFUSED, attempt.status(), attempt.error(), attempt.tokenNanos());
+			}
+			String expected = this.request.expected();
+			if (attempt.text().equals(expected)) {
+				return record(CallRecord.End.WHOLE, attempt.status(), "", attempt.tokenNanos());
+			}
+			String detail = "got '" + attempt.text() + "' for '" + expected + "'";
+			return record(CallRecord.End.WRONG, attempt.status(), detail, attempt.tokenNanos());
+		}
+
+		private CallRecord record(CallRecord.End end, int status, String detail, List<Long> tokenNanos) {
+			return new CallRecord(this.request.tag(), end, status, detail, this.resends, this.cutOffs, this.startNanos,
+					tokenNanos, System.nanoTime());
+		}
+
 	}
 
 }
--- a/modules/standin/src/main/java/org/ragworthook/standin/load/OnlineReport.java
+++ b/modules/standin/src/main/java/org/ragworthook/standin/load/OnlineReport.java
@@ -73,6 +73,14 @@
 		return this.byLabel.values().stream().mapToLong((series) -> series.resends).sum();
 	}
 
+	/**
+	 * Returns how often the connection of a call broke after the call was sent.
+	 * @return broken connections over all labels
+	 */
+	public synchronized long cutOffs() {
+		return this.byLabel.values().stream().mapToLong((series) -> series.cutOffs).sum();
+	}
+
 	/**
 	 * Returns the calls that did not end with a whole answer.
 	 * @return their records
@@ -139,11 +147,14 @@
 
 		private long resends;
 
+		private long cutOffs;
+
 		private long tokens;
 
 		void add(CallRecord call) {
 			this.ends.merge(call.end(), 1L, Long::sum);
 			this.resends += call.resends();
+			this.cutOffs += call.cutOffs();
 			this.tokens += call.tokenNanos().size();
 			if (call.end() != CallRecord.End.WHOLE || call.tokenNanos().isEmpty()) {
 				return;
