--- a/modules/standin/src/main/java/org/ragworthook/standin/load/Attempt.java
+++ b/modules/standin/src/main/java/org/ragworthook/standin/load/Attempt.java
@@ -1,5 +1,6 @@
 package org.ragworthook.standin.load;
 
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -67,19 +68,21 @@
 		}
 		Promise<Void> ended = Promise.promise();
 		RecordParser events = RecordParser.newDelimited("\n\n", response);
-		events.exceptionHandler(ended::tryFail);
-		events.endHandler((nothing) -> {
-			if (this.done || !this.error.isEmpty()) {
-				ended.tryComplete();
-			}
-			else {
-				ended.tryFail("stream ended early");
-			}
-		});
+		events.exceptionHandler((failure) -> end(ended, failure));
+		events.endHandler((nothing) -> end(ended, new IOException("stream ended early")));
 		events.handler(this::event);
 		return ended.future();
 	}
 
+	private void end(Promise<Void> ended, Throwable otherwise) {
+		if (this.done || !this.error.isEmpty()) {
+			ended.tryComplete();
+		}
+		else {
+			ended.tryFail(otherwise);
+		}
+	}
+
 	private void event(Buffer event) {
 		String line = event.toString();
 		if (!line.startsWith(DATA)) {
