--- a/modules/standin/src/main/java/org/ragworthook/standin/capacity/WatchPart.java
+++ b/modules/standin/src/main/java/org/ragworthook/standin/capacity/WatchPart.java
@@ -47,7 +47,7 @@
 		ManualTime time = ManualTime.of();
 		Random random = new Random(size);
 		IntStream.range(0, size)
-			.forEach((number) -> ContractWatch.start(store, InForce.empty(), time, random, (failure) -> {
+			.forEach((number) -> ContractWatch.start(store, InForce.empty(), time, random, Runnable::run, (failure) -> {
 				throw new IllegalStateException(failure);
 			}));
 		store.reset();
