--- a/modules/standin/src/main/java/org/ragworthook/standin/command/StandInProgram.java
+++ b/modules/standin/src/main/java/org/ragworthook/standin/command/StandInProgram.java
@@ -27,6 +27,7 @@
 			@SubCommand(name = "demo-stand-ins", impl = DemoStandInsCommand.class),
 			@SubCommand(name = "demo", impl = DemoCommand.class),
 			@SubCommand(name = "bench-online", impl = BenchOnlineCommand.class),
+			@SubCommand(name = "bench-batch", impl = BenchBatchCommand.class),
 			@SubCommand(name = "keys", impl = KeysCommand.class),
 			@SubCommand(name = "routing", impl = RoutingCommand.class) })
 	private Subcommand subcommand;
--- a/modules/standin/src/main/java/org/ragworthook/standin/demo/PlannedStandIns.java
+++ b/modules/standin/src/main/java/org/ragworthook/standin/demo/PlannedStandIns.java
@@ -61,6 +61,17 @@
 			.build();
 	}
 
+	/**
+	 * Returns what the engines of a plan generate with every slot taken.
+	 * @param plan the plan
+	 * @return tokens a second over all engines, prompts not counted
+	 */
+	static double fullTokensPerSecond(DemoPlan plan) {
+		EngineSettings engine = engine(plan);
+		double step = engine.tokenTime().toNanos() + engine.tokenGrowth().toNanos() * (engine.slots() - 1.0);
+		return plan.sidecars(ServiceType.MODEL).size() * engine.slots() * 1e9 / step;
+	}
+
 	private static int port(PlannedProcess sidecar) {
 		return sidecar.upstream().map(Address::port).orElseThrow();
 	}
