--- a/modules/standin/src/main/java/org/ragworthook/standin/capacity/Gauge.java
+++ b/modules/standin/src/main/java/org/ragworthook/standin/capacity/Gauge.java
@@ -54,8 +54,8 @@
 	}
 
 	/**
-	 * Measures the processor time of a step: the median of several rounds after some
-	 * to warm up.
+	 * Measures the processor time of a step: the median of several rounds after some to
+	 * warm up.
 	 * @param step what to measure, on this thread
 	 * @return milliseconds of this thread
 	 */
