--- a/modules/standin/src/main/java/org/ragworthook/standin/capacity/CountingStore.java
+++ b/modules/standin/src/main/java/org/ragworthook/standin/capacity/CountingStore.java
@@ -29,6 +29,8 @@
 
 	private long events;
 
+	private long eventBytes;
+
 	CountingStore(ObjectStore store) {
 		this.store = Objects.requireNonNull(store, "store is null");
 	}
@@ -49,11 +51,16 @@
 		return this.events;
 	}
 
+	long eventBytes() {
+		return this.eventBytes;
+	}
+
 	void reset() {
 		this.reads = 0;
 		this.writes = 0;
 		this.watches = 0;
 		this.events = 0;
+		this.eventBytes = 0;
 	}
 
 	@Override
@@ -91,6 +98,7 @@
 		this.watches++;
 		return this.store.watch(kind, selector, after, (event) -> {
 			this.events++;
+			this.eventBytes += event.object().draft().bytes();
 			taker.accept(event);
 		}, ended);
 	}
--- a/modules/standin/src/main/java/org/ragworthook/standin/capacity/WatchPart.java
+++ b/modules/standin/src/main/java/org/ragworthook/standin/capacity/WatchPart.java
@@ -26,6 +26,12 @@
 
 	private static final double SECONDS = MINUTES * 60.0;
 
+	private static final int ACCOUNTS = 600;
+
+	private static final int MODELS = 30;
+
+	private static final double BYTES_PER_KB = 1024;
+
 	@Override
 	public String name() {
 		return "contract-watches";
@@ -45,23 +51,32 @@
 	public List<Quantity> measure(int size) {
 		CountingStore store = new CountingStore(MemoryObjectStore.empty());
 		ManualTime time = ManualTime.of();
+		ContractRegister register = ContractRegister.of(store, ConditionalWriter.of(store, Stamps.of("bench")),
+				InstantSource.fixed(Instant.EPOCH));
+		String text = ContractTexts.of(ACCOUNTS, MODELS);
+		accept(register, text, 0);
 		Random random = new Random(size);
 		IntStream.range(0, size)
-			.forEach((number) -> ContractWatch.start(store, InForce.empty(), time, random, (failure) -> {
-				throw new IllegalStateException(failure);
-			}));
+			.forEach((number) -> ContractWatch.start(store, InForce.empty(), time, random, Runnable::run,
+					WatchPart::failed));
 		store.reset();
 		time.advance(Duration.ofMinutes(MINUTES));
 		double lists = store.reads() / SECONDS;
 		double watches = store.watches() / SECONDS;
 		store.reset();
-		ContractRegister register = ContractRegister.of(store, ConditionalWriter.of(store, Stamps.of("bench")),
-				InstantSource.fixed(Instant.EPOCH));
-		register.accept(new Proposal(ContractTexts.of(10, 2), 0, "bench", "capacity", false), 0, OpenWork.none())
-			.join();
-		return List.of(new Quantity("lists a second", lists), new Quantity("watches opened a second", watches),
-				new Quantity("events for a change", store.events()),
+		accept(register, text.replace("model-0", "model-zero"), 1);
+		return List.of(new Quantity("reads and lists a second", lists),
+				new Quantity("watches opened a second", watches), new Quantity("events for a change", store.events()),
+				new Quantity("event text for a change, KB", store.eventBytes() / BYTES_PER_KB),
 				new Quantity("writes for a change", store.writes()), new Quantity("reads for a change", store.reads()));
 	}
 
+	private static void accept(ContractRegister register, String text, long base) {
+		register.accept(new Proposal(text, base, "bench", "capacity", false), base, OpenWork.none()).join();
+	}
+
+	private static void failed(Throwable failure) {
+		throw new IllegalStateException(failure);
+	}
+
 }
