--- /dev/null
+++ b/modules/wire/src/test/java/org/ragworthook/wire/link/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the links.
+ */
+package org.ragworthook.wire.link;
