--- a/modules/core/src/main/java/org/ragworthook/core/job/BatchItem.java
+++ b/modules/core/src/main/java/org/ragworthook/core/job/BatchItem.java
@@ -56,6 +56,14 @@
 		return new JobException(ErrorCode.JOB_BROKEN_LINE, "line " + number + " " + what, cause);
 	}
 
+	/**
+	 * Returns this item as one that may run only once.
+	 * @return the item, marked
+	 */
+	public BatchItem once() {
+		return new BatchItem(this.customId, this.url, this.model, this.body, false);
+	}
+
 	/**
 	 * Returns what room at the sidecars is counted by.
 	 * @return the model, or the path of an item that names none
--- a/modules/core/src/main/java/org/ragworthook/core/job/ChunkClaim.java
+++ b/modules/core/src/main/java/org/ragworthook/core/job/ChunkClaim.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
 
 import org.ragworthook.core.error.ErrorCode;
 import org.ragworthook.core.error.StoreException;
@@ -32,7 +33,10 @@
 
 	private final ConditionalWriter writer;
 
-	ChunkClaim(ObjectStore store, ConditionalWriter writer) {
+	private final Predicate<BatchItem> repeatable;
+
+	ChunkClaim(ObjectStore store, ConditionalWriter writer, Predicate<BatchItem> repeatable) {
+		this.repeatable = Objects.requireNonNull(repeatable, "repeatable is null");
 		this.store = Objects.requireNonNull(store, "store is null");
 		this.writer = Objects.requireNonNull(writer, "writer is null");
 	}
@@ -53,9 +57,12 @@
 		});
 	}
 
-	private static List<BatchItem> items(String text) {
+	private List<BatchItem> items(String text) {
 		List<BatchItem> items = new ArrayList<>();
-		text.lines().forEach((line) -> items.add(BatchItem.parse(items.size() + 1, line)));
+		text.lines().forEach((line) -> {
+			BatchItem item = BatchItem.parse(items.size() + 1, line);
+			items.add(this.repeatable.test(item) ? item : item.once());
+		});
 		return items;
 	}
 
--- a/modules/core/src/main/java/org/ragworthook/core/job/JobRunner.java
+++ b/modules/core/src/main/java/org/ragworthook/core/job/JobRunner.java
@@ -6,10 +6,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.function.ToIntFunction;
 
@@ -65,11 +67,13 @@
 			.entries(builder.entries)
 			.shards("batch", builder.shardCount)
 			.period(builder.period)
+			.self(builder.self.orElse(builder.stamps.writer()))
 			.build();
 		this.ownerBuilder = ShardOwner.builder(builder.store, builder.stamps, builder.sender)
 			.time(builder.ticker, builder.timers, builder.clock)
 			.policy(builder.policy)
 			.weights(builder.weights)
+			.repeatable(builder.repeatable)
 			.held(this.shards::held)
 			.wake(this::roomChanged);
 	}
@@ -281,6 +285,10 @@
 
 		private ShardListener shardEvents = NOBODY;
 
+		private Predicate<BatchItem> repeatable = (item) -> true;
+
+		private Optional<String> self = Optional.empty();
+
 		private int shardCount = 1;
 
 		private Duration period = Duration.ofSeconds(6);
@@ -337,6 +345,26 @@
 			return this;
 		}
 
+		/**
+		 * Sets this entry's own identity among the entries.
+		 * @param self the identity; the name of the stamps' writer if not set
+		 * @return this builder
+		 */
+		public Builder self(String self) {
+			this.self = Optional.of(self);
+			return this;
+		}
+
+		/**
+		 * Sets which items may be run again, besides what their lines say.
+		 * @param repeatable tells of an item whether its service may be called twice
+		 * @return this builder
+		 */
+		public Builder repeatable(Predicate<BatchItem> repeatable) {
+			this.repeatable = Objects.requireNonNull(repeatable, "repeatable is null");
+			return this;
+		}
+
 		/**
 		 * Sets who else is told of shards taken and lost, such as what fences sidecars.
 		 * @param events the listener
--- a/modules/core/src/main/java/org/ragworthook/core/job/ShardOwner.java
+++ b/modules/core/src/main/java/org/ragworthook/core/job/ShardOwner.java
@@ -70,7 +70,7 @@
 		this.builder = builder;
 		this.shard = shard;
 		ConditionalWriter writer = ConditionalWriter.of(builder.store, builder.stamps);
-		this.claims = new ChunkClaim(builder.store, writer);
+		this.claims = new ChunkClaim(builder.store, writer, builder.repeatable);
 		this.shares = new FairShare(builder.weights);
 		this.runs = new ItemRuns(this, builder, new ChunkWriter(builder.store, writer));
 		this.records = new JobRecords(this, builder, writer);
@@ -432,6 +432,8 @@
 
 		Optional<Runnable> wake = Optional.empty();
 
+		Predicate<BatchItem> repeatable = (item) -> true;
+
 		private Builder(ObjectStore store, Stamps stamps, ItemSender sender) {
 			this.store = Objects.requireNonNull(store, "store is null");
 			this.stamps = Objects.requireNonNull(stamps, "stamps is null");
@@ -482,6 +484,16 @@
 			return this;
 		}
 
+		/**
+		 * Sets which items may be run again, besides what their lines say.
+		 * @param repeatable tells of an item whether its service may be called twice
+		 * @return this builder
+		 */
+		public Builder repeatable(Predicate<BatchItem> repeatable) {
+			this.repeatable = Objects.requireNonNull(repeatable, "repeatable is null");
+			return this;
+		}
+
 		/**
 		 * Sets who is told that items could be sent, so that it shares room out over the
 		 * owners of several shards. Without it each owner sends what it can.
--- a/modules/core/src/main/java/org/ragworthook/core/lease/ShardMap.java
+++ b/modules/core/src/main/java/org/ragworthook/core/lease/ShardMap.java
@@ -174,7 +174,7 @@
 			this.lastEntries = Set.copyOf(entries);
 			this.extra = 0;
 		}
-		ShardShare share = ShardShare.of(this.builder.shards, entries, this.builder.stamps.writer());
+		ShardShare share = ShardShare.of(this.builder.shards, entries, this.builder.self);
 		return new ShardShare(share.count() + this.extra, share.first());
 	}
 
@@ -270,6 +270,8 @@
 
 		private final Stamps stamps;
 
+		private String self;
+
 		private Ticker ticker = Ticker.system();
 
 		private Timers timers;
@@ -289,6 +291,7 @@
 		private Builder(ObjectStore store, Stamps stamps) {
 			this.store = Objects.requireNonNull(store, "store is null");
 			this.stamps = Objects.requireNonNull(stamps, "stamps is null");
+			this.self = stamps.writer();
 		}
 
 		/**
@@ -323,6 +326,16 @@
 			return this;
 		}
 
+		/**
+		 * Sets this entry's own identity among the entries.
+		 * @param self the identity; the name of the stamps' writer if not set
+		 * @return this builder
+		 */
+		public Builder self(String self) {
+			this.self = Objects.requireNonNull(self, "self is null");
+			return this;
+		}
+
 		/**
 		 * Sets the leases' name and number. All entries must agree on them.
 		 * @param group the common part of the names
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/EntryProcess.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/EntryProcess.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -32,6 +33,7 @@
 import org.ragworthook.daemon.Certificates;
 import org.ragworthook.daemon.DaemonProcess;
 import org.ragworthook.daemon.VertxTimers;
+import org.ragworthook.daemon.batch.BatchPart;
 import org.ragworthook.daemon.http.ErrorResponses;
 import org.ragworthook.daemon.http.HealthRoutes;
 import org.ragworthook.daemon.http.Metrics;
@@ -71,6 +73,8 @@
 
 	private final OnlinePart online;
 
+	private final BatchPart batch;
+
 	private final List<HttpServer> servers = new CopyOnWriteArrayList<>();
 
 	private volatile boolean leaving;
@@ -93,9 +97,11 @@
 		UpstreamDirectory directory = this.closer.add(UpstreamDirectory.follow(vertx, self(), list, LIST_REFRESH, loops,
 				Certificates.links(vertx, settings), this::hello, new ControlLane()));
 		ErrorResponses errors = ErrorResponses.of(metrics);
+		RequestReader reader = RequestReader.of(this.inForce::contract, InstantSource.system());
 		this.online = this.closer
-			.add(OnlinePart.start(vertx, directory, RequestReader.of(this.inForce::contract, InstantSource.system()),
-					errors, metrics, settings.limits().requestBytes()));
+			.add(OnlinePart.start(vertx, directory, reader, errors, metrics, settings.limits().requestBytes()));
+		this.batch = this.closer.add(BatchPart.start(vertx, settings, this.instance, store, directory, reader,
+				this.inForce::contract, errors));
 		serve(vertx, metrics, errors);
 		LOG.info("entry_started", "instance", this.instance, "http", settings.http());
 	}
@@ -156,12 +162,14 @@
 		LOG.info("entry_draining", "requests", this.online.inProgress());
 		int drainMillis = this.settings.limits().drainMillis();
 		try {
+			CompletableFuture<Void> handedOver = this.batch.leave();
 			Thread.sleep(Math.min(FAREWELL_MILLIS, drainMillis));
 			List<Future<Void>> stopping = this.servers.stream()
 				.map((server) -> server.shutdown(drainMillis, TimeUnit.MILLISECONDS))
 				.toList();
 			Future.join(stopping).toCompletionStage().toCompletableFuture().get(drainMillis, TimeUnit.MILLISECONDS);
 			this.online.drain().get(drainMillis, TimeUnit.MILLISECONDS);
+			handedOver.get(drainMillis, TimeUnit.MILLISECONDS);
 		}
 		catch (TimeoutException ex) {
 			LOG.warning("drain_cut_short", "requests", this.online.inProgress());
@@ -195,6 +203,7 @@
 			Router router = Router.router(this.vertx);
 			HealthRoutes.mount(router, this.metrics, EntryProcess.this::ready);
 			EntryProcess.this.online.mount(router);
+			EntryProcess.this.batch.mount(router);
 			this.errors.mount(router);
 			DaemonSettings own = EntryProcess.this.settings;
 			HttpServer server = this.vertx.createHttpServer().requestHandler(router);
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/UpstreamDirectory.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/UpstreamDirectory.java
@@ -134,6 +134,17 @@
 		return Math.max(1, this.entries.size());
 	}
 
+	/**
+	 * Returns the entries that are not leaving, by the platform's list.
+	 * @return the addresses of their links
+	 */
+	public Set<String> entryAddresses() {
+		return this.entries.stream()
+			.filter((entry) -> !entry.leaving())
+			.map((entry) -> entry.link().toString())
+			.collect(Collectors.toUnmodifiableSet());
+	}
+
 	// -- the platform's list
 
 	/**
