Let replicas grow with online demand and not shrink without any

The entry that leads took every model to need its least number, so an idle fleet with room above it would have unloaded replicas that nothing else wanted: Fiestas' text has a minimum of 8 and 11 upstreams that all hold the model. Demand is now what the sidecars report of their online requests; it asks for more when replicas are 70% full and never for fewer.

--- a/modules/core/src/test/java/org/ragworthook/core/reconcile/ReconcilerTests.java
+++ b/modules/core/src/test/java/org/ragworthook/core/reconcile/ReconcilerTests.java
@@ -2,11 +2,14 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.ragworthook.core.contract.Contract;
+import org.ragworthook.core.contract.Model;
 import org.ragworthook.core.contract.WeightStore;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -138,4 +141,16 @@
 		assertThat(fleet.holders("m@1").values().stream().mapToInt(Integer::intValue).sum()).isEqualTo(2 + threshold);
 	}
 
+	@Test
+	void shouldAskForMoreReplicasWhenTheirUpstreamsAreNearlyFull() {
+		List<UpstreamView> observed = List.of(new UpstreamView("u1", "desk", "a", Set.of("m@1", "cut")),
+				new UpstreamView("u2", "desk", "b", Set.of("m@1")), new UpstreamView("u3", "desk", "b", Set.of()));
+		Model model = contract("1", 1, 9, 1).services().get(0).models().get(0);
+		assertThat(Demand.of(observed, Map.of()).applyAsInt(model)).isEqualTo(2);
+		Map<String, Usage> calm = Map.of("u1", new Usage(1, 10), "u2", new Usage(0, 10));
+		assertThat(Demand.of(observed, calm).applyAsInt(model)).isEqualTo(2);
+		Map<String, Usage> full = Map.of("u1", new Usage(20, 10), "u2", new Usage(8, 10));
+		assertThat(Demand.of(observed, full).applyAsInt(model)).isEqualTo(4);
+	}
+
 }
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/control/ControlPart.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/control/ControlPart.java
@@ -3,12 +3,15 @@
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.Executor;
+import java.util.function.Supplier;
 
 import io.vertx.ext.web.Router;
 import org.ragworthook.core.contract.ContractRegister;
 import org.ragworthook.core.contract.InForce;
+import org.ragworthook.core.reconcile.Usage;
 import org.ragworthook.core.store.ConditionalWriter;
 import org.ragworthook.core.store.ObjectStore;
 import org.ragworthook.core.store.Stamps;
@@ -89,11 +92,13 @@
 	}
 
 	/**
-	 * Starts to tell peers of this entry's version, once the peer links are started.
+	 * Starts to tell peers of this entry's version and to keep the fleet to the text,
+	 * once the peer links are started.
+	 * @param usage how much of each upstream is used, by the sidecar's instance
 	 */
-	public void start() {
+	public void start(Supplier<Map<String, Usage>> usage) {
 		this.peerContract.start();
-		this.reconciler.start();
+		this.reconciler.start(usage);
 	}
 
 	private List<ProcessVersion> processes() {
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/control/FleetReconciler.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/control/FleetReconciler.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
@@ -21,12 +22,14 @@
 import org.ragworthook.core.lease.ShardListener;
 import org.ragworthook.core.lease.ShardMap;
 import org.ragworthook.core.log.EventLog;
+import org.ragworthook.core.reconcile.Demand;
 import org.ragworthook.core.reconcile.Failure;
 import org.ragworthook.core.reconcile.Reconciler;
 import org.ragworthook.core.reconcile.Step;
 import org.ragworthook.core.reconcile.StepLimits;
 import org.ragworthook.core.reconcile.StepMemory;
 import org.ragworthook.core.reconcile.UpstreamView;
+import org.ragworthook.core.reconcile.Usage;
 import org.ragworthook.core.store.ObjectStore;
 import org.ragworthook.core.store.Stamps;
 import org.ragworthook.core.time.Ticker;
@@ -77,6 +80,8 @@
 
 	private final Map<String, Given> given = new ConcurrentHashMap<>();
 
+	private volatile Supplier<Map<String, Usage>> usage = Map::of;
+
 	private volatile Optional<Term> term = Optional.empty();
 
 	private volatile boolean closed;
@@ -100,7 +105,8 @@
 			.build();
 	}
 
-	void start() {
+	void start(Supplier<Map<String, Usage>> reported) {
+		this.usage = Objects.requireNonNull(reported, "reported is null");
 		this.leases.start();
 		round();
 	}
@@ -177,8 +183,10 @@
 		if (!whole || contract.isEmpty()) {
 			return;
 		}
-		Reconciler reconciler = Reconciler.of(StepLimits.of(contract.get().weightStore()), (model) -> 0);
-		List<Step> steps = reconciler.plan(contract.get(), views(), current.memory(), now);
+		List<UpstreamView> views = views();
+		Reconciler reconciler = Reconciler.of(StepLimits.of(contract.get().weightStore()),
+				Demand.of(views, this.usage.get()));
+		List<Step> steps = reconciler.plan(contract.get(), views, current.memory(), now);
 		steps.forEach((step) -> give(current, step, now));
 	}
 
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/EntryProcess.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/EntryProcess.java
@@ -115,7 +115,7 @@
 		this.batch = this.closer.add(BatchPart.start(vertx, settings, this.instance, store, directory, reader,
 				this.inForce::contract, errors));
 		peers.start();
-		this.control.start();
+		this.control.start(directory::usage);
 		serve(vertx, metrics, errors);
 		LOG.info("entry_started", "instance", this.instance, "http", settings.http());
 	}
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/UpstreamDirectory.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/UpstreamDirectory.java
@@ -21,6 +21,7 @@
 import org.ragworthook.core.log.EventLog;
 import org.ragworthook.core.membership.Members;
 import org.ragworthook.core.membership.Membership;
+import org.ragworthook.core.reconcile.Usage;
 import org.ragworthook.core.routing.RouteTable;
 import org.ragworthook.core.routing.Router;
 import org.ragworthook.core.routing.Subset;
@@ -108,6 +109,20 @@
 		return List.copyOf(this.byUpstream.values());
 	}
 
+	/**
+	 * Returns how much of each upstream its online requests use, as last reported.
+	 * @return the usage by the sidecar's instance
+	 */
+	public Map<String, Usage> usage() {
+		Map<String, Usage> usage = new HashMap<>();
+		sidecars()
+			.forEach((sidecar) -> sidecar.remote()
+				.ifPresent((remote) -> usage.put(remote.instance(),
+						new Usage(sidecar.load().getOnlineRunning() + sidecar.load().getOnlineQueued(),
+								sidecar.load().getLimit()))));
+		return usage;
+	}
+
 	/**
 	 * Returns the sidecar before an upstream.
 	 * @param upstream an upstream that a router of this directory chose
