--- a/modules/core/src/main/java/org/ragworthook/core/admission/FairQueue.java
+++ b/modules/core/src/main/java/org/ragworthook/core/admission/FairQueue.java
@@ -14,7 +14,8 @@
 
 /**
  * Requests that wait for room, served in turn by account: each account gets a share by
- * its weight, and within an account the most urgent goes first. Confined to one thread.
+ * its weight, and within an account the most urgent goes first. Confined to one thread,
+ * but for {@link #ended()}.
  * <p>
  * The queue is bounded. If it is full, the least urgent of those accounts is shed that
  * have at least as much waiting, for their weight, as the newcomer's, so that no account
@@ -133,7 +134,6 @@
 		this.served = account.turn;
 		account.turn += 1.0 / account.weight;
 		this.size--;
-		this.drain.left();
 		if (account.waiting.isEmpty()) {
 			this.accounts.remove(account.name);
 		}
@@ -143,6 +143,14 @@
 		return Optional.of(first.ticket());
 	}
 
+	/**
+	 * Learns that a request has ended, whether or not it had to wait. The rate at which
+	 * they end tells how long others will wait. May be called by any thread.
+	 */
+	public void ended() {
+		this.drain.ended();
+	}
+
 	/**
 	 * Takes a request out that nobody waits for any longer.
 	 * @param item what waited
@@ -200,8 +208,8 @@
 
 	/**
 	 * Returns after which time a request sent again is likely to find room: as long as
-	 * all that waits now takes at the rate at which requests have lately left.
-	 * @return the time, from 50 ms to a minute
+	 * all that waits now takes at the rate at which requests have lately ended.
+	 * @return the time, from 50 ms to a minute; a second if too few have ended lately
 	 */
 	public Duration retryAfter() {
 		return this.drain.time(this.size);
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/ServiceQueue.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/ServiceQueue.java
@@ -69,6 +69,7 @@
 	 * @param upstream the upstream
 	 */
 	void released(Upstream upstream) {
+		this.queue.ended();
 		if (this.size > 0 && !upstream.full()) {
 			next().ifPresent(OnlineExchange::turn);
 		}
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/entry/TestFleet.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/entry/TestFleet.java
@@ -212,6 +212,10 @@
 			return new Caller("http://127.0.0.1:" + this.server.actualPort());
 		}
 
+		int port() {
+			return this.server.actualPort();
+		}
+
 		OnlinePart online() {
 			return this.online;
 		}
