Carry links on the event loops that carry HTTP

Each piece of an answer was handed from a link's thread to another at the sidecar and again at the entry. Links now share the event loops of Vert.x, so a sidecar has one thread for both.

--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/EntryProcess.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/EntryProcess.java
@@ -10,8 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.EventLoopGroup;
 import io.vertx.core.DeploymentOptions;
 import io.vertx.core.Future;
 import io.vertx.core.VerticleBase;
@@ -31,6 +30,7 @@
 import org.ragworthook.core.time.Timers;
 import org.ragworthook.daemon.Certificates;
 import org.ragworthook.daemon.DaemonProcess;
+import org.ragworthook.daemon.EventLoops;
 import org.ragworthook.daemon.VertxTimers;
 import org.ragworthook.daemon.http.ErrorResponses;
 import org.ragworthook.daemon.http.HealthRoutes;
@@ -54,8 +54,6 @@
 
 	private static final int EVENT_LOOPS = 2;
 
-	private static final int LINK_THREADS = 2;
-
 	private static final Duration LIST_REFRESH = Duration.ofSeconds(1);
 
 	/** How long a balancer may take to see that an entry is not ready any more. */
@@ -80,8 +78,7 @@
 		this.instance = settings.instance() + "-" + UUID.randomUUID().toString().substring(0, 8);
 		Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(EVENT_LOOPS).setWorkerPoolSize(2));
 		this.closer.add(() -> vertx.close().toCompletionStage().toCompletableFuture().join());
-		MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(LINK_THREADS, NioIoHandler.newFactory());
-		this.closer.add(loops::shutdownGracefully);
+		EventLoopGroup loops = EventLoops.of(vertx);
 		Metrics metrics = Metrics.of(settings);
 		Timers timers = VertxTimers.of(vertx);
 		HttpObjectStore store = this.closer
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/SidecarProcess.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/SidecarProcess.java
@@ -7,8 +7,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
 
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.EventLoopGroup;
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
@@ -21,6 +20,7 @@
 import org.ragworthook.core.time.Ticker;
 import org.ragworthook.daemon.Certificates;
 import org.ragworthook.daemon.DaemonProcess;
+import org.ragworthook.daemon.EventLoops;
 import org.ragworthook.daemon.engine.UpstreamClient;
 import org.ragworthook.daemon.http.HealthServer;
 import org.ragworthook.daemon.http.Metrics;
@@ -36,8 +36,6 @@
 
 	private static final EventLog LOG = EventLog.of(SidecarProcess.class);
 
-	private static final int LINK_THREADS = 1;
-
 	private static final int HEADROOM = 1;
 
 	private static final int BATCH_ROOM = 64;
@@ -69,8 +67,7 @@
 		metrics.gauge("ragworthook.upstream.online", () -> this.runs.load().getOnlineRunning());
 		metrics.gauge("ragworthook.upstream.batch", () -> this.runs.load().getBatchRunning());
 		metrics.gauge("ragworthook.upstream.crashes", () -> this.runs.load().getCrashes());
-		MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(LINK_THREADS, NioIoHandler.newFactory());
-		this.closer.add(loops::shutdownGracefully);
+		EventLoopGroup loops = EventLoops.of(vertx);
 		this.links = this.closer.add(LinkServer.listen(loops, settings.link(), Certificates.links(vertx, settings),
 				() -> welcome(settings, upstreamSettings), this.runs));
 		this.closer.add(HealthServer.listen(vertx, settings.http(), metrics));
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/entry/TestFleet.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/entry/TestFleet.java
@@ -11,8 +11,6 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.http.HttpServer;
@@ -24,6 +22,7 @@
 import org.ragworthook.core.fleet.FailureDomain;
 import org.ragworthook.core.fleet.Instance;
 import org.ragworthook.core.fleet.Role;
+import org.ragworthook.daemon.EventLoops;
 import org.ragworthook.daemon.fake.Caller;
 import org.ragworthook.daemon.fake.FakeUpstream;
 import org.ragworthook.daemon.http.ErrorResponses;
@@ -188,12 +187,11 @@
 		private final HttpServer server;
 
 		private TestEntry() {
-			MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-			this.own.add(loops::shutdownGracefully);
 			Instance self = new Instance("entry", Role.ENTRY, "", DOMAIN, ANY, false);
 			LinkOptions options = LinkOptions.of().heartbeat(Duration.ofMillis(200), Duration.ofMillis(800));
 			this.directory = this.own.add(UpstreamDirectory.follow(TestFleet.this.vertx, self,
-					() -> CompletableFuture.completedFuture(read()), Duration.ofMillis(20), loops, options,
+					() -> CompletableFuture.completedFuture(read()), Duration.ofMillis(20),
+					EventLoops.of(TestFleet.this.vertx), options,
 					(lane) -> Hello.newBuilder().setLane(lane).setInstance("entry-" + hashCode()).build(),
 					new Ignoring()));
 			TestFleet.this.directories.add(this.directory);
