Read the queue of an engine from its load page

A limit far above an engine's capacity makes every first output evenly slow, which the learnt limit can take for normal until its next window at half the limit. The engine's own count of waiting requests, read once a second, lowers the limit at once. An upstream without such a page is asked once.

--- a/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/SidecarRuns.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/SidecarRuns.java
@@ -94,6 +94,7 @@
 		context.runOnContext((ignored) -> {
 			context.owner().setPeriodic(SWEEP_MILLIS, (id) -> perform(gate.swept()));
 			context.owner().setPeriodic(REPORT_MILLIS, (id) -> report());
+			QueueReports.follow(context.owner(), upstream, gate::engineWaiting);
 		});
 	}
 
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/entry/TestFleet.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/entry/TestFleet.java
@@ -44,6 +44,20 @@
 
 	private static final FailureDomain DOMAIN = FailureDomain.of("region", "domain");
 
+	private static final Contract CONTRACT = Contract.parse(1, """
+			{"name": "test",
+			 "regions": [{"name": "region", "failureDomains": ["domain"]}],
+			 "services": [
+			  {"name": "desk", "type": "model", "failureDomains": ["domain"], "upstreams": 2,
+			   "models": [{"name": "m", "version": "v1",
+			               "replicas": {"min": 1, "max": 2, "failureDomains": 1}}]},
+			  {"name": "bookings", "type": "plain", "failureDomains": ["domain"], "upstreams": 1,
+			   "nonIdempotentCalls": [{"method": "POST", "path": "/book"}]},
+			  {"name": "letters", "type": "plain", "failureDomains": ["domain"], "upstreams": 1,
+			   "dependsOn": ["bookings"]}],
+			 "accounts": [{"name": "tests", "keys": ["%s"]}]}
+			""".formatted(KeyHash.of(Caller.KEY).text()));
+
 	private static final Address ANY = new Address("127.0.0.1", 0);
 
 	private final Closer closer = Closer.empty();
@@ -152,22 +166,6 @@
 		}
 	}
 
-	static Contract contract() {
-		return Contract.parse(1, """
-				{"name": "test",
-				 "regions": [{"name": "region", "failureDomains": ["domain"]}],
-				 "services": [
-				  {"name": "desk", "type": "model", "failureDomains": ["domain"], "upstreams": 2,
-				   "models": [{"name": "m", "version": "v1",
-				               "replicas": {"min": 1, "max": 2, "failureDomains": 1}}]},
-				  {"name": "bookings", "type": "plain", "failureDomains": ["domain"], "upstreams": 1,
-				   "nonIdempotentCalls": [{"method": "POST", "path": "/book"}]},
-				  {"name": "letters", "type": "plain", "failureDomains": ["domain"], "upstreams": 1,
-				   "dependsOn": ["bookings"]}],
-				 "accounts": [{"name": "tests", "keys": ["%s"]}]}
-				""".formatted(KeyHash.of(Caller.KEY).text()));
-	}
-
 	@Override
 	public void close() {
 		this.closer.close();
@@ -198,7 +196,7 @@
 			Metrics metrics = Metrics.of(settings("none", TestFleet.this.upstream(), 1, Duration.ZERO));
 			ErrorResponses errors = ErrorResponses.of(metrics);
 			this.online = this.own.add(OnlinePart.start(TestFleet.this.vertx, this.directory,
-					RequestReader.of(() -> Optional.of(contract()), InstantSource.system()), errors, metrics, 1 << 20));
+					RequestReader.of(() -> Optional.of(CONTRACT), InstantSource.system()), errors, metrics, 1 << 20));
 			Router router = Router.router(TestFleet.this.vertx);
 			this.online.mount(router);
 			errors.mount(router);
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/fake/FakeUpstream.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/fake/FakeUpstream.java
@@ -67,6 +67,10 @@
 			}
 			return;
 		}
+		if (request.path().equals("/metrics")) {
+			request.response().setStatusCode(404).end();
+			return;
+		}
 		request.body().onSuccess((body) -> {
 			this.count.incrementAndGet();
 			this.calls.add(new FakeCall(this.vertx.getOrCreateContext(), request, body.toString()));
