--- a/modules/daemon/src/test/java/org/ragworthook/daemon/entry/TestFleet.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/entry/TestFleet.java
@@ -11,8 +11,6 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.http.HttpServer;
@@ -24,6 +22,7 @@
 import org.ragworthook.core.fleet.FailureDomain;
 import org.ragworthook.core.fleet.Instance;
 import org.ragworthook.core.fleet.Role;
+import org.ragworthook.daemon.EventLoops;
 import org.ragworthook.daemon.fake.Caller;
 import org.ragworthook.daemon.fake.FakeUpstream;
 import org.ragworthook.daemon.http.ErrorResponses;
@@ -45,6 +44,20 @@
 
 	private static final FailureDomain DOMAIN = FailureDomain.of("region", "domain");
 
+	private static final Contract CONTRACT = Contract.parse(1, """
+			{"name": "test",
+			 "regions": [{"name": "region", "failureDomains": ["domain"]}],
+			 "services": [
+			  {"name": "desk", "type": "model", "failureDomains": ["domain"], "upstreams": 2,
+			   "models": [{"name": "m", "version": "v1",
+			               "replicas": {"min": 1, "max": 2, "failureDomains": 1}}]},
+			  {"name": "bookings", "type": "plain", "failureDomains": ["domain"], "upstreams": 1,
+			   "nonIdempotentCalls": [{"method": "POST", "path": "/book"}]},
+			  {"name": "letters", "type": "plain", "failureDomains": ["domain"], "upstreams": 1,
+			   "dependsOn": ["bookings"]}],
+			 "accounts": [{"name": "tests", "keys": ["%s"]}]}
+			""".formatted(KeyHash.of(Caller.KEY).text()));
+
 	private static final Address ANY = new Address("127.0.0.1", 0);
 
 	private final Closer closer = Closer.empty();
@@ -153,22 +166,6 @@
 		}
 	}
 
-	static Contract contract() {
-		return Contract.parse(1, """
-				{"name": "test",
-				 "regions": [{"name": "region", "failureDomains": ["domain"]}],
-				 "services": [
-				  {"name": "desk", "type": "model", "failureDomains": ["domain"], "upstreams": 2,
-				   "models": [{"name": "m", "version": "v1",
-				               "replicas": {"min": 1, "max": 2, "failureDomains": 1}}]},
-				  {"name": "bookings", "type": "plain", "failureDomains": ["domain"], "upstreams": 1,
-				   "nonIdempotentCalls": [{"method": "POST", "path": "/book"}]},
-				  {"name": "letters", "type": "plain", "failureDomains": ["domain"], "upstreams": 1,
-				   "dependsOn": ["bookings"]}],
-				 "accounts": [{"name": "tests", "keys": ["%s"]}]}
-				""".formatted(KeyHash.of(Caller.KEY).text()));
-	}
-
 	@Override
 	public void close() {
 		this.closer.close();
@@ -188,19 +185,18 @@
 		private final HttpServer server;
 
 		private TestEntry() {
-			MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-			this.own.add(loops::shutdownGracefully);
 			Instance self = new Instance("entry", Role.ENTRY, "", DOMAIN, ANY, false);
 			LinkOptions options = LinkOptions.of().heartbeat(Duration.ofMillis(200), Duration.ofMillis(800));
 			this.directory = this.own.add(UpstreamDirectory.follow(TestFleet.this.vertx, self,
-					() -> CompletableFuture.completedFuture(read()), Duration.ofMillis(20), loops, options,
+					() -> CompletableFuture.completedFuture(read()), Duration.ofMillis(20),
+					EventLoops.of(TestFleet.this.vertx), options,
 					(lane) -> Hello.newBuilder().setLane(lane).setInstance("entry-" + hashCode()).build(),
 					new Ignoring()));
 			TestFleet.this.directories.add(this.directory);
 			Metrics metrics = Metrics.of(settings("none", TestFleet.this.upstream(), 1, Duration.ZERO));
 			ErrorResponses errors = ErrorResponses.of(metrics);
 			this.online = this.own.add(OnlinePart.start(TestFleet.this.vertx, this.directory,
-					RequestReader.of(() -> Optional.of(contract()), InstantSource.system()), errors, metrics, 1 << 20));
+					RequestReader.of(() -> Optional.of(CONTRACT), InstantSource.system()), errors, metrics, 1 << 20));
 			Router router = Router.router(TestFleet.this.vertx);
 			this.online.mount(router);
 			errors.mount(router);
@@ -212,6 +208,10 @@
 			return new Caller("http://127.0.0.1:" + this.server.actualPort());
 		}
 
+		int port() {
+			return this.server.actualPort();
+		}
+
 		OnlinePart online() {
 			return this.online;
 		}
