--- a/modules/core/src/main/java/org/ragworthook/core/job/SerialExecutor.java
+++ b/modules/core/src/main/java/org/ragworthook/core/job/SerialExecutor.java
@@ -11,7 +11,7 @@
  * Runs tasks one after another, in the threads of those who hand them in. A task that is
  * handed in while another runs waits for it without holding up its thread.
  */
-final class SerialExecutor implements Executor {
+public final class SerialExecutor implements Executor {
 
 	private static final EventLog LOG = EventLog.of(SerialExecutor.class);
 
--- /dev/null
+++ b/modules/core/src/test/java/org/ragworthook/core/claim/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of claims on idempotency keys.
+ */
+package org.ragworthook.core.claim;
