--- a/modules/cli/src/main/java/org/ragworthook/cli/entry/EntryClient.java
+++ b/modules/cli/src/main/java/org/ragworthook/cli/entry/EntryClient.java
@@ -7,7 +7,9 @@
 import java.util.concurrent.CompletionException;
 import java.util.function.Function;
 
+import io.vertx.core.Context;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.buffer.Buffer;
@@ -35,8 +37,17 @@
 	private final Vertx vertx = Vertx
 		.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1));
 
-	private final HttpClient client = this.vertx.createHttpClient(
-			new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS).setIdleTimeout(IDLE_TIMEOUT_SECONDS));
+	/**
+	 * The context that all calls run on. A call that was started on another thread could
+	 * miss an answer that came before its handler was set, and the command would wait for
+	 * ever.
+	 */
+	private final Context context = this.vertx.getOrCreateContext();
+
+	private final HttpClient client = this.vertx
+		.createHttpClient(new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
+			.setIdleTimeout(IDLE_TIMEOUT_SECONDS)
+			.setKeepAlive(false));
 
 	private EntryClient(CliSettings settings) {
 		this.settings = Objects.requireNonNull(settings, "settings is null");
@@ -116,10 +127,12 @@
 		RequestOptions options = new RequestOptions().setAbsoluteURI(url).setMethod(method);
 		this.settings.key().ifPresent((key) -> options.putHeader("Authorization", "Bearer " + key));
 		headers.forEach(options::putHeader);
-		Future<Answer> answer = this.client.request(options)
+		Promise<Answer> answer = Promise.promise();
+		this.context.runOnContext((ignored) -> this.client.request(options)
 			.compose(send)
-			.compose((response) -> response.body().map((body) -> new Answer(response.statusCode(), body)));
-		return answer.toCompletionStage().toCompletableFuture().join().orRefused();
+			.compose((response) -> response.body().map((body) -> new Answer(response.statusCode(), body)))
+			.onComplete(answer));
+		return answer.future().toCompletionStage().toCompletableFuture().join().orRefused();
 	}
 
 	@Override
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/EntryProcess.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/EntryProcess.java
@@ -7,6 +7,7 @@
 import java.util.UUID;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
@@ -32,16 +33,15 @@
 import org.ragworthook.daemon.Certificates;
 import org.ragworthook.daemon.DaemonProcess;
 import org.ragworthook.daemon.VertxTimers;
+import org.ragworthook.daemon.control.ControlPart;
 import org.ragworthook.daemon.http.ErrorResponses;
 import org.ragworthook.daemon.http.HealthRoutes;
 import org.ragworthook.daemon.http.Metrics;
+import org.ragworthook.daemon.peer.PeerLinks;
 import org.ragworthook.daemon.settings.DaemonSettings;
 import org.ragworthook.platform.EndpointSliceList;
 import org.ragworthook.platform.HttpObjectStore;
 import org.ragworthook.platform.PlatformSettings;
-import org.ragworthook.wire.link.Link;
-import org.ragworthook.wire.link.LinkListener;
-import org.ragworthook.wire.message.Frame;
 import org.ragworthook.wire.message.Hello;
 import org.ragworthook.wire.message.Lane;
 
@@ -69,6 +69,8 @@
 
 	private final InForce inForce = InForce.empty();
 
+	private final ControlPart control;
+
 	private final OnlinePart online;
 
 	private final List<HttpServer> servers = new CopyOnWriteArrayList<>();
@@ -88,14 +90,26 @@
 			.add(HttpObjectStore.of(vertx, platform(settings.platform().objects(), settings)));
 		EndpointSliceList list = this.closer
 			.add(EndpointSliceList.of(vertx, platform(settings.platform().instances(), settings)));
-		this.closer.add(ContractWatch.start(store, this.inForce, timers, new Random(), Runnable::run,
+		Executor work = worker(vertx);
+		this.closer.add(ContractWatch.start(store, this.inForce, timers, new Random(), work,
 				(failure) -> LOG.debug("contract_unreadable", "error", failure)));
-		UpstreamDirectory directory = this.closer.add(UpstreamDirectory.follow(vertx, self(), list, LIST_REFRESH, loops,
-				Certificates.links(vertx, settings), this::hello, new ControlLane()));
 		ErrorResponses errors = ErrorResponses.of(metrics);
+		PeerLinks peers = this.closer.add(PeerLinks.of(loops, list, timers, settings.link(),
+				Certificates.links(vertx, settings), () -> hello(Lane.LANE_PEER)));
+		this.control = this.closer.add(ControlPart.builder(settings, this.instance, this.inForce)
+			.store(store)
+			.peers(peers)
+			.time(timers, work)
+			.errors(errors)
+			.drain(() -> this.leaving = true)
+			.build());
+		UpstreamDirectory directory = this.closer.add(UpstreamDirectory.follow(vertx, self(), list, LIST_REFRESH, loops,
+				Certificates.links(vertx, settings), this::hello, this.control.lane()));
 		this.online = this.closer
 			.add(OnlinePart.start(vertx, directory, RequestReader.of(this.inForce::contract, InstantSource.system()),
 					errors, metrics, settings.limits().requestBytes()));
+		peers.start();
+		this.control.start();
 		serve(vertx, metrics, errors);
 		LOG.info("entry_started", "instance", this.instance, "http", settings.http());
 	}
@@ -117,6 +131,13 @@
 		return new Instance(this.instance, Role.ENTRY, "", this.settings.failureDomain(), this.settings.link(), false);
 	}
 
+	private static Executor worker(Vertx vertx) {
+		return (task) -> vertx.executeBlocking(() -> {
+			task.run();
+			return null;
+		}, false);
+	}
+
 	private Hello hello(Lane lane) {
 		return Hello.newBuilder()
 			.setLane(lane)
@@ -194,6 +215,7 @@
 		public Future<HttpServer> start() {
 			Router router = Router.router(this.vertx);
 			HealthRoutes.mount(router, this.metrics, EntryProcess.this::ready);
+			EntryProcess.this.control.mount(router);
 			EntryProcess.this.online.mount(router);
 			this.errors.mount(router);
 			DaemonSettings own = EntryProcess.this.settings;
@@ -204,26 +226,4 @@
 
 	}
 
-	/**
-	 * The control lane, for which nothing is sent yet.
-	 */
-	private static final class ControlLane implements LinkListener {
-
-		@Override
-		public void opened(Link link) {
-			LOG.debug("control_opened", "remote", link.remote().instance());
-		}
-
-		@Override
-		public void received(Link link, Frame frame) {
-			LOG.debug("control_received", "frame", frame.getBodyCase());
-		}
-
-		@Override
-		public void closed(Link link) {
-			LOG.debug("control_closed", "remote", link.remote().instance());
-		}
-
-	}
-
 }
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/SidecarProcess.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/SidecarProcess.java
@@ -18,14 +18,20 @@
 import org.ragworthook.core.close.Closer;
 import org.ragworthook.core.fleet.Address;
 import org.ragworthook.core.log.EventLog;
+import org.ragworthook.core.order.OrderFence;
 import org.ragworthook.core.time.Ticker;
 import org.ragworthook.daemon.Certificates;
 import org.ragworthook.daemon.DaemonProcess;
+import org.ragworthook.daemon.VertxTimers;
+import org.ragworthook.daemon.control.SidecarControl;
+import org.ragworthook.daemon.control.SidecarOrders;
 import org.ragworthook.daemon.engine.UpstreamClient;
 import org.ragworthook.daemon.http.HealthServer;
 import org.ragworthook.daemon.http.Metrics;
 import org.ragworthook.daemon.settings.DaemonSettings;
 import org.ragworthook.daemon.settings.DaemonSettings.UpstreamSettings;
+import org.ragworthook.platform.HttpObjectStore;
+import org.ragworthook.platform.PlatformSettings;
 import org.ragworthook.wire.link.LinkServer;
 import org.ragworthook.wire.message.Welcome;
 
@@ -48,6 +54,8 @@
 
 	private final SidecarRuns runs;
 
+	private final SidecarControl control;
+
 	private final Duration drainTime;
 
 	private final AtomicBoolean closing = new AtomicBoolean();
@@ -69,10 +77,14 @@
 		metrics.gauge("ragworthook.upstream.online", () -> this.runs.load().getOnlineRunning());
 		metrics.gauge("ragworthook.upstream.batch", () -> this.runs.load().getBatchRunning());
 		metrics.gauge("ragworthook.upstream.crashes", () -> this.runs.load().getCrashes());
+		HttpObjectStore store = this.closer.add(HttpObjectStore.of(vertx, platform(settings)));
+		this.control = SidecarControl.of(this.runs::leave,
+				new SidecarOrders(context, upstream, OrderFence.of(store, SidecarControl.RECONCILER)),
+				VertxTimers.of(vertx));
 		MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(LINK_THREADS, NioIoHandler.newFactory());
 		this.closer.add(loops::shutdownGracefully);
 		this.links = this.closer.add(LinkServer.listen(loops, settings.link(), Certificates.links(vertx, settings),
-				() -> welcome(settings, upstreamSettings), this.runs));
+				() -> welcome(settings, upstreamSettings), new LaneListeners(this.runs, this.control)));
 		this.closer.add(HealthServer.listen(vertx, settings.http(), metrics));
 		LOG.info("sidecar_started", "instance", this.instance, "service", upstreamSettings.service(), "link",
 				this.links.address());
@@ -87,6 +99,10 @@
 		return new SidecarProcess(settings);
 	}
 
+	private static PlatformSettings platform(DaemonSettings settings) {
+		return PlatformSettings.of(settings.platform().objects()).inNamespace(settings.platform().namespace());
+	}
+
 	private Welcome welcome(DaemonSettings settings, UpstreamSettings upstream) {
 		return Welcome.newBuilder()
 			.setInstance(this.instance)
@@ -95,6 +111,7 @@
 			.setService(upstream.service())
 			.setLoad(this.runs.load())
 			.setLeaving(this.runs.leaving())
+			.setContractVersion(this.control.inForce().version())
 			.build();
 	}
 
