--- a/modules/core/src/main/java/org/ragworthook/core/admission/AccountGate.java
+++ b/modules/core/src/main/java/org/ragworthook/core/admission/AccountGate.java
@@ -60,9 +60,7 @@
 		if (!tokenDebt.isZero()) {
 			return Optional.of(new Refusal("tokens per second", tokenDebt));
 		}
-		int limit = this.inFlightLimit;
-		if (this.inFlight.incrementAndGet() > limit && limit > 0) {
-			this.inFlight.decrementAndGet();
+		if (!enter(this.inFlightLimit)) {
 			return Optional.of(new Refusal("requests in flight", IN_FLIGHT_WAIT));
 		}
 		Duration wait = this.requests.take();
@@ -73,6 +71,19 @@
 		return Optional.empty();
 	}
 
+	// Counted up first and taken back when over the limit, the count would for a moment
+	// hold a request that is refused, and refuse another for which there is room.
+	private boolean enter(int limit) {
+		int seen = this.inFlight.get();
+		while (limit <= 0 || seen < limit) {
+			if (this.inFlight.compareAndSet(seen, seen + 1)) {
+				return true;
+			}
+			seen = this.inFlight.get();
+		}
+		return false;
+	}
+
 	/**
 	 * Learns that a request that was let in has ended.
 	 * @param tokensUsed the tokens of its prompt and answer. They are known only now, so
