--- a/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/SidecarProcess.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/SidecarProcess.java
@@ -7,8 +7,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
 
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.EventLoopGroup;
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
@@ -22,6 +21,7 @@
 import org.ragworthook.core.time.Ticker;
 import org.ragworthook.daemon.Certificates;
 import org.ragworthook.daemon.DaemonProcess;
+import org.ragworthook.daemon.EventLoops;
 import org.ragworthook.daemon.VertxTimers;
 import org.ragworthook.daemon.control.SidecarControl;
 import org.ragworthook.daemon.control.SidecarOrders;
@@ -42,8 +42,6 @@
 
 	private static final EventLog LOG = EventLog.of(SidecarProcess.class);
 
-	private static final int LINK_THREADS = 1;
-
 	private static final int HEADROOM = 1;
 
 	private static final int BATCH_ROOM = 64;
@@ -81,8 +79,7 @@
 		this.control = SidecarControl.of(this.runs::leave,
 				new SidecarOrders(context, upstream, OrderFence.of(store, SidecarControl.RECONCILER)),
 				VertxTimers.of(vertx));
-		MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(LINK_THREADS, NioIoHandler.newFactory());
-		this.closer.add(loops::shutdownGracefully);
+		EventLoopGroup loops = EventLoops.of(vertx);
 		this.links = this.closer.add(LinkServer.listen(loops, settings.link(), Certificates.links(vertx, settings),
 				() -> welcome(settings, upstreamSettings), new LaneListeners(this.runs, this.control)));
 		this.closer.add(HealthServer.listen(vertx, settings.http(), metrics));
