--- a/modules/core/src/main/java/org/ragworthook/core/job/ChunkPacker.java
+++ b/modules/core/src/main/java/org/ragworthook/core/job/ChunkPacker.java
@@ -5,6 +5,7 @@
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 /**
  * Cuts a stream of bytes into lines and packs the lines into chunks that the platform
@@ -40,21 +41,31 @@
 	}
 
 	/**
-	 * Takes a byte.
-	 * @param unit the next byte of the stream
-	 * @return a chunk that has become full, or empty
+	 * Takes a piece of the stream.
+	 * @param piece the next bytes, wherever they were cut
+	 * @param full takes each chunk that has become full
 	 * @throws org.ragworthook.core.error.JobException if a line is broken
 	 */
-	Optional<String> take(byte unit) {
-		if (unit == '\n') {
-			return endLine();
+	void take(byte[] piece, Consumer<String> full) {
+		int from = 0;
+		for (int position = 0; position < piece.length; position++) {
+			if (piece[position] == '\n') {
+				append(piece, from, position);
+				endLine().ifPresent(full);
+				from = position + 1;
+			}
+		}
+		append(piece, from, piece.length);
+	}
+
+	private void append(byte[] piece, int from, int to) {
+		for (int position = from; position < to; position++) {
+			this.lineBytes += ResultRecord.escapedBytes(piece[position]);
 		}
-		this.line.write(unit);
-		this.lineBytes += ResultRecord.escapedBytes(unit);
 		if (this.lineBytes > MAX_BYTES) {
 			throw BatchItem.broken(this.lines + 1, "is longer than " + MAX_BYTES + " bytes", null);
 		}
-		return Optional.empty();
+		this.line.write(piece, from, to - from);
 	}
 
 	private Optional<String> endLine() {
--- a/modules/core/src/main/java/org/ragworthook/core/job/Upload.java
+++ b/modules/core/src/main/java/org/ragworthook/core/job/Upload.java
@@ -68,7 +68,7 @@
 		this.bytes += piece.length;
 		try {
 			if (!this.record.ready()) {
-				pack(piece);
+				this.packer.take(piece, this::put);
 			}
 		}
 		catch (JobException ex) {
@@ -77,12 +77,6 @@
 		return settle(IN_FLIGHT);
 	}
 
-	private void pack(byte[] piece) {
-		for (byte unit : piece) {
-			this.packer.take(unit).ifPresent(this::put);
-		}
-	}
-
 	private void put(String chunk) {
 		ObjectKey key = FileRecord.chunkKey(this.record.input(), this.chunks++);
 		CompletableFuture<Stored> put = this.retry.call(() -> this.writer.create(key, chunk, Labels.empty()));
--- a/modules/standin/src/main/java/org/ragworthook/standin/command/StandInProgram.java
+++ b/modules/standin/src/main/java/org/ragworthook/standin/command/StandInProgram.java
@@ -13,7 +13,7 @@
  */
 public final class StandInProgram {
 
-	private static final String NAMES = "object-api|instances|platform|engine|service|weights|load|keys|routing";
+	private static final String NAMES = "object-api|instances|platform|engine|service|weights|load|keys|routing|batch";
 
 	@Argument(handler = SubCommandHandler.class, required = true, metaVar = NAMES, usage = "what to run")
 	@SubCommands({ @SubCommand(name = "object-api", impl = ObjectApiCommand.class),
@@ -29,7 +29,8 @@
 			@SubCommand(name = "bench-online", impl = BenchOnlineCommand.class),
 			@SubCommand(name = "bench-batch", impl = BenchBatchCommand.class),
 			@SubCommand(name = "keys", impl = KeysCommand.class),
-			@SubCommand(name = "routing", impl = RoutingCommand.class) })
+			@SubCommand(name = "routing", impl = RoutingCommand.class),
+			@SubCommand(name = "batch", impl = BatchCommand.class) })
 	private Subcommand subcommand;
 
 	private StandInProgram() {
