Forget at each term what was observed in an earlier one

An entry that leads again kept what it had seen of upstreams when it last led, possibly hours ago, and planned by it until the answers came. A new term now waits for fresh answers.

--- a/modules/daemon/src/main/java/org/ragworthook/daemon/control/FleetReconciler.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/control/FleetReconciler.java
@@ -139,7 +139,7 @@
 	public void taken(int shard, Lease lease) {
 		LOG.info("reconciler_taken", "epoch", lease.epoch());
 		this.given.clear();
-		this.observed.values().forEach((seen) -> seen.askedAt = Long.MIN_VALUE);
+		this.observed.values().forEach(Observed::forget);
 		this.term = Optional.of(new Term(lease, StepMemory.empty()));
 	}
 
@@ -313,6 +313,12 @@
 
 		private volatile Optional<Set<String>> loaded = Optional.empty();
 
+		// What was seen in an earlier term may be hours old: others have led since.
+		private void forget() {
+			this.loaded = Optional.empty();
+			this.askedAt = Long.MIN_VALUE;
+		}
+
 	}
 
 	private record Given(Step step, long since) {
