--- a/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/QueueReports.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/QueueReports.java
@@ -22,6 +22,8 @@
 
 	private static final int OK = 200;
 
+	private static final int NOT_FOUND = 404;
+
 	private static final Pattern WAITING = Pattern.compile("(?m)^vllm:num_requests_waiting(?:\\{[^}]*})? ([0-9.]+)");
 
 	private final Vertx vertx;
@@ -54,7 +56,8 @@
 		this.upstream.http()
 			.request(this.upstream.options(HttpMethod.GET, "/metrics").setIdleTimeout(PATIENCE_MILLIS))
 			.compose((request) -> request.send())
-			.compose((response) -> response.body().map((body) -> response.statusCode() == OK && take(body.toString())))
+			.compose((response) -> response.body()
+				.map((body) -> response.statusCode() != NOT_FOUND && take(body.toString(), response.statusCode())))
 			.onComplete((page) -> {
 				// An engine that is away for a while has a page again when it is back.
 				if (page.failed() || page.result()) {
@@ -63,10 +66,11 @@
 			});
 	}
 
-	private boolean take(String page) {
+	private boolean take(String page, int status) {
 		Matcher found = WAITING.matcher(page);
 		if (!found.find()) {
-			return false;
+			// An engine that starts may answer with an error for a while.
+			return status != OK;
 		}
 		this.waiting.accept((int) Double.parseDouble(found.group(1)));
 		return true;
