Share convictions between entries

A caller whose request was refused for crashing engines sends it again, and the balancer takes it to another entry, where it would crash two more. An entry now tells its peers at once, passes on what is news to it, and tells all to a peer that links anew. The failure test sends the request to a second entry, which has seen no crash and refuses it.

--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/EntryProcess.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/EntryProcess.java
@@ -111,6 +111,7 @@
 			.add(OnlinePart.start(vertx, directory, reader, errors, metrics, settings.limits().requestBytes()));
 		this.batch = this.closer.add(BatchPart.start(vertx, settings, this.instance, store, directory, reader,
 				this.inForce::contract, errors));
+		ConvictionSharing.start(this.online, peers);
 		peers.start();
 		this.control.start();
 		serve(vertx, metrics, errors);
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/entry/OnlineFailureTests.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/entry/OnlineFailureTests.java
@@ -240,11 +240,12 @@
 
 	/**
 	 * One request crashes each engine that runs it, and another one is beside it the
-	 * first time. The one must be refused after two crashes of its own, and the other
-	 * must be answered.
+	 * first time. The one must be refused after two crashes of its own, also when its
+	 * caller sends it to another entry, and the other must be answered.
 	 */
 	@Test
 	void shouldConvictCrashingRequestAndAnswerItsNeighbour() {
+		TestFleet.TestEntry other = this.fleet.entry();
 		FakeUpstream upstream = this.fleet.served("desk", 4);
 		CompletableFuture<HttpResponse<String>> bad = this.caller.chat("poison", false);
 		FakeCall first = upstream.next();
@@ -265,6 +266,8 @@
 		assertThat(Caller.await(good).statusCode()).isEqualTo(200);
 		assertThat(Caller.error(Caller.await(this.caller.chat("poison", false)))).isEqualTo("request_quarantined");
 		assertThat(upstream.count()).isEqualTo(5);
+		TestFleet.await(() -> !other.online().quarantine().convictions().isEmpty());
+		assertThat(Caller.error(Caller.await(other.caller().chat("poison", false)))).isEqualTo("request_quarantined");
 	}
 
 }
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/entry/TestFleet.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/entry/TestFleet.java
@@ -1,5 +1,8 @@
 package org.ragworthook.daemon.entry;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.ServerSocket;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
@@ -23,10 +26,12 @@
 import org.ragworthook.core.fleet.Instance;
 import org.ragworthook.core.fleet.Role;
 import org.ragworthook.daemon.EventLoops;
+import org.ragworthook.daemon.VertxTimers;
 import org.ragworthook.daemon.fake.Caller;
 import org.ragworthook.daemon.fake.FakeUpstream;
 import org.ragworthook.daemon.http.ErrorResponses;
 import org.ragworthook.daemon.http.Metrics;
+import org.ragworthook.daemon.peer.PeerLinks;
 import org.ragworthook.daemon.settings.DaemonSettings;
 import org.ragworthook.daemon.settings.SettingsReader;
 import org.ragworthook.daemon.sidecar.SidecarProcess;
@@ -35,6 +40,7 @@
 import org.ragworthook.wire.link.LinkOptions;
 import org.ragworthook.wire.message.Frame;
 import org.ragworthook.wire.message.Hello;
+import org.ragworthook.wire.message.Lane;
 
 /**
  * An entry's online part and any number of sidecars in one process, over real links, with
@@ -66,6 +72,8 @@
 
 	private final List<Instance> listed = new CopyOnWriteArrayList<>();
 
+	private final List<Instance> entries = new CopyOnWriteArrayList<>();
+
 	private final AtomicInteger reads = new AtomicInteger();
 
 	private final List<UpstreamDirectory> directories = new ArrayList<>();
@@ -150,6 +158,15 @@
 		return this.closer.add(new TestEntry());
 	}
 
+	private static int freePort() {
+		try (ServerSocket socket = new ServerSocket(0)) {
+			return socket.getLocalPort();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
 	static void await(BooleanSupplier condition) {
 		long end = System.nanoTime() + Duration.ofSeconds(20).toNanos();
 		while (!condition.getAsBoolean()) {
@@ -185,7 +202,9 @@
 		private final HttpServer server;
 
 		private TestEntry() {
-			Instance self = new Instance("entry", Role.ENTRY, "", DOMAIN, ANY, false);
+			Address address = new Address("127.0.0.1", freePort());
+			Instance self = new Instance("entry-" + address, Role.ENTRY, "", DOMAIN, address, false);
+			TestFleet.this.entries.add(self);
 			LinkOptions options = LinkOptions.of().heartbeat(Duration.ofMillis(200), Duration.ofMillis(800));
 			this.directory = this.own.add(UpstreamDirectory.follow(TestFleet.this.vertx, self,
 					() -> CompletableFuture.completedFuture(read()), Duration.ofMillis(20),
@@ -195,8 +214,14 @@
 			TestFleet.this.directories.add(this.directory);
 			Metrics metrics = Metrics.of(settings("none", TestFleet.this.upstream(), 1, Duration.ZERO));
 			ErrorResponses errors = ErrorResponses.of(metrics);
+			PeerLinks peers = this.own.add(PeerLinks.of(EventLoops.of(TestFleet.this.vertx),
+					() -> CompletableFuture.completedFuture(List.copyOf(TestFleet.this.entries)),
+					VertxTimers.of(TestFleet.this.vertx), address, options,
+					() -> Hello.newBuilder().setLane(Lane.LANE_PEER).setInstance("entry-" + hashCode()).build()));
 			this.online = this.own.add(OnlinePart.start(TestFleet.this.vertx, this.directory,
 					RequestReader.of(() -> Optional.of(CONTRACT), InstantSource.system()), errors, metrics, 1 << 20));
+			ConvictionSharing.start(this.online, peers);
+			peers.start();
 			Router router = Router.router(TestFleet.this.vertx);
 			this.online.mount(router);
 			errors.mount(router);
