Cut off callers that never read

An answer that its caller does not read stayed in the entry's memory without a bound. Over 8 MiB unread the request is given up, its engine's slot is freed and the connection closed. A caller that is merely slow still gets its whole answer and holds no slot while it reads: 4 MB unread, the next request is served and the answer arrives whole.

--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/CallerAnswer.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/CallerAnswer.java
@@ -21,6 +21,8 @@
 
 	private static final int OK = 200;
 
+	private static final long MOST_UNREAD_BYTES = 8 << 20;
+
 	private static final Set<Integer> OVERLOADED = Set.of(429, 503);
 
 	private static final Set<Integer> REJECTIONS = Set.of(429, 502, 503, 504);
@@ -37,6 +39,8 @@
 
 	private int tokens;
 
+	private long unread;
+
 	private int expectedOffset;
 
 	private int status = OK;
@@ -99,11 +103,30 @@
 			if (!this.response.headWritten()) {
 				this.response.setChunked(true);
 			}
-			this.held.forEach(this.response::write);
+			this.held.forEach(this::write);
 			this.held.clear();
 		}
 	}
 
+	// What a caller does not read stays in this process's memory. The engine goes on all
+	// the same, so that a slow caller holds no slot; but one that has stopped reading
+	// must
+	// not take the memory of the others' answers.
+	private void write(Buffer piece) {
+		this.unread = this.response.writeQueueFull() ? this.unread + piece.length() : 0;
+		if (!stuck()) {
+			this.response.write(piece);
+		}
+	}
+
+	/**
+	 * Tells whether the caller has left too much unread.
+	 * @return whether the answer is to be given up
+	 */
+	boolean stuck() {
+		return this.unread > MOST_UNREAD_BYTES;
+	}
+
 	private void head() {
 		if (!this.response.headWritten()) {
 			this.response.setStatusCode(this.status);
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/OnlineAttempt.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/OnlineAttempt.java
@@ -53,6 +53,9 @@
 				this.sidecar.cancel(Lane.LANE_ONLINE, this.run.getRequest());
 				end(AttemptOutcome.BROKEN, Choice.Fared.BADLY, "a piece of the answer was lost");
 			}
+			else if (this.exchange.answer().stuck()) {
+				this.exchange.callerStuck();
+			}
 			else if (first && this.exchange.answer().sent()) {
 				this.exchange.firstOutput();
 			}
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/OnlineExchange.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/OnlineExchange.java
@@ -309,6 +309,13 @@
 		}
 	}
 
+	/**
+	 * The caller does not read; its connection is of no use any more.
+	 */
+	void callerStuck() {
+		finish(() -> this.routing.request().connection().close());
+	}
+
 	private void fail(ErrorCode code, String detail) {
 		Duration wait = (code == ErrorCode.REQUEST_QUARANTINED)
 				? this.path.quarantine().left(fingerprint()).orElse(RETRY_AFTER) : RETRY_AFTER;
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/entry/OnlineFailureTests.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/entry/OnlineFailureTests.java
@@ -1,6 +1,9 @@
 package org.ragworthook.daemon.entry;
 
+import java.io.IOException;
+import java.net.Socket;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 
@@ -168,6 +171,56 @@
 		assertThat(Caller.await(next).statusCode()).isEqualTo(200);
 	}
 
+	/**
+	 * A caller does not read its answer, as on a bad line. The answer must not hold the
+	 * engine's slot until it is read, and must be whole when the caller does read.
+	 */
+	@Test
+	void shouldNotHoldSlotForSlowCaller() throws IOException {
+		FakeUpstream upstream = this.fleet.served("desk", 1);
+		try (Socket slow = slowCaller()) {
+			FakeCall call = upstream.next().greet();
+			for (int i = 0; i < 40; i++) {
+				call.tokens("x".repeat(100_000));
+			}
+			call.finish();
+			CompletableFuture<HttpResponse<String>> next = this.caller.chat("next", false);
+			upstream.next().greet().tokens("n").finish();
+			assertThat(Caller.await(next).statusCode()).isEqualTo(200);
+			String answer = new String(slow.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+			assertThat(answer.chars().filter((c) -> c == 'x').count()).isAtLeast(4_000_000);
+			assertThat(answer).contains("[DONE]");
+		}
+	}
+
+	/**
+	 * A caller has stopped reading for good, and its answer goes on without end. It must
+	 * be cut off before it fills the entry's memory.
+	 */
+	@Test
+	void shouldCutOffCallerThatNeverReads() throws IOException {
+		FakeUpstream upstream = this.fleet.served("desk", 1);
+		try (Socket stuck = slowCaller()) {
+			FakeCall call = upstream.next().greet();
+			for (int i = 0; i < 40; i++) {
+				call.tokens("x".repeat(1_000_000));
+			}
+			call.awaitClosed();
+			assertThat(stuck.isClosed()).isFalse();
+		}
+	}
+
+	private Socket slowCaller() throws IOException {
+		String body = "{\"model\":\"m\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"slow\"}]}";
+		Socket socket = new Socket("127.0.0.1", this.entry.port());
+		socket.getOutputStream()
+			.write(("POST /v1/chat/completions HTTP/1.1\r\nHost: entry\r\nConnection: close\r\nAuthorization: Bearer "
+					+ Caller.KEY + "\r\nContent-Type: application/json\r\nContent-Length: " + body.length() + "\r\n\r\n"
+					+ body)
+				.getBytes(StandardCharsets.UTF_8));
+		return socket;
+	}
+
 	/**
 	 * The deadline passes while the only slot is taken by another. The request was never
 	 * passed on, and its caller is told so.
