--- a/modules/core/src/main/java/org/ragworthook/core/routing/Router.java
+++ b/modules/core/src/main/java/org/ragworthook/core/routing/Router.java
@@ -149,7 +149,7 @@
 		RandomGenerator draw = this.random.get();
 		Upstream best = (group.size() <= SMALL) ? best(group, draw.nextInt(group.size()), group.size(), request, now)
 				: sampled(group, draw, request, now);
-		return (best != null) ? best : any(group, draw.nextInt(group.size()), request);
+		return (best != null) ? best : any(group, draw.nextInt(group.size()), request, now);
 	}
 
 	// Looking at three at random keeps the load within a hair of looking at all.
@@ -190,7 +190,7 @@
 	}
 
 	private static double share(Upstream candidate, RouteRequest request, long now) {
-		if (request.tried().contains(candidate) || !candidate.serves(request.model())) {
+		if (request.tried().contains(candidate) || !candidate.serves(request.model(), now)) {
 			return 0;
 		}
 		return candidate.detector().share(now);
@@ -198,10 +198,10 @@
 
 	// Chooses although every upstream is ejected: when all look ill, it is more likely a
 	// request or the network that is, and refusing everything would make it an outage.
-	private static Upstream any(UpstreamGroup group, int from, RouteRequest request) {
+	private static Upstream any(UpstreamGroup group, int from, RouteRequest request, long now) {
 		for (int i = 0; i < group.size(); i++) {
 			Upstream candidate = group.member((from + i) % group.size());
-			if (!request.tried().contains(candidate) && candidate.serves(request.model())) {
+			if (!request.tried().contains(candidate) && candidate.serves(request.model(), now)) {
 				return candidate;
 			}
 		}
--- a/modules/core/src/main/java/org/ragworthook/core/routing/Upstream.java
+++ b/modules/core/src/main/java/org/ragworthook/core/routing/Upstream.java
@@ -1,7 +1,9 @@
 package org.ragworthook.core.routing;
 
+import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -27,6 +29,8 @@
 	/** Requests of other entries in the upper half, the limit in the lower. */
 	private final AtomicLong report = new AtomicLong(UNKNOWN_LIMIT);
 
+	private final Map<String, Long> lacking = new ConcurrentHashMap<>();
+
 	private volatile Set<String> models = Set.of();
 
 	private Upstream(Instance instance, OutlierDetector detector) {
@@ -122,9 +126,23 @@
 		return load() >= limit();
 	}
 
-	boolean serves(String model) {
+	/**
+	 * Learns that a model is not loaded, from the upstream's own answer. It counts for a
+	 * while only, since the model may be loaded at any time without a word.
+	 * @param model the model
+	 * @param untilNanos the ticker's reading after which the model may be tried again
+	 */
+	public void lacks(String model, long untilNanos) {
+		this.lacking.put(model, untilNanos);
+	}
+
+	boolean serves(String model, long now) {
 		Set<String> loaded = this.models;
-		return model.isEmpty() || loaded.isEmpty() || loaded.contains(model);
+		if (model.isEmpty()) {
+			return true;
+		}
+		Long until = this.lacking.isEmpty() ? null : this.lacking.get(model);
+		return (until == null || now - until >= 0) && (loaded.isEmpty() || loaded.contains(model));
 	}
 
 	long hash() {
--- a/modules/core/src/test/java/org/ragworthook/core/routing/RouterTests.java
+++ b/modules/core/src/test/java/org/ragworthook/core/routing/RouterTests.java
@@ -191,6 +191,23 @@
 		}
 	}
 
+	/**
+	 * An engine answers that it does not hold a model that the others do. Chosen again
+	 * and again, it would refuse its share of all requests.
+	 */
+	@Test
+	void shouldLeaveOutUpstreamThatLacksModelForAWhile() {
+		List<Upstream> upstreams = Fleet.upstreams(2, 1);
+		update(upstreams);
+		upstreams.get(0).lacks("large", Duration.ofSeconds(2).toNanos());
+		for (int i = 0; i < 20; i++) {
+			assertThat(choose(RouteRequest.of("large", OptionalLong.empty())).upstream()).isEqualTo(upstreams.get(1));
+		}
+		assertThat(choose(PLAIN).upstream()).isEqualTo(upstreams.get(0));
+		this.time.advance(Duration.ofSeconds(2));
+		assertThat(choose(RouteRequest.of("large", OptionalLong.empty())).upstream()).isEqualTo(upstreams.get(0));
+	}
+
 	@Test
 	void shouldReleaseOnce() {
 		List<Upstream> upstreams = Fleet.upstreams(1, 1);
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/CallerAnswer.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/CallerAnswer.java
@@ -21,6 +21,8 @@
 
 	private static final int OK = 200;
 
+	private static final int NOT_FOUND = 404;
+
 	private static final long MOST_UNREAD_BYTES = 8 << 20;
 
 	private static final Set<Integer> OVERLOADED = Set.of(429, 503);
@@ -171,6 +173,14 @@
 		return !sent() && REJECTIONS.contains(this.status);
 	}
 
+	/**
+	 * Tells whether the upstream only answered that it does not know what was asked for.
+	 * @return whether its status says so and the caller has got nothing yet
+	 */
+	boolean notFound() {
+		return !sent() && this.status == NOT_FOUND;
+	}
+
 	/**
 	 * Tells whether the upstream is at its limit, which is no fault of it.
 	 * @return whether its status says so
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/OnlineAttempt.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/OnlineAttempt.java
@@ -1,5 +1,6 @@
 package org.ragworthook.daemon.entry;
 
+import java.time.Duration;
 import java.util.Objects;
 
 import org.ragworthook.core.retry.AttemptOutcome;
@@ -15,6 +16,8 @@
  */
 final class OnlineAttempt implements Exchange {
 
+	private static final Duration LACKING = Duration.ofSeconds(2);
+
 	private final OnlineExchange exchange;
 
 	private final Choice choice;
@@ -83,7 +86,10 @@
 
 	private void answered() {
 		this.exchange.path().quarantine().answered(this.exchange.fingerprint());
-		if (this.exchange.answer().rejected()) {
+		if (!this.exchange.model().isEmpty() && this.exchange.answer().notFound()) {
+			lacksModel();
+		}
+		else if (this.exchange.answer().rejected()) {
 			end(AttemptOutcome.REJECTED,
 					this.exchange.answer().overloaded() ? Choice.Fared.UNKNOWN : Choice.Fared.BADLY,
 					"the upstream refused the request");
@@ -93,6 +99,14 @@
 		}
 	}
 
+	// The contract has the model, so an engine that does not know it has not loaded it
+	// yet
+	// or not any more; others have. It ran nothing.
+	private void lacksModel() {
+		this.choice.upstream().lacks(this.exchange.model(), this.exchange.path().ticker().nanos() + LACKING.toNanos());
+		end(AttemptOutcome.NOT_PASSED_ON, Choice.Fared.UNKNOWN, "the upstream does not hold the model");
+	}
+
 	// A sidecar that refuses for its own reasons, such as a full queue, says when to come
 	// back; one whose upstream is gone does not.
 	private void notPassedOn(Done done, boolean leaving) {
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/OnlineExchange.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/OnlineExchange.java
@@ -177,7 +177,7 @@
 	// -- attempts
 
 	private Optional<Choice> choose() {
-		RouteRequest wanted = RouteRequest.of("", this.request.prefix());
+		RouteRequest wanted = RouteRequest.of(this.request.model(), this.request.prefix());
 		Optional<Choice> fresh = this.service.router().choose(wanted.without(this.tried));
 		if (fresh.isPresent() || this.tried.isEmpty()) {
 			return fresh;
@@ -237,6 +237,10 @@
 		return this.answer;
 	}
 
+	String model() {
+		return this.request.model();
+	}
+
 	String fingerprint() {
 		return this.request.run().getFingerprint();
 	}
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/OnlineRequest.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/OnlineRequest.java
@@ -15,11 +15,12 @@
  * @param service what is to answer it
  * @param run the request as it goes to a sidecar, without attempt
  * @param timeout how long the caller waits for the whole answer
+ * @param model the model that it names, or the empty text for a plain service
  * @param resumable whether an upstream can go on after part of the answer
  * @param prefix the key of the prompt's beginning, if it has one
  */
-public record OnlineRequest(Account account, Service service, Run run, Duration timeout, boolean resumable,
-		OptionalLong prefix) {
+public record OnlineRequest(Account account, Service service, Run run, Duration timeout, String model,
+		boolean resumable, OptionalLong prefix) {
 
 	/**
 	 * Checks that all parts are there.
@@ -29,6 +30,7 @@
 		Objects.requireNonNull(service, "service is null");
 		Objects.requireNonNull(run, "run is null");
 		Objects.requireNonNull(timeout, "timeout is null");
+		Objects.requireNonNull(model, "model is null");
 		Objects.requireNonNull(prefix, "prefix is null");
 	}
 
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/RequestReader.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/RequestReader.java
@@ -116,7 +116,7 @@
 			.setStream(parsed.path("stream").asBoolean(false))
 			.setRepeatable(service.idempotent(HttpMethod.POST.name(), routing.request().path()))
 			.setAnswerId((chat ? "chatcmpl-" : "cmpl-") + UUID.randomUUID().toString().replace("-", ""));
-		return new OnlineRequest(account, service, run.build(), timeout(routing.request(), service),
+		return new OnlineRequest(account, service, run.build(), timeout(routing.request(), service), model,
 				Generation.resumable(parsed, chat), PrefixKey.of(model, prompt(parsed, chat)));
 	}
 
@@ -151,7 +151,7 @@
 					"service '" + name + "' is not served"));
 		Run.Builder run = run(routing, account, body(routing)).setPath(path)
 			.setRepeatable(service.idempotent(routing.request().method().name(), path));
-		return new OnlineRequest(account, service, run.build(), timeout(routing.request(), service), false,
+		return new OnlineRequest(account, service, run.build(), timeout(routing.request(), service), "", false,
 				OptionalLong.empty());
 	}
 
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/entry/OnlineFailureTests.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/entry/OnlineFailureTests.java
@@ -221,6 +221,21 @@
 		return socket;
 	}
 
+	/**
+	 * One engine does not hold the model, as after an order to unload it. Its refusal
+	 * must not reach callers while another engine holds the model.
+	 */
+	@Test
+	void shouldGoElsewhereWhenEngineLacksModel() {
+		FakeUpstream without = this.fleet.served("desk", 4);
+		CompletableFuture<HttpResponse<String>> answer = this.caller.chat("hello", true);
+		FakeCall refused = without.next();
+		FakeUpstream with = this.fleet.served("desk", 4);
+		refused.answer(404, "{\"error\":{\"message\":\"The model `m` does not exist.\"}}");
+		with.next().greet().tokens("a").finish();
+		assertThat(Caller.await(answer).statusCode()).isEqualTo(200);
+	}
+
 	/**
 	 * The deadline passes while the only slot is taken by another. The request was never
 	 * passed on, and its caller is told so.
