--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/EntryProcess.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/EntryProcess.java
@@ -113,7 +113,7 @@
 				this.inForce::contract, errors));
 		ConvictionSharing.start(this.online, peers);
 		peers.start();
-		this.control.start();
+		this.control.start(directory::usage);
 		serve(vertx, metrics, errors);
 		LOG.info("entry_started", "instance", this.instance, "http", settings.http());
 	}
