--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/OnlineExchange.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/OnlineExchange.java
@@ -177,7 +177,7 @@
 	// -- attempts
 
 	private Optional<Choice> choose() {
-		RouteRequest wanted = RouteRequest.of("", this.request.prefix());
+		RouteRequest wanted = RouteRequest.of(this.request.model(), this.request.prefix());
 		Optional<Choice> fresh = this.service.router().choose(wanted.without(this.tried));
 		if (fresh.isPresent() || this.tried.isEmpty()) {
 			return fresh;
@@ -237,6 +237,10 @@
 		return this.answer;
 	}
 
+	String model() {
+		return this.request.model();
+	}
+
 	String fingerprint() {
 		return this.request.run().getFingerprint();
 	}
@@ -309,6 +313,13 @@
 		}
 	}
 
+	/**
+	 * The caller does not read; its connection is of no use any more.
+	 */
+	void callerStuck() {
+		finish(() -> this.routing.request().connection().close());
+	}
+
 	private void fail(ErrorCode code, String detail) {
 		Duration wait = (code == ErrorCode.REQUEST_QUARANTINED)
 				? this.path.quarantine().left(fingerprint()).orElse(RETRY_AFTER) : RETRY_AFTER;
