Claim idempotency keys before requests that may run only once

Requests with a key that may not be repeated were refused, for nothing recorded their keys. The entry now claims the key with the owner of its shard, over the links between entries, before it passes the request on; who the owner is is read from its lease, and the log of claims decides if two believe it of themselves. Whatever fails on the way, the request is not run and its caller is told so. A resend to any entry is refused as taken; the kept answer is not delivered yet.

--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/EntryProcess.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/EntryProcess.java
@@ -112,6 +112,7 @@
 		this.batch = this.closer.add(BatchPart.start(vertx, settings, this.instance, store, directory, reader,
 				this.inForce::contract, errors));
 		ConvictionSharing.start(this.online, peers);
+		this.online.claims(ClaimDesk.start(store, peers, this.instance, settings.limits().shards()));
 		peers.start();
 		this.control.start(directory::usage);
 		serve(vertx, metrics, errors);
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/entry/OnlineFailureTests.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/entry/OnlineFailureTests.java
@@ -156,6 +156,35 @@
 		assertThat(upstream.count()).isEqualTo(0);
 	}
 
+	/**
+	 * A booking's answer is lost, and its caller sends it again, to the same entry or to
+	 * another. It must not be made twice; a new booking with another key must be made.
+	 */
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void shouldMakeKeyedBookingOnceAtAnyEntry(boolean ownerFirst) {
+		TestFleet.TestEntry other = this.fleet.entry();
+		FakeUpstream upstream = this.fleet.served("bookings", 4);
+		this.entry.own();
+		TestFleet.await(() -> other.peers().contains(this.entry.id()));
+		Caller first = ownerFirst ? this.caller : other.caller();
+		Caller second = ownerFirst ? other.caller() : this.caller;
+		CompletableFuture<HttpResponse<String>> answer = first.post("/services/bookings/book", "{}", "Idempotency-Key",
+				"k1");
+		upstream.next().answer(201, "{}");
+		assertThat(Caller.await(answer).statusCode()).isEqualTo(201);
+		for (Caller again : new Caller[] { first, second }) {
+			HttpResponse<String> refused = Caller
+				.await(again.post("/services/bookings/book", "{}", "Idempotency-Key", "k1"));
+			assertThat(Caller.error(refused)).isEqualTo("request_key_taken");
+		}
+		CompletableFuture<HttpResponse<String>> fresh = second.post("/services/bookings/book", "{}", "Idempotency-Key",
+				"k2");
+		upstream.next().answer(201, "{}");
+		assertThat(Caller.await(fresh).statusCode()).isEqualTo(201);
+		assertThat(upstream.count()).isEqualTo(2);
+	}
+
 	/**
 	 * A caller hangs up. Its slot must be free for the next one at once.
 	 */
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/entry/TestFleet.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/entry/TestFleet.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
@@ -25,6 +26,9 @@
 import org.ragworthook.core.fleet.FailureDomain;
 import org.ragworthook.core.fleet.Instance;
 import org.ragworthook.core.fleet.Role;
+import org.ragworthook.core.lease.Lease;
+import org.ragworthook.core.store.Draft;
+import org.ragworthook.core.store.MemoryObjectStore;
 import org.ragworthook.daemon.EventLoops;
 import org.ragworthook.daemon.VertxTimers;
 import org.ragworthook.daemon.fake.Caller;
@@ -64,6 +68,8 @@
 			 "accounts": [{"name": "tests", "keys": ["%s"]}]}
 			""".formatted(KeyHash.of(Caller.KEY).text()));
 
+	private static final int SHARDS = 4;
+
 	private static final Address ANY = new Address("127.0.0.1", 0);
 
 	private final Closer closer = Closer.empty();
@@ -72,6 +78,8 @@
 
 	private final List<Instance> listed = new CopyOnWriteArrayList<>();
 
+	private final MemoryObjectStore store = MemoryObjectStore.empty();
+
 	private final List<Instance> entries = new CopyOnWriteArrayList<>();
 
 	private final AtomicInteger reads = new AtomicInteger();
@@ -199,6 +207,8 @@
 
 		private final OnlinePart online;
 
+		private final PeerLinks peers;
+
 		private final HttpServer server;
 
 		private TestEntry() {
@@ -221,6 +231,8 @@
 			this.online = this.own.add(OnlinePart.start(TestFleet.this.vertx, this.directory,
 					RequestReader.of(() -> Optional.of(CONTRACT), InstantSource.system()), errors, metrics, 1 << 20));
 			ConvictionSharing.start(this.online, peers);
+			this.online.claims(ClaimDesk.start(TestFleet.this.store, peers, id(), SHARDS));
+			this.peers = peers;
 			peers.start();
 			Router router = Router.router(TestFleet.this.vertx);
 			this.online.mount(router);
@@ -229,6 +241,24 @@
 			this.server.listen(0, "127.0.0.1").toCompletionStage().toCompletableFuture().join();
 		}
 
+		String id() {
+			return "entry-" + hashCode();
+		}
+
+		/**
+		 * Makes this entry the owner of every shard.
+		 */
+		void own() {
+			for (int shard = 0; shard < SHARDS; shard++) {
+				Lease lease = new Lease("batch-" + shard, 1, id(), Duration.ofMinutes(1));
+				TestFleet.this.store.create(Lease.key(lease.name()), Draft.of(lease.text(), "lease-" + shard)).join();
+			}
+		}
+
+		Set<String> peers() {
+			return this.peers.peers();
+		}
+
 		Caller caller() {
 			return new Caller("http://127.0.0.1:" + this.server.actualPort());
 		}
