--- a/modules/standin/src/main/java/org/ragworthook/standin/demo/ConfigPart.java
+++ b/modules/standin/src/main/java/org/ragworthook/standin/demo/ConfigPart.java
@@ -1,20 +1,11 @@
 package org.ragworthook.standin.demo;
 
-import java.time.InstantSource;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
 
-import io.vertx.core.Vertx;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
-import org.ragworthook.core.contract.ContractRegister;
-import org.ragworthook.core.contract.OpenWork;
-import org.ragworthook.core.contract.Proposal;
-import org.ragworthook.core.store.ConditionalWriter;
-import org.ragworthook.core.store.Stamps;
-import org.ragworthook.platform.HttpObjectStore;
-import org.ragworthook.platform.PlatformSettings;
 import org.ragworthook.standin.load.RestClient;
 
 /**
@@ -51,31 +42,12 @@
 	 */
 	boolean submitFirst() {
 		RestClient.Reply reply = put(this.fleet.plan().deployment().contract().text(), 0);
-		if (reply.status() == 404) {
-			this.script.say("entries have no operators' interface; the text is put into the store directly");
-			return writeDirectly();
-		}
 		if (!reply.ok()) {
 			this.script.say("first text was refused: " + reply.text());
 		}
 		return reply.ok();
 	}
 
-	private boolean writeDirectly() {
-		Vertx vertx = Vertx.vertx();
-		try (HttpObjectStore store = HttpObjectStore.of(vertx, PlatformSettings.of(this.fleet.plan().objectApi()))) {
-			ConditionalWriter writer = ConditionalWriter.of(store, Stamps.of("demonstration"));
-			String text = this.fleet.plan().deployment().contract().text();
-			ContractRegister.of(store, writer, InstantSource.system())
-				.accept(new Proposal(text, 0, "operations", "first", false), 0, OpenWork.none())
-				.join();
-			return true;
-		}
-		finally {
-			vertx.close();
-		}
-	}
-
 	private RestClient.Reply put(String text, long base) {
 		return this.fleet.operator(this.fleet.plan().entries().get(0))
 			.send("PUT", CONTRACT, Map.of("If-Match", "\"" + base + "\"", "Content-Type", "application/json"), text);
--- a/modules/standin/src/main/java/org/ragworthook/standin/demo/DemoRun.java
+++ b/modules/standin/src/main/java/org/ragworthook/standin/demo/DemoRun.java
@@ -158,8 +158,9 @@
 		long broken = this.report.count(CallRecord.End.BROKEN);
 		long refused = this.report.count(CallRecord.End.REFUSED);
 		this.table.add("each caller gets the whole answer to its own request",
-				wrong == 0 && broken == 0 && refused <= this.report.total() * REFUSED_SHARE, this.report.total() + " answers: " + wrong + " wrong, "
-						+ broken + " lost, " + refused + " refused (bound 1 %); " + this.report.resends() + " sent again");
+				wrong == 0 && broken == 0 && refused <= this.report.total() * REFUSED_SHARE,
+				this.report.total() + " answers: " + wrong + " wrong, " + broken + " lost, " + refused
+						+ " refused (bound 1 %); " + this.report.resends() + " sent again");
 		long untrue = this.report.notWhole()
 			.stream()
 			.filter((call) -> call.toldNotRun() && call.cutOffs() == 0)
