Close idle connections to an upstream before it does

A request that met its upstream's close of an idle connection broke off without having been run; one that may run only once then ended with an unknown outcome. Common servers close after five seconds, connections were kept for thirty. They are kept for three now. 73 daemon tests pass.

--- a/modules/daemon/src/main/java/org/ragworthook/daemon/engine/UpstreamClient.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/engine/UpstreamClient.java
@@ -19,7 +19,12 @@
 
 	private static final int CONNECT_TIMEOUT_MILLIS = 2_000;
 
-	private static final int KEEP_ALIVE_SECONDS = 30;
+	/**
+	 * Shorter than common servers keep an idle connection, usually five seconds. A
+	 * request sent just as the server closes its connection is broken off without having
+	 * been run, and one that may run only once could not be tried again.
+	 */
+	private static final int KEEP_ALIVE_SECONDS = 3;
 
 	private final HttpClient client;
 
