--- a/modules/daemon/src/test/java/org/ragworthook/daemon/entry/OnlineFailureTests.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/entry/OnlineFailureTests.java
@@ -1,6 +1,9 @@
 package org.ragworthook.daemon.entry;
 
+import java.io.IOException;
+import java.net.Socket;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 
@@ -153,6 +156,35 @@
 		assertThat(upstream.count()).isEqualTo(0);
 	}
 
+	/**
+	 * A booking's answer is lost, and its caller sends it again, to the same entry or to
+	 * another. It must not be made twice; a new booking with another key must be made.
+	 */
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void shouldMakeKeyedBookingOnceAtAnyEntry(boolean ownerFirst) {
+		TestFleet.TestEntry other = this.fleet.entry();
+		FakeUpstream upstream = this.fleet.served("bookings", 4);
+		this.entry.own();
+		TestFleet.await(() -> other.peers().contains(this.entry.id()));
+		Caller first = ownerFirst ? this.caller : other.caller();
+		Caller second = ownerFirst ? other.caller() : this.caller;
+		CompletableFuture<HttpResponse<String>> answer = first.post("/services/bookings/book", "{}", "Idempotency-Key",
+				"k1");
+		upstream.next().answer(201, "{}");
+		assertThat(Caller.await(answer).statusCode()).isEqualTo(201);
+		for (Caller again : new Caller[] { first, second }) {
+			HttpResponse<String> refused = Caller
+				.await(again.post("/services/bookings/book", "{}", "Idempotency-Key", "k1"));
+			assertThat(Caller.error(refused)).isEqualTo("request_key_taken");
+		}
+		CompletableFuture<HttpResponse<String>> fresh = second.post("/services/bookings/book", "{}", "Idempotency-Key",
+				"k2");
+		upstream.next().answer(201, "{}");
+		assertThat(Caller.await(fresh).statusCode()).isEqualTo(201);
+		assertThat(upstream.count()).isEqualTo(2);
+	}
+
 	/**
 	 * A caller hangs up. Its slot must be free for the next one at once.
 	 */
@@ -168,6 +200,71 @@
 		assertThat(Caller.await(next).statusCode()).isEqualTo(200);
 	}
 
+	/**
+	 * A caller does not read its answer, as on a bad line. The answer must not hold the
+	 * engine's slot until it is read, and must be whole when the caller does read.
+	 */
+	@Test
+	void shouldNotHoldSlotForSlowCaller() throws IOException {
+		FakeUpstream upstream = this.fleet.served("desk", 1);
+		try (Socket slow = slowCaller()) {
+			FakeCall call = upstream.next().greet();
+			for (int i = 0; i < 40; i++) {
+				call.tokens("x".repeat(100_000));
+			}
+			call.finish();
+			CompletableFuture<HttpResponse<String>> next = this.caller.chat("next", false);
+			upstream.next().greet().tokens("n").finish();
+			assertThat(Caller.await(next).statusCode()).isEqualTo(200);
+			String answer = new String(slow.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+			assertThat(answer.chars().filter((c) -> c == 'x').count()).isAtLeast(4_000_000);
+			assertThat(answer).contains("[DONE]");
+		}
+	}
+
+	/**
+	 * A caller has stopped reading for good, and its answer goes on without end. It must
+	 * be cut off before it fills the entry's memory.
+	 */
+	@Test
+	void shouldCutOffCallerThatNeverReads() throws IOException {
+		FakeUpstream upstream = this.fleet.served("desk", 1);
+		try (Socket stuck = slowCaller()) {
+			FakeCall call = upstream.next().greet();
+			for (int i = 0; i < 40; i++) {
+				call.tokens("x".repeat(1_000_000));
+			}
+			call.awaitClosed();
+			assertThat(stuck.isClosed()).isFalse();
+		}
+	}
+
+	private Socket slowCaller() throws IOException {
+		String body = "{\"model\":\"m\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"slow\"}]}";
+		Socket socket = new Socket("127.0.0.1", this.entry.port());
+		socket.getOutputStream()
+			.write(("POST /v1/chat/completions HTTP/1.1\r\nHost: entry\r\nConnection: close\r\nAuthorization: Bearer "
+					+ Caller.KEY + "\r\nContent-Type: application/json\r\nContent-Length: " + body.length() + "\r\n\r\n"
+					+ body)
+				.getBytes(StandardCharsets.UTF_8));
+		return socket;
+	}
+
+	/**
+	 * One engine does not hold the model, as after an order to unload it. Its refusal
+	 * must not reach callers while another engine holds the model.
+	 */
+	@Test
+	void shouldGoElsewhereWhenEngineLacksModel() {
+		FakeUpstream without = this.fleet.served("desk", 4);
+		CompletableFuture<HttpResponse<String>> answer = this.caller.chat("hello", true);
+		FakeCall refused = without.next();
+		FakeUpstream with = this.fleet.served("desk", 4);
+		refused.answer(404, "{\"error\":{\"message\":\"The model `m` does not exist.\"}}");
+		with.next().greet().tokens("a").finish();
+		assertThat(Caller.await(answer).statusCode()).isEqualTo(200);
+	}
+
 	/**
 	 * The deadline passes while the only slot is taken by another. The request was never
 	 * passed on, and its caller is told so.
@@ -240,11 +337,12 @@
 
 	/**
 	 * One request crashes each engine that runs it, and another one is beside it the
-	 * first time. The one must be refused after two crashes of its own, and the other
-	 * must be answered.
+	 * first time. The one must be refused after two crashes of its own, also when its
+	 * caller sends it to another entry, and the other must be answered.
 	 */
 	@Test
 	void shouldConvictCrashingRequestAndAnswerItsNeighbour() {
+		TestFleet.TestEntry other = this.fleet.entry();
 		FakeUpstream upstream = this.fleet.served("desk", 4);
 		CompletableFuture<HttpResponse<String>> bad = this.caller.chat("poison", false);
 		FakeCall first = upstream.next();
@@ -265,6 +363,8 @@
 		assertThat(Caller.await(good).statusCode()).isEqualTo(200);
 		assertThat(Caller.error(Caller.await(this.caller.chat("poison", false)))).isEqualTo("request_quarantined");
 		assertThat(upstream.count()).isEqualTo(5);
+		TestFleet.await(() -> !other.online().quarantine().convictions().isEmpty());
+		assertThat(Caller.error(Caller.await(other.caller().chat("poison", false)))).isEqualTo("request_quarantined");
 	}
 
 }
