Tell an operator that no contract is in force yet

Cause: an entry that had just started answered a valid operator's key with 401, because it knew no contract; ControlTests.shouldRefuseTheSecondOfTwoRacingOperators met it once under load. Change: 503 CONFIG_ABSENT in that case; the test waits for the second entry, as its first test does. Ruled out: the race of the two operators, which the second had not reached.

--- a/modules/daemon/src/main/java/org/ragworthook/daemon/control/OperatorAccess.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/control/OperatorAccess.java
@@ -10,6 +10,7 @@
 import org.ragworthook.core.contract.KeyHash;
 import org.ragworthook.core.contract.Operator;
 import org.ragworthook.core.error.AccessException;
+import org.ragworthook.core.error.ConfigException;
 import org.ragworthook.core.error.ErrorCode;
 import org.ragworthook.core.log.EventLog;
 
@@ -37,6 +38,7 @@
 	 * @param request the call
 	 * @return the operator's name
 	 * @throws AccessException if the key is missing, unknown or a caller's
+	 * @throws ConfigException if no contract is in force, so that keys are not known yet
 	 */
 	String operator(HttpServerRequest request) {
 		String header = request.getHeader("Authorization");
@@ -48,9 +50,25 @@
 		return contract.flatMap((present) -> present.operatorOfKey(key))
 			.map(Operator::name)
 			.or(() -> ofSettings(KeyHash.of(key)))
-			.orElseThrow(() -> contract.flatMap((present) -> present.accountOfKey(key)).isPresent()
-					? refused(request, ErrorCode.ACCESS_FORBIDDEN, "the key is an account's, not an operator's")
-					: refused(request, ErrorCode.ACCESS_UNKNOWN_KEY, "the key is no operator's"));
+			.orElseThrow(() -> unknown(request, contract, key));
+	}
+
+	/**
+	 * Says why a key is refused. An entry that has just started knows no contract yet;
+	 * told that his key is wrong, an operator would look for a fault where there is none.
+	 * @param request the call
+	 * @param contract the contract in force, or empty
+	 * @param key the key that was sent
+	 * @return the error
+	 */
+	private static RuntimeException unknown(HttpServerRequest request, Optional<Contract> contract, String key) {
+		if (contract.isEmpty()) {
+			return new ConfigException(ErrorCode.CONFIG_ABSENT,
+					"no contract is in force here and the settings do " + "not hold the key");
+		}
+		return contract.get().accountOfKey(key).isPresent()
+				? refused(request, ErrorCode.ACCESS_FORBIDDEN, "the key is an account's, not an operator's")
+				: refused(request, ErrorCode.ACCESS_UNKNOWN_KEY, "the key is no operator's");
 	}
 
 	private Optional<String> ofSettings(KeyHash hash) {
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/whole/ControlTests.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/whole/ControlTests.java
@@ -93,6 +93,7 @@
 	@Test
 	void shouldRefuseTheSecondOfTwoRacingOperators() {
 		URI second = this.fleet.entry();
+		this.fleet.awaitServing();
 		assertThat(apply(this.entry, 1, weight(2)).statusCode()).isEqualTo(200);
 		HttpResponse<String> refused = apply(second, 1, weight(3));
 		assertThat(refused.statusCode()).isEqualTo(409);
