Keep requests away from upstreams that are down

Change: a sidecar whose upstream cannot be reached, or runs a suspect alone, reports a limit of 0, and asks its upstream until it answers; entries count it as full.

--- a/modules/core/src/main/java/org/ragworthook/core/admission/PriorityGate.java
+++ b/modules/core/src/main/java/org/ragworthook/core/admission/PriorityGate.java
@@ -305,7 +305,8 @@
 		int held = (this.exclusive.isPresent() && !this.running.containsKey(this.exclusive.get().offer().run())) ? 1
 				: 0;
 		return new GateLoad(this.running.size() - this.batchRunning, this.batchRunning,
-				this.online.size() + this.suspects.size() + held, this.batch.size(), this.limit.value(), room);
+				this.online.size() + this.suspects.size() + held, this.batch.size(),
+				this.exclusive.isPresent() ? 0 : this.limit.value(), room);
 	}
 
 	private record Waiting(Offer offer, boolean batch, long sinceNanos) {
--- a/modules/core/src/main/java/org/ragworthook/core/routing/Upstream.java
+++ b/modules/core/src/main/java/org/ragworthook/core/routing/Upstream.java
@@ -87,11 +87,11 @@
 	 * since are not in it, and some that it counts have ended. Only what exceeds the
 	 * entry's own count is taken from it, as the load that others bring.
 	 * @param online online requests that run or wait there
-	 * @param limit how many requests the engine runs at once
+	 * @param limit how many requests the engine runs at once; 0 while it takes none
 	 */
 	public void reported(int online, int limit) {
 		long others = Math.max(0, online - this.outstanding.get());
-		this.report.set((others << 32) | Math.max(1, limit));
+		this.report.set((others << 32) | Math.max(0, limit));
 	}
 
 	/**
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/CrashWatch.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/CrashWatch.java
@@ -7,9 +7,7 @@
 import java.util.function.IntSupplier;
 
 import io.vertx.core.Vertx;
-import io.vertx.core.http.HttpMethod;
 import org.ragworthook.core.log.EventLog;
-import org.ragworthook.daemon.engine.UpstreamClient;
 
 /**
  * Tells a crash of the upstream from an answer that merely broke off.
@@ -26,13 +24,9 @@
 
 	private static final long WINDOW_MILLIS = 20;
 
-	private static final long PROBE_MILLIS = 500;
-
-	private static final String PROBE_PATH = "/health";
-
 	private final Vertx vertx;
 
-	private final UpstreamClient upstream;
+	private final UpstreamHealth health;
 
 	private final IntSupplier inFlight;
 
@@ -42,9 +36,9 @@
 
 	private int crashes;
 
-	CrashWatch(Vertx vertx, UpstreamClient upstream, IntSupplier inFlight) {
+	CrashWatch(Vertx vertx, UpstreamHealth health, IntSupplier inFlight) {
 		this.vertx = Objects.requireNonNull(vertx, "vertx is null");
-		this.upstream = Objects.requireNonNull(upstream, "upstream is null");
+		this.health = Objects.requireNonNull(health, "health is null");
 		this.inFlight = Objects.requireNonNull(inFlight, "inFlight is null");
 	}
 
@@ -61,12 +55,7 @@
 	}
 
 	private void probe() {
-		this.upstream.http()
-			.request(this.upstream.options(HttpMethod.GET, PROBE_PATH)
-				.setConnectTimeout(PROBE_MILLIS)
-				.setIdleTimeout(PROBE_MILLIS))
-			.compose((request) -> request.send())
-			.onComplete((answer) -> judge(answer.failed()));
+		this.health.probe().onComplete((answer) -> judge(answer.failed()));
 	}
 
 	private void judge(boolean gone) {
@@ -76,6 +65,7 @@
 		boolean crashed = gone || allBroke;
 		if (crashed) {
 			this.crashes++;
+			this.health.lost();
 			LOG.warning("upstream_crashed", "in_flight", this.together, "crashes", this.crashes);
 		}
 		Verdict verdict = new Verdict(crashed, Math.max(this.together, judged.size()));
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/SidecarRuns.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/SidecarRuns.java
@@ -66,6 +66,8 @@
 
 	private final EngineGate gate;
 
+	private final UpstreamHealth health;
+
 	private final CrashWatch crashes;
 
 	private final ItemFence fence = new ItemFence();
@@ -88,7 +90,8 @@
 		this.ticker = Objects.requireNonNull(ticker, "ticker is null");
 		this.gate = Objects.requireNonNull(gate, "gate is null");
 		this.metrics = Objects.requireNonNull(metrics, "metrics is null");
-		this.crashes = new CrashWatch(context.owner(), upstream,
+		this.health = new UpstreamHealth(context.owner(), upstream, this::healthChanged);
+		this.crashes = new CrashWatch(context.owner(), this.health,
 				() -> (int) this.active.values().stream().filter(ActiveRun::passedOn).count());
 		this.load = newLoad();
 		context.runOnContext((ignored) -> {
@@ -111,6 +114,11 @@
 		}
 	}
 
+	private void healthChanged() {
+		this.load = newLoad();
+		report();
+	}
+
 	/**
 	 * Returns how busy the upstream is.
 	 * @return the newest count
@@ -247,8 +255,8 @@
 			.setBatchRunning(counts.batchRunning())
 			.setOnlineQueued(counts.onlineQueued())
 			.setBatchQueued(counts.batchQueued())
-			.setLimit(counts.limit())
-			.setBatchRoom(counts.batchRoom())
+			.setLimit(this.health.reachable() ? counts.limit() : 0)
+			.setBatchRoom(this.health.reachable() ? counts.batchRoom() : 0)
 			.setCrashes(this.crashes.crashes())
 			.build();
 	}
@@ -312,6 +320,9 @@
 
 		private void finish(CallEnd end, CrashWatch.Verdict verdict) {
 			SidecarRuns.this.active.remove(this.run.key());
+			if (end.kind() == CallEnd.Kind.NOT_PASSED_ON) {
+				SidecarRuns.this.health.lost();
+			}
 			List<GateAction> next = this.run.yielding() ? SidecarRuns.this.gate.preempted(this.run.key())
 					: SidecarRuns.this.gate.finished(this.run.key(), this.run.ending(end), end.tokens());
 			this.run.done(done(this.run.outcome(end, verdict.crashed()), end.detail()).setText(end.text())
