Test that callers keep away from an engine that is down

Change: an engine crashes and comes back; callers get whole answers throughout, the entry counts its slots out and in again.

--- a/modules/daemon/src/test/java/org/ragworthook/daemon/entry/OnlineFailureTests.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/entry/OnlineFailureTests.java
@@ -250,6 +250,27 @@
 		return socket;
 	}
 
+	/**
+	 * An engine has crashed and refuses connections while it restarts. Refusals come
+	 * quickly, so it looks like the idlest of all; callers would be told that their
+	 * requests were not run although other engines could have run them.
+	 */
+	@Test
+	void shouldKeepAwayFromEngineThatIsDownUntilItIsBack() {
+		FakeUpstream good = this.fleet.served("desk", 4);
+		FakeUpstream bad = this.fleet.served("desk", 4);
+		TestFleet.await(() -> this.fleet.limit("desk") == 8);
+		bad.crash();
+		TestFleet.await(() -> {
+			CompletableFuture<HttpResponse<String>> answer = this.caller.chat("hello", true);
+			good.next().greet().tokens("a").finish();
+			assertThat(Caller.await(answer).statusCode()).isEqualTo(200);
+			return this.fleet.limit("desk") == 4;
+		});
+		bad.comeBack();
+		TestFleet.await(() -> this.fleet.limit("desk") == 8);
+	}
+
 	/**
 	 * One engine does not hold the model, as after an order to unload it. Its refusal
 	 * must not reach callers while another engine holds the model.
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/entry/TestFleet.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/entry/TestFleet.java
@@ -27,6 +27,7 @@
 import org.ragworthook.core.fleet.Instance;
 import org.ragworthook.core.fleet.Role;
 import org.ragworthook.core.lease.Lease;
+import org.ragworthook.core.routing.Upstream;
 import org.ragworthook.core.store.Draft;
 import org.ragworthook.core.store.MemoryObjectStore;
 import org.ragworthook.daemon.EventLoops;
@@ -130,6 +131,13 @@
 			.anyMatch((upstream) -> upstream.instance().link().equals(address))));
 	}
 
+	/**
+	 * Returns how many requests the first entry takes the upstreams of a service to run.
+	 */
+	int limit(String service) {
+		return this.directories.get(0).router(service).table().upstreams().stream().mapToInt(Upstream::limit).sum();
+	}
+
 	void unlist(Address address) {
 		this.listed.removeIf((instance) -> instance.link().equals(address));
 	}
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/fake/FakeUpstream.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/fake/FakeUpstream.java
@@ -37,7 +37,7 @@
 
 	private FakeUpstream(Vertx vertx) {
 		this.vertx = vertx;
-		listen();
+		listen(0);
 	}
 
 	/**
@@ -49,12 +49,16 @@
 		return new FakeUpstream(vertx);
 	}
 
-	private void listen() {
+	private void listen(int wanted) {
 		this.server = this.vertx.createHttpServer().connectionHandler((connection) -> {
 			this.connections.add(connection);
 			connection.closeHandler((ignored) -> this.connections.remove(connection));
 		}).requestHandler(this::take);
-		this.port = this.server.listen(0, "127.0.0.1").toCompletionStage().toCompletableFuture().join().actualPort();
+		this.port = this.server.listen(wanted, "127.0.0.1")
+			.toCompletionStage()
+			.toCompletableFuture()
+			.join()
+			.actualPort();
 	}
 
 	private void take(HttpServerRequest request) {
@@ -111,6 +115,13 @@
 		return "http://127.0.0.1:" + this.port;
 	}
 
+	/**
+	 * Listens again where it did before it crashed.
+	 */
+	public void comeBack() {
+		listen(this.port);
+	}
+
 	/**
 	 * Crashes and comes back as soon as it has been found gone: every connection breaks,
 	 * and the next look at its health fails.
