Go by the engine's report of its queue when learning its limit

The learnt limit rose to 8 to 14 of 16 and fell again: a batch request takes the place of one that has just ended and waits a whole step, which against the baseline of an idle engine looked like a queue; a report of one waiting request, which each new one is for part of a step, lowered it too; and probes at half the limit met the next burst of batch. Change: two reports in a row count as a queue, an empty report overrules slow first outputs for three windows, probes run only in use and without reports, and growth speeds up while no queue shows. ConcurrencyLimitTests.shouldFallOnceForOneQueue took the value after a growth of one; it now takes 85 % of whatever the value was.

--- a/modules/core/src/main/java/org/ragworthook/core/admission/ConcurrencyLimit.java
+++ b/modules/core/src/main/java/org/ragworthook/core/admission/ConcurrencyLimit.java
@@ -21,6 +21,12 @@
 
 	private static final double LOWER = 0.85;
 
+	private static final double LARGEST_STEP = 4;
+
+	private static final int REPORTS_OF_QUEUE = 2;
+
+	private static final int REPORT_WINDOWS = 3;
+
 	private static final int PROBE_SAMPLES = 8;
 
 	private static final int PROBE_EVERY = 64;
@@ -57,6 +63,12 @@
 
 	private boolean strained;
 
+	private int quickWindows;
+
+	private int reportAge = REPORT_WINDOWS + 1;
+
+	private int waitingReports;
+
 	private ConcurrencyLimit(Builder builder) {
 		this.minimum = builder.minimum;
 		this.maximum = builder.maximum;
@@ -139,13 +151,40 @@
 		sampled();
 	}
 
+	/**
+	 * Learns how many requests wait in the engine's own queue, from the engine's lagging
+	 * report. Engines let requests in between two steps, so that one which has just come
+	 * shows as waiting; only two reports in a row count as a queue. Where a report says
+	 * that there is none, slow first outputs have another cause: a request that takes the
+	 * place of one that has just ended always waits for a whole step, and against the
+	 * baseline of an idle engine that looks like a queue.
+	 * @param waiting requests in the engine's queue
+	 */
+	public void queueReported(int waiting) {
+		this.reportAge = 0;
+		this.waitingReports = (waiting > 0) ? this.waitingReports + 1 : 0;
+		if (this.waitingReports >= REPORTS_OF_QUEUE) {
+			overloaded();
+		}
+	}
+
+	private boolean reportedEmpty() {
+		return this.reportAge <= REPORT_WINDOWS && this.waitingReports < REPORTS_OF_QUEUE;
+	}
+
 	private void closeWindow() {
+		this.reportAge++;
 		if (this.untilProbe == 0) {
 			endProbe();
 		}
 		else {
 			adjust();
-			this.untilProbe--;
+			// A probe of an engine that is hardly used would last long and meet the next
+			// burst
+			// with half the slots; one that reports its queue needs none.
+			if (this.inUse && !reportedEmpty()) {
+				this.untilProbe--;
+			}
 		}
 		this.windowMinimum = Long.MAX_VALUE;
 		this.tokens = 0;
@@ -158,8 +197,9 @@
 	// First outputs that are much quicker at half the limit show that the engine had a
 	// queue all along, even if no window was slower than the one before.
 	private void endProbe() {
-		if (muchSlower(this.baselineNanos, this.windowMinimum)) {
+		if (!reportedEmpty() && muchSlower(this.baselineNanos, this.windowMinimum)) {
 			this.limit = probeValue();
+			this.quickWindows = 0;
 			this.untilProbe = PROBE_AGAIN;
 		}
 		else {
@@ -173,18 +213,27 @@
 	}
 
 	private void adjust() {
-		boolean slow = muchSlower(this.windowMinimum, this.baselineNanos);
+		boolean slow = !reportedEmpty() && muchSlower(this.windowMinimum, this.baselineNanos);
 		if (slow || slowTokens()) {
 			if (!this.strained) {
 				lower();
 			}
 		}
 		else if (this.inUse && !this.strained) {
-			this.limit = Math.min(this.maximum, this.limit + 1);
+			this.limit = Math.min(this.maximum, this.limit + step());
 		}
 		this.baselineNanos = Math.min(this.baselineNanos, this.windowMinimum);
 	}
 
+	// The more windows in a row show no queue, the larger the step: by one at a time a
+	// sidecar that has just started, or whose engine was slow once, would leave half of
+	// the
+	// engine idle for many seconds, and idle capacity lasts only seconds.
+	private double step() {
+		this.quickWindows++;
+		return Math.max(1, Math.min(this.quickWindows, this.limit / LARGEST_STEP));
+	}
+
 	private boolean slowTokens() {
 		return this.tokenTargetNanos > 0 && this.tokens > 0 && this.tokenNanos / this.tokens > this.tokenTargetNanos;
 	}
@@ -204,6 +253,7 @@
 	}
 
 	private void lower() {
+		this.quickWindows = 0;
 		this.limit = Math.max(this.minimum, this.limit * LOWER);
 	}
 
--- a/modules/core/src/main/java/org/ragworthook/core/admission/PriorityGate.java
+++ b/modules/core/src/main/java/org/ragworthook/core/admission/PriorityGate.java
@@ -165,9 +165,7 @@
 
 	@Override
 	public void engineWaiting(int waiting) {
-		if (waiting > 0) {
-			this.limit.overloaded();
-		}
+		this.limit.queueReported(waiting);
 	}
 
 	@Override
--- a/modules/core/src/test/java/org/ragworthook/core/admission/ConcurrencyLimitTests.java
+++ b/modules/core/src/test/java/org/ragworthook/core/admission/ConcurrencyLimitTests.java
@@ -46,6 +46,46 @@
 		assertThat(sum / 1_000).isAtLeast(capacity * 3L / 4);
 	}
 
+	/**
+	 * Under constant batch each request takes the place of one that has just ended and
+	 * waits for a whole step of the engine, twice as long as on the idle engine of the
+	 * night. Taken for a queue this would keep half of the slots empty while batch waits.
+	 */
+	@Test
+	void shouldRiseWhileTheEngineReportsNoQueue() {
+		ConcurrencyLimit limit = ConcurrencyLimit.builder().bounds(2, 16).initial(8).build();
+		window(limit, FIRST / 8);
+		for (int i = 0; i < 20; i++) {
+			limit.queueReported((i % 3 == 0) ? 1 : 0);
+			window(limit, FIRST);
+		}
+		assertThat(limit.value()).isEqualTo(16);
+	}
+
+	@Test
+	void shouldFallWhenTwoReportsInARowShowAQueue() {
+		ConcurrencyLimit limit = ConcurrencyLimit.builder().initial(100).build();
+		limit.queueReported(1);
+		assertThat(limit.value()).isEqualTo(100);
+		limit.queueReported(3);
+		assertThat(limit.value()).isEqualTo(85);
+	}
+
+	/**
+	 * The engine stops to report. Its last word, that there is no queue, must not hold
+	 * for ever, or callers would wait behind batch in a queue that nobody sees.
+	 */
+	@Test
+	void shouldGoByFirstOutputsAgainWhenReportsStop() {
+		ConcurrencyLimit limit = ConcurrencyLimit.builder().initial(100).build();
+		window(limit, FIRST / 8);
+		limit.queueReported(0);
+		for (int i = 0; i < 12; i++) {
+			window(limit, FIRST);
+		}
+		assertThat(limit.value()).isLessThan(100);
+	}
+
 	@Test
 	void shouldNotRiseWhileUnused() {
 		ConcurrencyLimit limit = ConcurrencyLimit.builder().initial(8).build();
@@ -70,10 +110,25 @@
 	void shouldFallOnceForOneQueue() {
 		ConcurrencyLimit limit = ConcurrencyLimit.builder().initial(100).build();
 		window(limit, FIRST);
+		int before = limit.value();
 		for (int i = 0; i < 10; i++) {
 			limit.overloaded();
 		}
-		assertThat(limit.value()).isEqualTo(85);
+		assertThat(limit.value()).isEqualTo(before * 85 / 100);
+	}
+
+	/**
+	 * A sidecar starts beside an engine with twice the slots that it first takes it to
+	 * have. Grown by one at a time the limit would leave half the engine idle for as long
+	 * as a burst of batch lasts.
+	 */
+	@Test
+	void shouldDoubleWithinSixWindowsAfterTheStart() {
+		ConcurrencyLimit limit = ConcurrencyLimit.builder().initial(8).build();
+		for (int i = 0; i < 6; i++) {
+			window(limit, FIRST);
+		}
+		assertThat(limit.value()).isAtLeast(16);
 	}
 
 	@Test
