Keep batch items away from engines that lack their model

Change: such an answer counts as not passed on, and the upstream as without the model for 2 s, as for online requests. Conclusion: a model that no engine ever gets still holds its items back; the job shows as late.

--- a/modules/core/src/main/java/org/ragworthook/core/routing/Upstream.java
+++ b/modules/core/src/main/java/org/ragworthook/core/routing/Upstream.java
@@ -1,5 +1,6 @@
 package org.ragworthook.core.routing;
 
+import java.time.Duration;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
@@ -16,6 +17,9 @@
  */
 public final class Upstream {
 
+	/** How long a model counts as missing after the upstream's own answer said so. */
+	public static final Duration LACKING = Duration.ofSeconds(2);
+
 	private static final int UNKNOWN_LIMIT = 16;
 
 	private final Instance instance;
@@ -136,7 +140,13 @@
 		this.lacking.put(model, untilNanos);
 	}
 
-	boolean serves(String model, long now) {
+	/**
+	 * Tells whether a model can be asked for here, as far as it is known.
+	 * @param model the model, or the empty text for a request that names none
+	 * @param now the ticker's reading
+	 * @return false while it is known to be missing
+	 */
+	public boolean serves(String model, long now) {
 		Set<String> loaded = this.models;
 		if (model.isEmpty()) {
 			return true;
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/batch/BatchPart.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/batch/BatchPart.java
@@ -79,7 +79,7 @@
 		this.stamps = Stamps.of(instance);
 		Timers timers = thread.timers(VertxTimers.of(vertx));
 		InstantSource clock = InstantSource.system();
-		this.sender = new LinkItemSender(directory, contract, thread, clock);
+		this.sender = new LinkItemSender(directory, contract, thread, clock, Ticker.system());
 		int shards = settings.limits().shards();
 		FileIntake files = FileIntake.builder(this.store, this.stamps, timers, clock)
 			.shards(shards)
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/batch/ItemExchange.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/batch/ItemExchange.java
@@ -7,6 +7,8 @@
 import com.google.protobuf.ByteString;
 import org.ragworthook.core.job.ItemOutcome;
 import org.ragworthook.core.job.JobId;
+import org.ragworthook.core.routing.Upstream;
+import org.ragworthook.core.time.Ticker;
 import org.ragworthook.daemon.entry.Exchange;
 import org.ragworthook.daemon.entry.Sidecar;
 import org.ragworthook.wire.message.Done;
@@ -18,22 +20,30 @@
  */
 final class ItemExchange implements Exchange {
 
+	private static final int NOT_FOUND = 404;
+
 	private final Sidecar sidecar;
 
 	private final JobId job;
 
 	private final String request;
 
+	private final String model;
+
+	private final Ticker ticker;
+
 	private final CompletableFuture<ItemOutcome> outcome = new CompletableFuture<>();
 
 	private ByteString body = ByteString.EMPTY;
 
 	private int status;
 
-	ItemExchange(Sidecar sidecar, JobId job, String request) {
+	ItemExchange(Sidecar sidecar, JobId job, String request, String model, Ticker ticker) {
 		this.sidecar = Objects.requireNonNull(sidecar, "sidecar is null");
 		this.job = Objects.requireNonNull(job, "job is null");
 		this.request = Objects.requireNonNull(request, "request is null");
+		this.model = Objects.requireNonNull(model, "model is null");
+		this.ticker = Objects.requireNonNull(ticker, "ticker is null");
 	}
 
 	JobId job() {
@@ -67,7 +77,7 @@
 
 	private ItemOutcome read(Done done) {
 		return switch (done.getOutcome()) {
-			case OUTCOME_ANSWERED -> new ItemOutcome.Answered(this.status, this.body.toStringUtf8());
+			case OUTCOME_ANSWERED -> answered();
 			case OUTCOME_NOT_PASSED_ON -> new ItemOutcome.NotPassedOn(Duration.ofMillis(done.getRetryAfterMillis()));
 			case OUTCOME_YIELDED -> new ItemOutcome.Yielded(done.getText(), done.getTokens());
 			case OUTCOME_CANCELLED -> new ItemOutcome.Cancelled();
@@ -77,6 +87,21 @@
 		};
 	}
 
+	/**
+	 * An engine from which a model was unloaded answers that it does not know it,
+	 * quickly, so that it would get one item after the other. Taken for the items'
+	 * answers, that would end a part of a job as failed which other engines could have
+	 * run.
+	 * @return the outcome
+	 */
+	private ItemOutcome answered() {
+		if (this.status == NOT_FOUND && !this.model.isEmpty()) {
+			this.sidecar.upstream().lacks(this.model, this.ticker.nanos() + Upstream.LACKING.toNanos());
+			return new ItemOutcome.NotPassedOn(Duration.ZERO);
+		}
+		return new ItemOutcome.Answered(this.status, this.body.toStringUtf8());
+	}
+
 	@Override
 	public void lost() {
 		this.outcome.complete(new ItemOutcome.Broken("the link to the sidecar was lost"));
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/batch/LinkItemSender.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/batch/LinkItemSender.java
@@ -21,6 +21,7 @@
 import org.ragworthook.core.job.ItemSender;
 import org.ragworthook.core.job.JobId;
 import org.ragworthook.core.lease.Lease;
+import org.ragworthook.core.time.Ticker;
 import org.ragworthook.daemon.entry.RequestReader;
 import org.ragworthook.daemon.entry.Sidecar;
 import org.ragworthook.daemon.entry.UpstreamDirectory;
@@ -46,16 +47,19 @@
 
 	private final InstantSource clock;
 
+	private final Ticker ticker;
+
 	private final Map<Sidecar, SidecarRoom> rooms = new ConcurrentHashMap<>();
 
 	private final Map<String, ItemExchange> running = new ConcurrentHashMap<>();
 
 	LinkItemSender(UpstreamDirectory directory, Supplier<Optional<Contract>> contract, BatchThread thread,
-			InstantSource clock) {
+			InstantSource clock, Ticker ticker) {
 		this.directory = Objects.requireNonNull(directory, "directory is null");
 		this.contract = Objects.requireNonNull(contract, "contract is null");
 		this.thread = Objects.requireNonNull(thread, "thread is null");
 		this.clock = Objects.requireNonNull(clock, "clock is null");
+		this.ticker = Objects.requireNonNull(ticker, "ticker is null");
 	}
 
 	// -- room
@@ -72,10 +76,12 @@
 
 	private List<Sidecar> sidecars(String route) {
 		Optional<String> service = service(route);
+		String model = route.startsWith(SERVICES) ? "" : route;
 		return service
 			.map((name) -> this.directory.sidecars()
 				.stream()
 				.filter((sidecar) -> sidecar.service().equals(name) && sidecar.takes(Lane.LANE_BATCH))
+				.filter((sidecar) -> sidecar.upstream().serves(model, this.ticker.nanos()))
 				.toList())
 			.orElse(List.of());
 	}
@@ -119,7 +125,8 @@
 		}
 		Run run = run(request);
 		String key = run.getRequest() + "/" + run.getAttempt();
-		ItemExchange exchange = new ItemExchange(chosen.get(), request.name().job(), run.getRequest());
+		ItemExchange exchange = new ItemExchange(chosen.get(), request.name().job(), run.getRequest(),
+				request.item().model(), this.ticker);
 		this.running.put(key, exchange);
 		roomAt(chosen.get()).sent();
 		if (!chosen.get().start(Lane.LANE_BATCH, run, exchange)) {
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/OnlineAttempt.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/OnlineAttempt.java
@@ -1,10 +1,10 @@
 package org.ragworthook.daemon.entry;
 
-import java.time.Duration;
 import java.util.Objects;
 
 import org.ragworthook.core.retry.AttemptOutcome;
 import org.ragworthook.core.routing.Choice;
+import org.ragworthook.core.routing.Upstream;
 import org.ragworthook.wire.message.Done;
 import org.ragworthook.wire.message.Lane;
 import org.ragworthook.wire.message.Output;
@@ -16,8 +16,6 @@
  */
 final class OnlineAttempt implements Exchange {
 
-	private static final Duration LACKING = Duration.ofSeconds(2);
-
 	private final OnlineExchange exchange;
 
 	private final Choice choice;
@@ -103,7 +101,8 @@
 	// yet
 	// or not any more; others have. It ran nothing.
 	private void lacksModel() {
-		this.choice.upstream().lacks(this.exchange.model(), this.exchange.path().ticker().nanos() + LACKING.toNanos());
+		this.choice.upstream()
+			.lacks(this.exchange.model(), this.exchange.path().ticker().nanos() + Upstream.LACKING.toNanos());
 		end(AttemptOutcome.NOT_PASSED_ON, Choice.Fared.UNKNOWN, "the upstream does not hold the model");
 	}
 
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/whole/WholeFleet.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/whole/WholeFleet.java
@@ -92,9 +92,18 @@
 	 * @param slots how many requests the engine runs at once
 	 */
 	void upstream(int slots) {
+		upstream(slots, MODEL);
+	}
+
+	/**
+	 * Starts an engine that has one model loaded, and a sidecar beside it.
+	 * @param slots how many requests the engine runs at once
+	 * @param model the model
+	 */
+	void upstream(int slots, String model) {
 		ModelEngine engine = new ModelEngine(0,
 				EngineSettings.builder()
-					.models(List.of(MODEL))
+					.models(List.of(model))
 					.slots(slots)
 					.tokenTime(Duration.ofMillis(1), Duration.ZERO)
 					.build());
