End a planned stop with exit code 0

Cause: SETTINGS promises 0 after a graceful stop, but a Java process that ends by SIGTERM exits with 143; a supervisor would count each planned stop as a crash. Conclusion: a drain that was cut short still shows in the log only.

--- a/modules/daemon/src/main/java/org/ragworthook/daemon/Ragworthookd.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/Ragworthookd.java
@@ -99,18 +99,21 @@
 	}
 
 	/**
-	 * Stops gracefully on SIGTERM and SIGINT. The hook runs while the process is still
-	 * whole; the process ends when it returns.
+	 * Stops gracefully on SIGTERM and SIGINT. A Java process that ends by a signal has an
+	 * exit code of its own, 143 or 130, and whoever supervises it would take each planned
+	 * stop for a crash; so the hook ends the process itself once everything is closed.
 	 * @param process what to stop
 	 */
 	private static void stopOnSignal(DaemonProcess process) {
-		CountDownLatch stopped = new CountDownLatch(1);
+		CountDownLatch never = new CountDownLatch(1);
 		Runtime.getRuntime().addShutdownHook(new Thread(() -> {
 			process.close();
-			stopped.countDown();
+			System.out.flush();
+			System.err.flush();
+			Runtime.getRuntime().halt(0);
 		}, "stop"));
 		try {
-			stopped.await();
+			never.await();
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
