--- a/modules/daemon/src/test/java/org/ragworthook/daemon/whole/WholeFleet.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/whole/WholeFleet.java
@@ -123,16 +123,26 @@
 	 * @return its base URL
 	 */
 	URI entry() {
+		return entry("http", "");
+	}
+
+	/**
+	 * Starts an entry with further settings.
+	 * @param scheme http or https
+	 * @param more further keys of the settings, each with a comma before it
+	 * @return its base URL
+	 */
+	URI entry(String scheme, String more) {
 		String id = "entry-" + this.count++;
 		int port = freePort();
 		int link = freePort();
 		this.closer.add(EntryProcess.start(SettingsReader.parse(id, """
 				{"role": "entry", "instance": "%s", "region": "region", "failureDomain": "domain",
 				 "http": "127.0.0.1:%d", "link": "127.0.0.1:%d", %s,
-				 "limits": {"drainMillis": 100, "shards": 2, "leaseMillis": 600, "requestBytes": 65536}}
-				""".formatted(id, port, link, platform()))));
+				 "limits": {"drainMillis": 100, "shards": 2, "leaseMillis": 600, "requestBytes": 65536}%s}
+				""".formatted(id, port, link, platform(), more))));
 		list(id, "entry", "", "127.0.0.1:" + link);
-		URI url = URI.create("http://127.0.0.1:" + port);
+		URI url = URI.create(scheme + "://127.0.0.1:" + port);
 		this.entries.add(url);
 		return url;
 	}
