Unwrap failed futures in one place

Cause: six places took the wrapping exceptions off a failure, two of them one layer only. Change: core.job's Failures.root moves to core.error and is called by all; the two now take off every layer, as the others did.

--- a/modules/core/src/main/java/org/ragworthook/core/job/FileIntake.java
+++ b/modules/core/src/main/java/org/ragworthook/core/job/FileIntake.java
@@ -8,6 +8,7 @@
 import java.util.function.Function;
 
 import org.ragworthook.core.error.ErrorCode;
+import org.ragworthook.core.error.Failures;
 import org.ragworthook.core.error.JobException;
 import org.ragworthook.core.store.ConditionalWriter;
 import org.ragworthook.core.store.ObjectStore;
--- a/modules/core/src/main/java/org/ragworthook/core/job/JobIntake.java
+++ b/modules/core/src/main/java/org/ragworthook/core/job/JobIntake.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 
 import org.ragworthook.core.error.ErrorCode;
+import org.ragworthook.core.error.Failures;
 import org.ragworthook.core.error.JobException;
 import org.ragworthook.core.store.ConditionalWriter;
 import org.ragworthook.core.store.ObjectStore;
--- a/modules/core/src/main/java/org/ragworthook/core/job/Upload.java
+++ b/modules/core/src/main/java/org/ragworthook/core/job/Upload.java
@@ -9,6 +9,7 @@
 import org.apache.commons.codec.binary.Hex;
 import org.apache.commons.codec.digest.DigestUtils;
 import org.ragworthook.core.error.ErrorCode;
+import org.ragworthook.core.error.Failures;
 import org.ragworthook.core.error.JobException;
 import org.ragworthook.core.store.ConditionalWriter;
 import org.ragworthook.core.store.Labels;
--- a/modules/core/src/main/java/org/ragworthook/core/store/ConditionalWriter.java
+++ b/modules/core/src/main/java/org/ragworthook/core/store/ConditionalWriter.java
@@ -3,10 +3,10 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.function.Supplier;
 
 import org.ragworthook.core.error.ErrorCode;
+import org.ragworthook.core.error.Failures;
 import org.ragworthook.core.error.StoreException;
 
 /**
@@ -142,10 +142,7 @@
 	 * @return the code, or empty if it is no error of the store
 	 */
 	public static Optional<ErrorCode> codeOf(Throwable failure) {
-		Throwable cause = failure;
-		while (cause instanceof CompletionException && cause.getCause() != null) {
-			cause = cause.getCause();
-		}
+		Throwable cause = Failures.root(failure);
 		return (cause instanceof StoreException store) ? Optional.of(store.code()) : Optional.empty();
 	}
 
--- a/modules/core/src/test/java/org/ragworthook/core/job/ShardOwnerTests.java
+++ b/modules/core/src/test/java/org/ragworthook/core/job/ShardOwnerTests.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.ragworthook.core.error.ErrorCode;
+import org.ragworthook.core.error.Failures;
 import org.ragworthook.core.error.JobException;
 import org.ragworthook.core.store.FaultyObjectStore.Fault;
 import org.ragworthook.core.store.Kind;
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/control/SidecarOrders.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/control/SidecarOrders.java
@@ -6,13 +6,13 @@
 import java.util.Objects;
 import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.json.JsonObject;
 import org.ragworthook.core.error.ErrorCode;
+import org.ragworthook.core.error.Failures;
 import org.ragworthook.core.error.OrderException;
 import org.ragworthook.core.error.RagworthookException;
 import org.ragworthook.core.log.EventLog;
@@ -148,8 +148,7 @@
 	}
 
 	private static void refuse(Link link, Order order, Throwable failure) {
-		Throwable cause = (failure instanceof CompletionException && failure.getCause() != null) ? failure.getCause()
-				: failure;
+		Throwable cause = Failures.root(failure);
 		ErrorCode code = (cause instanceof RagworthookException error) ? error.code() : ErrorCode.ORDER_FAILED;
 		String detail = (cause instanceof RagworthookException error) ? error.detail() : String.valueOf(cause);
 		LOG.warning("order_refused", "id", order.getId(), "verb", order.getVerb(), "epoch", order.getEpoch(), "code",
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/ClaimDesk.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/ClaimDesk.java
@@ -6,7 +6,6 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -16,6 +15,7 @@
 import org.ragworthook.core.claim.ClaimKey;
 import org.ragworthook.core.claim.ClaimLog;
 import org.ragworthook.core.error.ErrorCode;
+import org.ragworthook.core.error.Failures;
 import org.ragworthook.core.error.RagworthookException;
 import org.ragworthook.core.error.RequestException;
 import org.ragworthook.core.lease.Lease;
@@ -129,8 +129,7 @@
 	// Whatever went wrong, this entry does not pass the request on, so that "not run" is
 	// true of it unless the key was taken before.
 	private static RequestException refusal(Throwable failure) {
-		Throwable cause = (failure instanceof CompletionException && failure.getCause() != null) ? failure.getCause()
-				: failure;
+		Throwable cause = Failures.root(failure);
 		if (cause instanceof RagworthookException known
 				&& (known.code() == ErrorCode.REQUEST_KEY_TAKEN || known.code() == ErrorCode.REQUEST_KEY_REUSED)) {
 			return new RequestException(known.code(), known.detail());
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/http/ErrorResponses.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/http/ErrorResponses.java
@@ -3,13 +3,13 @@
 import java.time.Duration;
 import java.util.Locale;
 import java.util.Objects;
-import java.util.concurrent.CompletionException;
 
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.json.JsonObject;
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
 import org.ragworthook.core.error.ErrorCode;
+import org.ragworthook.core.error.Failures;
 import org.ragworthook.core.error.RagworthookException;
 import org.ragworthook.core.error.RequestException;
 import org.ragworthook.core.log.EventLog;
@@ -98,10 +98,7 @@
 	}
 
 	private static RagworthookException known(Throwable failure) {
-		Throwable cause = failure;
-		while (cause instanceof CompletionException && cause.getCause() != null) {
-			cause = cause.getCause();
-		}
+		Throwable cause = Failures.root(failure);
 		if (cause instanceof RagworthookException error) {
 			return error;
 		}
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/peer/LinkCalls.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/peer/LinkCalls.java
@@ -5,12 +5,12 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 
 import com.google.protobuf.ByteString;
 import org.ragworthook.core.error.ErrorCode;
+import org.ragworthook.core.error.Failures;
 import org.ragworthook.core.error.LinkException;
 import org.ragworthook.core.error.RagworthookException;
 import org.ragworthook.core.time.Timers;
@@ -146,10 +146,7 @@
 	}
 
 	private static RagworthookException known(Throwable failure) {
-		Throwable cause = failure;
-		while (cause instanceof CompletionException && cause.getCause() != null) {
-			cause = cause.getCause();
-		}
+		Throwable cause = Failures.root(failure);
 		return (cause instanceof RagworthookException error) ? error
 				: new LinkException(ErrorCode.INTERNAL, String.valueOf(cause));
 	}
