--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/Frontend.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/Frontend.java
@@ -26,7 +26,7 @@
  * Takes the requests of callers: reads each whole, finds its route and hands it to the
  * online path or to the desk of batch jobs.
  */
-public final class Frontend implements AutoCloseable {
+public final class Frontend {
 
 	private static final EventLog LOG = EventLog.of(Frontend.class);
 
@@ -34,6 +34,9 @@
 
 	private static final int LARGEST_LINE = 16_384;
 
+	/** Connections that may wait to be accepted: all clients of a few entries at once. */
+	private static final int BACKLOG = 1_024;
+
 	private static final Duration SWEEP = Duration.ofMillis(1_000);
 
 	/**
@@ -50,7 +53,7 @@
 
 	private final JobDesk jobs;
 
-	private final HttpServer server;
+	private final Vertx vertx;
 
 	private final Map<HttpConnection, Usage> connections = new HashMap<>();
 
@@ -59,18 +62,10 @@
 	private int open;
 
 	private Frontend(Vertx vertx, OnlineContext context, JobDesk jobs) {
+		this.vertx = vertx;
 		this.context = context;
 		this.queues = new OnlineQueues(context);
 		this.jobs = jobs;
-		this.server = vertx
-			.createHttpServer(new HttpServerOptions().setMaxHeaderSize(LARGEST_HEAD)
-				.setMaxInitialLineLength(LARGEST_LINE)
-				.setTcpNoDelay(true)
-				.setTcpKeepAlive(true)
-				.setAcceptBacklog(1_024))
-			.connectionHandler(this::connected)
-			.requestHandler(this::handle)
-			.invalidRequestHandler(this::invalid);
 		context.upstreams().onChange(this.queues::changed);
 	}
 
@@ -92,8 +87,18 @@
 	 * @return completes once it listens
 	 */
 	public Future<Void> listen(Address address) {
-		this.context.timers().schedule(SWEEP, this::sweep);
-		return this.server.listen(address.port(), address.host()).mapEmpty();
+		HttpServer server = this.vertx
+			.createHttpServer(new HttpServerOptions().setMaxHeaderSize(LARGEST_HEAD)
+				.setMaxInitialLineLength(LARGEST_LINE)
+				.setTcpNoDelay(true)
+				.setTcpKeepAlive(true)
+				.setAcceptBacklog(BACKLOG))
+			.connectionHandler(this::connected)
+			.requestHandler(this::handle)
+			.invalidRequestHandler(this::invalid);
+		return server.listen(address.port(), address.host())
+			.onSuccess((listening) -> this.context.timers().schedule(SWEEP, this::sweep))
+			.mapEmpty();
 	}
 
 	/**
@@ -273,11 +278,6 @@
 		}
 	}
 
-	@Override
-	public void close() {
-		this.server.close();
-	}
-
 	/**
 	 * What a connection is used for.
 	 */
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
@@ -5,22 +5,27 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.function.Supplier;
 
 import io.netty.channel.EventLoop;
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
 import io.vertx.core.internal.ContextInternal;
 import org.ragworthook.core.error.Failures;
+import org.ragworthook.core.fleet.Address;
 import org.ragworthook.core.log.EventLog;
 import org.ragworthook.core.store.ConditionalWriter;
 import org.ragworthook.core.store.Stamps;
 import org.ragworthook.core.time.Ticker;
 import org.ragworthook.core.time.Timers;
 import org.ragworthook.gateway.feed.Change;
+import org.ragworthook.gateway.feed.Feed;
 import org.ragworthook.gateway.feed.FeedFollower;
 import org.ragworthook.gateway.feed.FeedListener;
 import org.ragworthook.gateway.feed.StoreHealth;
@@ -45,7 +50,7 @@
 /**
  * A running process: takes callers' requests, runs batch jobs, or both, by its settings.
  */
-public final class GatewayProcess {
+public final class GatewayProcess implements AutoCloseable {
 
 	private static final EventLog LOG = EventLog.of(GatewayProcess.class);
 
@@ -63,6 +68,8 @@
 	/** What is left of the grace when the process ends whatever is open. */
 	private static final Duration MARGIN = Duration.ofMillis(700);
 
+	private static final Duration LISTEN_AGAIN = Duration.ofMillis(200);
+
 	private static final Duration LOOK = Duration.ofMillis(50);
 
 	/** The share of an upstream's slots that batch items may take. */
@@ -94,6 +101,8 @@
 
 	private final UpstreamFeedListener upstreamFeed;
 
+	private final List<FeedFollower<?>> followers = new CopyOnWriteArrayList<>();
+
 	private Optional<Frontend> frontend = Optional.empty();
 
 	private Optional<JobRunner> runner = Optional.empty();
@@ -150,8 +159,8 @@
 		}
 	}
 
-	private <T> void follow(org.ragworthook.gateway.feed.Feed<T> feed, FeedListener<T> listener) {
-		FeedFollower.start(feed, listener, this.timers, this.loop, WATCH, this.health);
+	private <T> void follow(Feed<T> feed, FeedListener<T> listener) {
+		this.followers.add(FeedFollower.start(feed, listener, this.timers, this.loop, WATCH, this.health));
 	}
 
 	private void serveCallers(Placement placement, ConnectionPool connections) {
@@ -161,19 +170,29 @@
 				this.platform.jobFormat(), this.loop);
 		this.frontend = Optional.of(front);
 		this.loads.onReport(front::roomChanged);
-		listening("callers", front.listen(this.settings.front().orElseThrow()));
-		this.settings.readiness()
-			.ifPresent(
-					(address) -> listening("readiness", new ReadinessServer(this.vertx, this::ready).listen(address)));
+		Address address = this.settings.front().orElseThrow();
+		listen("callers", () -> front.listen(address));
+		this.settings.readiness().ifPresent((place) -> {
+			ReadinessServer readiness = new ReadinessServer(this.vertx, this::ready);
+			listen("readiness", () -> readiness.listen(place));
+		});
 	}
 
-	private static void listening(String what, io.vertx.core.Future<Void> listening) {
-		listening.onComplete((done) -> {
+	/**
+	 * Listens, and tries again while it cannot: the process before this one may hold the
+	 * port for a moment longer.
+	 * @param what for whom
+	 * @param server begins to listen
+	 */
+	private void listen(String what, Supplier<Future<Void>> server) {
+		server.get().onComplete((done) -> {
 			if (done.succeeded()) {
 				LOG.info("listening", "for", what);
+				return;
 			}
-			else {
-				LOG.warning("not_listening", "for", what, "error", done.cause());
+			LOG.warning("not_listening", "for", what, "error", done.cause());
+			if (!this.leaving) {
+				this.timers.schedule(LISTEN_AGAIN, () -> listen(what, server));
 			}
 		});
 	}
@@ -224,6 +243,17 @@
 				"ms", (this.ticker.nanos() - begun) / 1_000_000);
 	}
 
+	/**
+	 * Ends at once, whatever is open.
+	 */
+	@Override
+	public void close() {
+		this.leaving = true;
+		this.followers.forEach(FeedFollower::stop);
+		this.loads.close();
+		this.vertx.close().toCompletionStage().toCompletableFuture().join();
+	}
+
 	private boolean idle() {
 		CompletableFuture<Boolean> idle = new CompletableFuture<>();
 		this.loop.execute(() -> idle.complete(this.frontend.map((front) -> front.open() == 0).orElse(true)
