Let batch give slots back to online requests

Change: SlotSharing decides what batch may take and when it yields; entries report at once when a request goes to an engine that batch fills; an item that is cut goes on after its last event.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
@@ -76,6 +76,10 @@
 		return this.attempt != null;
 	}
 
+	boolean at(TrackedUpstream upstream) {
+		return this.attempt != null && this.attempt.upstream() == upstream;
+	}
+
 	boolean mayStart(long nowNanos) {
 		return this.attempt == null && (this.notBeforeNanos == Long.MIN_VALUE || this.notBeforeNanos - nowNanos <= 0);
 	}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
@@ -21,6 +21,7 @@
 import org.ragworthook.gateway.route.ConfigurationInForce;
 import org.ragworthook.gateway.route.Route;
 import org.ragworthook.gateway.upstream.Placement;
+import org.ragworthook.gateway.upstream.SlotSharing;
 import org.ragworthook.gateway.upstream.TrackedUpstream;
 import org.ragworthook.gateway.upstream.UpstreamRegistry;
 
@@ -135,6 +136,31 @@
 		}
 	}
 
+	/**
+	 * Takes items away from upstreams whose slots online requests need. Items of the jobs
+	 * that were accepted last go first.
+	 */
+	public void giveWay() {
+		for (TrackedUpstream upstream : this.parts.upstreams().all()) {
+			int count = SlotSharing.toYield(upstream);
+			if (count > 0) {
+				giveWay(upstream, count);
+			}
+		}
+	}
+
+	private void giveWay(TrackedUpstream upstream, int count) {
+		LOG.info("batch_yields", "upstream", upstream, "items", count, "online", upstream.onlineLoad(), "batch",
+				upstream.batchLoad());
+		this.jobs.values()
+			.stream()
+			.flatMap((job) -> job.runs().stream())
+			.filter((run) -> run.at(upstream))
+			.sorted(Comparator.comparingLong((ItemRun run) -> run.job().acceptedMillis()).reversed())
+			.limit(count)
+			.forEach(ItemRun::stop);
+	}
+
 	private void look(OwnedJob job, List<ItemRun> ready) {
 		if (job.phase() == OwnedJob.Phase.DONE) {
 			return;
@@ -280,7 +306,7 @@
 			return;
 		}
 		Optional<TrackedUpstream> choice = this.parts.placement()
-			.choose(this.parts.upstreams().serving(service), Set.of(), this.parts.room());
+			.choose(this.parts.upstreams().serving(service), Set.of(), SlotSharing::batchRoom);
 		if (choice.isEmpty()) {
 			full.add(service);
 			return;
@@ -329,7 +355,6 @@
 	 * @param configuration what the operator configured
 	 * @param upstreams the upstreams that take requests
 	 * @param placement chooses one of them
-	 * @param room tells which have room for an item
 	 * @param connections leads to them
 	 * @param headers the names of headers
 	 * @param ticker the time
@@ -339,8 +364,8 @@
 	 * @param loop the event loop
 	 */
 	public record Parts(JobStore store, JobOwners owners, ConfigurationInForce configuration,
-			UpstreamRegistry upstreams, Placement placement, Placement.Room room, ConnectionPool connections,
-			HeaderNames headers, Ticker ticker, java.util.function.Supplier<Long> wallMillis, Timers timers,
+			UpstreamRegistry upstreams, Placement placement, ConnectionPool connections, HeaderNames headers,
+			Ticker ticker, java.util.function.Supplier<Long> wallMillis, Timers timers,
 			java.util.function.DoubleSupplier draw, Executor loop) {
 	}
 
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineContext.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineContext.java
@@ -22,9 +22,11 @@
  * @param ticker the time
  * @param timers runs tasks later, on the event loop of the connections
  * @param random draws for weights and delays
+ * @param urge tells the peers at once what this process has at upstreams
  */
 public record OnlineContext(ConfigurationInForce configuration, UpstreamRegistry upstreams, Placement placement,
-		ConnectionPool connections, HeaderNames headers, Ticker ticker, Timers timers, RandomGenerator random) {
+		ConnectionPool connections, HeaderNames headers, Ticker ticker, Timers timers, RandomGenerator random,
+		Runnable urge) {
 
 	/**
 	 * Checks that all parts are there.
@@ -38,6 +40,7 @@
 		Objects.requireNonNull(ticker, "ticker is null");
 		Objects.requireNonNull(timers, "timers is null");
 		Objects.requireNonNull(random, "random is null");
+		Objects.requireNonNull(urge, "urge is null");
 	}
 
 }
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
@@ -12,6 +12,7 @@
 import org.ragworthook.gateway.attempt.Attempt;
 import org.ragworthook.gateway.attempt.AttemptListener;
 import org.ragworthook.gateway.http.SendFailure;
+import org.ragworthook.gateway.upstream.SlotSharing;
 import org.ragworthook.gateway.upstream.TrackedUpstream;
 import org.ragworthook.gateway.upstream.WorkClass;
 
@@ -104,10 +105,14 @@
 
 	private void send(TrackedUpstream upstream) {
 		stop(this.patience);
+		boolean urgent = SlotSharing.needsYield(upstream);
 		LOG.info("placed", "request", this.request.id(), "upstream", upstream, "load", upstream.load(), "sends",
 				this.sends, "after_ms", sinceBegin());
 		this.attempt = Attempt.start(upstream, WorkClass.ONLINE, this.context.connections(), this.context.headers(),
 				this::message, this.request.id(), this.lastEvent, new Answer());
+		if (urgent) {
+			this.context.urge().run();
+		}
 	}
 
 	private FullHttpRequest message() {
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineQueues.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineQueues.java
@@ -7,6 +7,7 @@
 
 import org.ragworthook.core.log.EventLog;
 import org.ragworthook.gateway.upstream.Placement;
+import org.ragworthook.gateway.upstream.SlotSharing;
 import org.ragworthook.gateway.upstream.TrackedUpstream;
 
 /**
@@ -21,12 +22,6 @@
 
 	private static final EventLog LOG = EventLog.of(OnlineQueues.class);
 
-	/**
-	 * Requests beyond its slots that an engine gets, so that a slot does not stand empty
-	 * while the news of it travels: a quarter of eight slots.
-	 */
-	private static final int AHEAD = 2;
-
 	/** Share of a request's time after which it is no longer let wait for a slot. */
 	private static final double PATIENCE = 0.3;
 
@@ -57,7 +52,7 @@
 	 * @return the rule
 	 */
 	Placement.Room room() {
-		return (upstream) -> upstream.load() < upstream.entry().slots() + AHEAD;
+		return SlotSharing::onlineRoom;
 	}
 
 	/**
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/peer/LoadExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/peer/LoadExchange.java
@@ -44,6 +44,9 @@
 	/** How often changed counts are sent: some times during one usual request. */
 	private static final Duration ROUND = Duration.ofMillis(100);
 
+	/** In how much time urgent reports are gathered into one. */
+	private static final Duration URGE = Duration.ofMillis(10);
+
 	/** Rounds after which counts are sent though they have not changed. */
 	private static final int QUIET_ROUNDS = 4;
 
@@ -74,6 +77,8 @@
 
 	private boolean leaving;
 
+	private boolean urging;
+
 	private LoadExchange(EventLoop loop, Ticker ticker, UpstreamRegistry registry, PeerSettings self) {
 		this.loop = Objects.requireNonNull(loop, "loop is null");
 		this.ticker = Objects.requireNonNull(ticker, "ticker is null");
@@ -130,6 +135,20 @@
 		});
 	}
 
+	/**
+	 * Tells the peers now what this process has, since batch is to yield to it. Several
+	 * calls in short succession send one report.
+	 */
+	public void urge() {
+		if (!this.urging) {
+			this.urging = true;
+			this.loop.schedule(() -> {
+				this.urging = false;
+				send(loads());
+			}, URGE.toMillis(), TimeUnit.MILLISECONDS);
+		}
+	}
+
 	/**
 	 * Returns the processes that run jobs and are heard, this one included if it does.
 	 * @return their names
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
@@ -72,9 +72,6 @@
 
 	private static final Duration LOOK = Duration.ofMillis(50);
 
-	/** The share of an upstream's slots that batch items may take. */
-	private static final double BATCH_SHARE = 0.75;
-
 	private final GatewaySettings settings;
 
 	private final Vertx vertx;
@@ -165,7 +162,7 @@
 
 	private void serveCallers(Placement placement, ConnectionPool connections) {
 		OnlineContext context = new OnlineContext(this.configuration, this.upstreams, placement, connections,
-				this.platform.headers(), this.ticker, this.timers, ThreadLocalRandom.current());
+				this.platform.headers(), this.ticker, this.timers, ThreadLocalRandom.current(), this.loads::urge);
 		Frontend front = OnlinePart.of(this.vertx, context, this.jobs, JobReader.of(this.jobs, this.timers),
 				this.platform.jobFormat(), this.loop);
 		this.frontend = Optional.of(front);
@@ -204,12 +201,10 @@
 	private void runJobs(Placement placement, ConnectionPool connections) {
 		JobRunner jobRunner = JobRunner
 			.of(new JobRunner.Parts(this.jobs, RendezvousOwners.of(this.settings.instance(), this.loads::jobRunners),
-					this.configuration, this.upstreams, placement,
-					(upstream) -> upstream.load() < upstream.entry().slots()
-							&& upstream.batchLoad() < upstream.entry().slots() * BATCH_SHARE,
-					connections, this.platform.headers(), this.ticker, System::currentTimeMillis, this.timers,
-					ThreadLocalRandom.current()::nextDouble, this.loop));
+					this.configuration, this.upstreams, placement, connections, this.platform.headers(), this.ticker,
+					System::currentTimeMillis, this.timers, ThreadLocalRandom.current()::nextDouble, this.loop));
 		this.runner = Optional.of(jobRunner);
+		this.loads.onReport(jobRunner::giveWay);
 		follow(this.platform.jobs(), new JobListener(jobRunner));
 		follow(this.platform.retirements(), new RetirementListener());
 		jobRunner.start();
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/upstream/Placement.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/upstream/Placement.java
@@ -79,7 +79,9 @@
 	}
 
 	private int cost(TrackedUpstream candidate, long now) {
-		int cost = candidate.load() * REQUEST_COST;
+		int slots = candidate.entry().slots();
+		int load = candidate.load();
+		int cost = REQUEST_COST * ((load < slots) ? load : Math.max(slots, candidate.onlineLoad() + slots / 2));
 		if (!candidate.entry().failureDomain().equals(this.failureDomain)) {
 			cost += OTHER_DOMAIN_COST;
 		}
--- /dev/null
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/upstream/SlotSharing.java
@@ -0,0 +1,76 @@
+package org.ragworthook.gateway.upstream;
+
+/**
+ * Shares the slots of an upstream between online requests and batch items.
+ * <p>
+ * Engines admit in order of arrival and know no priorities: an online request that
+ * arrives at a full engine waits until some run ends, and an item of a batch job lasts
+ * several times as long as a usual request. So batch leaves a slot free for the next
+ * request, and gives slots back as soon as online requests need them; an item that is cut
+ * goes on later after its last event, which costs the reading of its tokens anew, some
+ * ten milliseconds.
+ */
+public final class SlotSharing {
+
+	/**
+	 * Slots of an upstream that batch leaves free. With one at each of a dozen upstreams
+	 * a burst finds room for the time that it takes until batch has yielded.
+	 */
+	private static final int HEADROOM = 1;
+
+	/**
+	 * Online requests beyond its slots that an engine gets, so that a slot does not stand
+	 * empty while the news of it travels.
+	 */
+	private static final int AHEAD = 2;
+
+	private SlotSharing() {
+	}
+
+	/**
+	 * Tells whether an upstream has room for an online request. Batch items there do not
+	 * count, since they yield.
+	 * @param upstream the upstream
+	 * @return whether it has
+	 */
+	public static boolean onlineRoom(TrackedUpstream upstream) {
+		return upstream.onlineLoad() < upstream.entry().slots() + AHEAD;
+	}
+
+	/**
+	 * Tells whether an upstream has room for a batch item.
+	 * @param upstream the upstream
+	 * @return whether it has
+	 */
+	public static boolean batchRoom(TrackedUpstream upstream) {
+		return upstream.load() < upstream.entry().slots() - HEADROOM;
+	}
+
+	/**
+	 * Returns how many of its own items a process is to take away from an upstream. Each
+	 * process that has items there takes its share, rounded up, so that the slots come
+	 * free although none knows what the others do.
+	 * @param upstream the upstream
+	 * @return how many items
+	 */
+	public static int toYield(TrackedUpstream upstream) {
+		int over = upstream.load() - upstream.entry().slots();
+		int own = upstream.own(WorkClass.BATCH);
+		if (over <= 0 || own == 0) {
+			return 0;
+		}
+		int all = upstream.batchLoad();
+		return Math.min(own, (over * own + all - 1) / all);
+	}
+
+	/**
+	 * Tells whether an online request that is about to be sent needs a slot of a batch
+	 * item.
+	 * @param upstream where it is sent
+	 * @return whether batch is to be told at once
+	 */
+	public static boolean needsYield(TrackedUpstream upstream) {
+		return upstream.load() >= upstream.entry().slots() && upstream.batchLoad() > 0;
+	}
+
+}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/upstream/TrackedUpstream.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/upstream/TrackedUpstream.java
@@ -106,6 +106,14 @@
 		return this.online.get() + this.batch.get() + this.peerOnline + this.peerBatch;
 	}
 
+	/**
+	 * Returns the online requests that all processes have there, as far as known.
+	 * @return requests sent and not ended
+	 */
+	public int onlineLoad() {
+		return this.online.get() + this.peerOnline;
+	}
+
 	/**
 	 * Returns the batch items that all processes have there, as far as known.
 	 * @return items sent and not ended
