--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
@@ -72,7 +72,7 @@
 
 	private static final Duration LOOK = Duration.ofMillis(50);
 
-	private final GatewaySettings settings;
+	private volatile GatewaySettings settings;
 
 	private final Vertx vertx;
 
@@ -210,6 +210,18 @@
 		jobRunner.start();
 	}
 
+	/**
+	 * Takes settings that were read again. How long a stop may take holds at once;
+	 * addresses and duties hold from the next start.
+	 * @param newest the settings
+	 */
+	public void reload(GatewaySettings newest) {
+		boolean restart = !newest.withGrace(this.settings.grace()).equals(this.settings);
+		LOG.info("settings_reloaded", "changed", !newest.equals(this.settings), "needs_restart", restart, "grace_ms",
+				newest.grace().toMillis());
+		this.settings = this.settings.withGrace(newest.grace());
+	}
+
 	/**
 	 * Stops: takes no new connections, lets requests end, lists what is finished.
 	 */
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewaySettings.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewaySettings.java
@@ -34,4 +34,14 @@
 		Objects.requireNonNull(grace, "grace is null");
 	}
 
+	/**
+	 * Returns the settings with another time to stop.
+	 * @param other how long a stop may take
+	 * @return a copy
+	 */
+	public GatewaySettings withGrace(Duration other) {
+		return new GatewaySettings(this.instance, this.failureDomain, this.front, this.readiness, this.peers,
+				this.metrics, this.runsJobs, other);
+	}
+
 }
--- /dev/null
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/upstream/SlotSharingTests.java
@@ -0,0 +1,108 @@
+package org.ragworthook.gateway.upstream;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.ragworthook.core.fleet.Address;
+import org.ragworthook.core.time.ManualTime;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * How online requests and batch items share the slots of upstreams.
+ */
+class SlotSharingTests {
+
+	private static final int SLOTS = 8;
+
+	static TrackedUpstream upstream(String id, String domain) {
+		return new TrackedUpstream(new UpstreamEntry(id, "svc", new Address("10.0.0.1", 80), domain, SLOTS, false));
+	}
+
+	private static void begin(TrackedUpstream upstream, WorkClass work, int count) {
+		for (int i = 0; i < count; i++) {
+			upstream.begin(work);
+		}
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "8, 0, 0, 0", "4, 4, 0, 0", "5, 4, 0, 1", "8, 4, 0, 4", "8, 2, 4, 2", "6, 2, 2, 1", "9, 1, 0, 1",
+			"12, 0, 4, 0" })
+	void shouldYieldWhatOnlineRequestsNeed(int online, int ownBatch, int peerBatch, int yielded) {
+		TrackedUpstream upstream = upstream("u", "a");
+		begin(upstream, WorkClass.ONLINE, online);
+		begin(upstream, WorkClass.BATCH, ownBatch);
+		upstream.peers(0, peerBatch);
+		assertThat(SlotSharing.toYield(upstream)).isEqualTo(yielded);
+	}
+
+	/**
+	 * Twelve upstreams are filled with batch, and a burst of online requests arrives:
+	 * more than there are free slots. Each request finds room at once, and after one
+	 * round of yielding none of them waits behind a batch item.
+	 */
+	@Test
+	void shouldMakeRoomForABurst() {
+		List<TrackedUpstream> fleet = new ArrayList<>();
+		for (int i = 0; i < 12; i++) {
+			fleet.add(upstream("u" + i, "a"));
+		}
+		Placement placement = Placement.of("a", ManualTime.of(), new Random(1));
+		placement.choose(fleet, Set.of(), SlotSharing::batchRoom);
+		while (placement.choose(fleet, Set.of(), SlotSharing::batchRoom).map((chosen) -> {
+			chosen.begin(WorkClass.BATCH);
+			return true;
+		}).orElse(false)) {
+			assertThat(fleet.stream().mapToInt(TrackedUpstream::load).sum()).isAtMost(12 * SLOTS);
+		}
+		for (int i = 0; i < 60; i++) {
+			placement.choose(fleet, Set.of(), SlotSharing::onlineRoom).orElseThrow().begin(WorkClass.ONLINE);
+		}
+		for (TrackedUpstream upstream : fleet) {
+			int cut = SlotSharing.toYield(upstream);
+			for (int i = 0; i < cut; i++) {
+				upstream.end(WorkClass.BATCH);
+			}
+			assertThat(upstream.load()).isAtMost(SLOTS);
+			assertThat(upstream.onlineLoad()).isEqualTo(5);
+		}
+	}
+
+	@Test
+	void shouldSpreadRequestsAndPreferTheOwnDomainAmongEquals() {
+		List<TrackedUpstream> fleet = List.of(upstream("near", "a"), upstream("far", "b"));
+		Placement placement = Placement.of("a", ManualTime.of(), new Random(1));
+		assertThat(placement.choose(fleet, Set.of(), SlotSharing::onlineRoom)).hasValue(fleet.get(0));
+		fleet.get(0).begin(WorkClass.ONLINE);
+		assertThat(placement.choose(fleet, Set.of(), SlotSharing::onlineRoom)).hasValue(fleet.get(1));
+	}
+
+	/**
+	 * An upstream that broke off is avoided for a while; if no other is left it is used
+	 * all the same, since it may serve again.
+	 */
+	@Test
+	void shouldAvoidWhatFailedUnlessNothingElseIsLeft() {
+		List<TrackedUpstream> fleet = List.of(upstream("near", "a"), upstream("far", "b"));
+		ManualTime time = ManualTime.of();
+		Placement placement = Placement.of("a", time, new Random(1));
+		fleet.get(0).avoid(time.nanos() + 1_000);
+		assertThat(placement.choose(fleet, Set.of(), SlotSharing::onlineRoom)).hasValue(fleet.get(1));
+		assertThat(placement.choose(fleet, Set.of(fleet.get(1)), SlotSharing::onlineRoom)).hasValue(fleet.get(0));
+	}
+
+	@Test
+	void shouldFindNoRoomWhereEnginesAreFull() {
+		List<TrackedUpstream> fleet = List.of(upstream("u", "a"));
+		begin(fleet.get(0), WorkClass.ONLINE, 10);
+		Placement placement = Placement.of("a", ManualTime.of(), new Random(1));
+		assertThat(placement.choose(fleet, Set.of(), SlotSharing::onlineRoom)).isEmpty();
+		assertThat(placement.choose(fleet, Set.of(), SlotSharing::batchRoom)).isEmpty();
+	}
+
+}
