Move requests away from upstreams that fall silent

Cause: a runner whose machine loses power closes no connection; its requests waited until their deadline, and new ones were sent there.

Change: StallRule and StallWatch notice silence of several usual gaps between events; the upstream is avoided, and what may go on elsewhere does so.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
@@ -150,6 +150,7 @@
 	}
 
 	private void giveWay(TrackedUpstream upstream, int count) {
+		upstream.yielded(this.parts.ticker().nanos());
 		LOG.info("batch_yields", "upstream", upstream, "items", count, "online", upstream.onlineLoad(), "batch",
 				upstream.batchLoad());
 		this.jobs.values()
@@ -305,8 +306,10 @@
 		if (full.contains(service)) {
 			return;
 		}
+		long now = this.parts.ticker().nanos();
 		Optional<TrackedUpstream> choice = this.parts.placement()
-			.choose(this.parts.upstreams().serving(service), Set.of(), SlotSharing::batchRoom);
+			.choose(this.parts.upstreams().serving(service), Set.of(),
+					(candidate) -> SlotSharing.batchRoom(candidate, now));
 		if (choice.isEmpty()) {
 			full.add(service);
 			return;
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
@@ -23,6 +23,8 @@
 
 	private static final EventLog LOG = EventLog.of(OnlineExchange.class);
 
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
 	private static final int BAD_GATEWAY = 502;
 
 	private static final int UNAVAILABLE = 503;
@@ -64,6 +66,13 @@
 
 	private long firstByteNanos;
 
+	/** When the upstream was last heard of this request, or it was sent. */
+	private long heardNanos;
+
+	private boolean queued;
+
+	private boolean stalled;
+
 	OnlineExchange(OnlineContext context, OnlineRequest request, CallerResponse response, OnlineQueues queues) {
 		this.context = context;
 		this.request = request;
@@ -106,6 +115,10 @@
 	private void send(TrackedUpstream upstream) {
 		stop(this.patience);
 		boolean urgent = SlotSharing.needsYield(upstream);
+		this.queued = upstream.load() >= upstream.entry().slots();
+		this.heardNanos = this.context.ticker().nanos();
+		this.stalled = false;
+		this.queues.stalls().add(this);
 		LOG.info("placed", "request", this.request.id(), "upstream", upstream, "load", upstream.load(), "sends",
 				this.sends, "after_ms", sinceBegin());
 		this.attempt = Attempt.start(upstream, WorkClass.ONLINE, this.context.connections(), this.context.headers(),
@@ -125,6 +138,33 @@
 		return message;
 	}
 
+	/**
+	 * Looks whether the upstream has fallen silent. New requests are then kept away from
+	 * it, and this one goes on elsewhere if that is allowed.
+	 * @param nowNanos the ticker's reading
+	 */
+	void checkStall(long nowNanos) {
+		Duration patience = StallRule.patience(this.answering, this.queued);
+		if (this.over || this.attempt == null || this.stalled || this.response.full()
+				|| nowNanos - this.heardNanos < patience.toNanos()) {
+			return;
+		}
+		this.stalled = true;
+		TrackedUpstream silent = this.attempt.upstream();
+		this.queues.stalled(silent, this.heardNanos);
+		boolean move = this.attempt.sent() && this.request.route().repeatable()
+				&& this.sends + 1 < this.request.route().maxAttempts();
+		LOG.info("upstream_silent", "request", this.request.id(), "upstream", silent, "answering", this.answering, "ms",
+				(nowNanos - this.heardNanos) / NANOS_PER_MILLI, "moves", move);
+		if (move) {
+			this.attempt.abandon();
+			this.sends++;
+			this.mayHaveRun = true;
+			this.tried.add(silent);
+			place();
+		}
+	}
+
 	/**
 	 * Learns that the caller has closed its connection: the upstream's work is stopped.
 	 */
@@ -171,6 +211,7 @@
 		this.over = true;
 		stop(this.timeout);
 		stop(this.patience);
+		this.queues.stalls().remove(this);
 		this.queues.leave(this.service, this);
 		TrackedUpstream at = null;
 		if (this.attempt != null) {
@@ -183,12 +224,18 @@
 		this.queues.freed(this.service);
 	}
 
+	private void heard() {
+		this.heardNanos = this.context.ticker().nanos();
+		this.stalled = false;
+		this.attempt.upstream().heard(this.heardNanos);
+	}
+
 	private long firstByteMillis() {
-		return (this.firstByteNanos != 0) ? (this.firstByteNanos - this.begunNanos) / 1_000_000 : -1;
+		return (this.firstByteNanos != 0) ? (this.firstByteNanos - this.begunNanos) / NANOS_PER_MILLI : -1;
 	}
 
 	private long sinceBegin() {
-		return (this.context.ticker().nanos() - this.begunNanos) / 1_000_000;
+		return (this.context.ticker().nanos() - this.begunNanos) / NANOS_PER_MILLI;
 	}
 
 	private static void stop(Timers.Timer timer) {
@@ -218,17 +265,19 @@
 		@Override
 		public void head(HttpResponse head) {
 			OnlineExchange exchange = OnlineExchange.this;
+			exchange.heard();
 			if (exchange.over || exchange.answering) {
 				return;
 			}
 			exchange.answering = true;
-			exchange.firstByteNanos = exchange.context.ticker().nanos();
+			exchange.firstByteNanos = exchange.heardNanos;
 			exchange.response.head(head);
 		}
 
 		@Override
 		public void data(byte[] data) {
 			OnlineExchange exchange = OnlineExchange.this;
+			exchange.heard();
 			exchange.lastEvent = exchange.attempt.lastEvent();
 			exchange.response.write(data);
 			if (exchange.response.full()) {
@@ -272,7 +321,7 @@
 			}
 			LOG.info("attempt_failed", "request", exchange.request.id(), "upstream", failing, "failure", failure,
 					"sends", exchange.sends, "last_event", exchange.lastEvent);
-			exchange.queues.failed(failing);
+			exchange.queues.failed(failing, failure);
 			next(RetryRule.afterFailure(exchange.request.route(), exchange.sends, exchange.answering, failure));
 		}
 
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineQueues.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineQueues.java
@@ -6,6 +6,7 @@
 import java.util.Objects;
 
 import org.ragworthook.core.log.EventLog;
+import org.ragworthook.gateway.http.SendFailure;
 import org.ragworthook.gateway.upstream.Placement;
 import org.ragworthook.gateway.upstream.SlotSharing;
 import org.ragworthook.gateway.upstream.TrackedUpstream;
@@ -43,8 +44,32 @@
 
 	private final Map<String, ServiceLine<OnlineExchange>> lines = new HashMap<>();
 
+	private final StallWatch stalls;
+
 	OnlineQueues(OnlineContext context) {
 		this.context = Objects.requireNonNull(context, "context is null");
+		this.stalls = new StallWatch(context.ticker(), context.timers());
+	}
+
+	/**
+	 * Returns what looks for upstreams that have fallen silent.
+	 * @return the watch
+	 */
+	StallWatch stalls() {
+		return this.stalls;
+	}
+
+	/**
+	 * Learns that an upstream says nothing of a request. If it says nothing of any other
+	 * either, it is avoided.
+	 * @param upstream the upstream
+	 * @param sinceNanos since when, the ticker's reading
+	 */
+	void stalled(TrackedUpstream upstream, long sinceNanos) {
+		if (upstream.silentSince(sinceNanos)) {
+			upstream.avoid(this.context.ticker().nanos() + AVOID.toNanos());
+			LOG.info("upstream_avoided", "upstream", upstream, "reason", "silent", "ms", AVOID.toMillis());
+		}
 	}
 
 	/**
@@ -113,12 +138,14 @@
 	/**
 	 * Learns that an upstream could not be reached or broke off.
 	 * @param upstream the upstream
+	 * @param failure what is known of the request
 	 */
-	void failed(TrackedUpstream upstream) {
+	void failed(TrackedUpstream upstream, SendFailure failure) {
 		int failures = upstream.failed();
-		if (failures > 1) {
+		if (failures > 1 || failure == SendFailure.NOT_SENT) {
 			upstream.avoid(this.context.ticker().nanos() + AVOID.toNanos());
-			LOG.info("upstream_avoided", "upstream", upstream, "failures", failures, "ms", AVOID.toMillis());
+			LOG.info("upstream_avoided", "upstream", upstream, "reason", failure, "failures", failures, "ms",
+					AVOID.toMillis());
 		}
 	}
 
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/upstream/SlotSharing.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/upstream/SlotSharing.java
@@ -24,6 +24,13 @@
 	 */
 	private static final int AHEAD = 2;
 
+	/**
+	 * How long batch keeps away from an upstream where it has just yielded. The load of a
+	 * burst goes up and down; without a pause each item was placed and cut several times
+	 * in a burst, and its tokens were read anew each time.
+	 */
+	private static final long CALM_NANOS = 300_000_000;
+
 	private SlotSharing() {
 	}
 
@@ -40,10 +47,11 @@
 	/**
 	 * Tells whether an upstream has room for a batch item.
 	 * @param upstream the upstream
+	 * @param nowNanos the ticker's reading
 	 * @return whether it has
 	 */
-	public static boolean batchRoom(TrackedUpstream upstream) {
-		return upstream.load() < upstream.entry().slots() - HEADROOM;
+	public static boolean batchRoom(TrackedUpstream upstream, long nowNanos) {
+		return upstream.load() < upstream.entry().slots() - HEADROOM && !upstream.yieldedSince(nowNanos - CALM_NANOS);
 	}
 
 	/**
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/upstream/TrackedUpstream.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/upstream/TrackedUpstream.java
@@ -21,6 +21,10 @@
 
 	private volatile UpstreamEntry entry;
 
+	private volatile long heardNanos = Long.MIN_VALUE / 2;
+
+	private volatile long yieldedNanos = Long.MIN_VALUE / 2;
+
 	private volatile int peerOnline;
 
 	private volatile int peerBatch;
@@ -122,6 +126,43 @@
 		return this.batch.get() + this.peerBatch;
 	}
 
+	/**
+	 * Learns that batch items were taken away from it for online requests.
+	 * @param nowNanos the ticker's reading
+	 */
+	public void yielded(long nowNanos) {
+		this.yieldedNanos = nowNanos;
+	}
+
+	/**
+	 * Tells whether batch items were taken away from it lately.
+	 * @param sinceNanos since when, the ticker's reading
+	 * @return whether they were
+	 */
+	public boolean yieldedSince(long sinceNanos) {
+		return this.yieldedNanos - sinceNanos > 0;
+	}
+
+	/**
+	 * Learns that bytes have come from it. What has answered is not avoided any longer.
+	 * @param nowNanos the ticker's reading
+	 */
+	public void heard(long nowNanos) {
+		this.heardNanos = nowNanos;
+		if (this.avoidUntilNanos.get() != Long.MIN_VALUE) {
+			answered();
+		}
+	}
+
+	/**
+	 * Tells whether nothing has come from it.
+	 * @param sinceNanos since when, the ticker's reading
+	 * @return whether it has been silent
+	 */
+	public boolean silentSince(long sinceNanos) {
+		return this.heardNanos - sinceNanos <= 0;
+	}
+
 	/**
 	 * Learns that a request was answered, which ends an avoidance.
 	 */
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/upstream/SlotSharingTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/upstream/SlotSharingTests.java
@@ -24,6 +24,10 @@
 		return new TrackedUpstream(new UpstreamEntry(id, "svc", new Address("10.0.0.1", 80), domain, SLOTS, false));
 	}
 
+	private static boolean batchRoom(TrackedUpstream upstream) {
+		return SlotSharing.batchRoom(upstream, 0);
+	}
+
 	private static void begin(TrackedUpstream upstream, WorkClass work, int count) {
 		for (int i = 0; i < count; i++) {
 			upstream.begin(work);
@@ -53,8 +57,8 @@
 			fleet.add(upstream("u" + i, "a"));
 		}
 		Placement placement = Placement.of("a", ManualTime.of(), new Random(1));
-		placement.choose(fleet, Set.of(), SlotSharing::batchRoom);
-		while (placement.choose(fleet, Set.of(), SlotSharing::batchRoom).map((chosen) -> {
+		placement.choose(fleet, Set.of(), SlotSharingTests::batchRoom);
+		while (placement.choose(fleet, Set.of(), SlotSharingTests::batchRoom).map((chosen) -> {
 			chosen.begin(WorkClass.BATCH);
 			return true;
 		}).orElse(false)) {
@@ -73,6 +77,18 @@
 		}
 	}
 
+	/**
+	 * In a burst the load of an upstream goes up and down. An item that is placed in each
+	 * dip is cut at each rise, and its tokens are read again and again.
+	 */
+	@Test
+	void shouldKeepBatchAwayForAMomentAfterItYielded() {
+		TrackedUpstream upstream = upstream("u", "a");
+		upstream.yielded(1_000_000_000L);
+		assertThat(SlotSharing.batchRoom(upstream, 1_200_000_000L)).isFalse();
+		assertThat(SlotSharing.batchRoom(upstream, 1_400_000_000L)).isTrue();
+	}
+
 	@Test
 	void shouldSpreadRequestsAndPreferTheOwnDomainAmongEquals() {
 		List<TrackedUpstream> fleet = List.of(upstream("near", "a"), upstream("far", "b"));
@@ -102,7 +118,7 @@
 		begin(fleet.get(0), WorkClass.ONLINE, 10);
 		Placement placement = Placement.of("a", ManualTime.of(), new Random(1));
 		assertThat(placement.choose(fleet, Set.of(), SlotSharing::onlineRoom)).isEmpty();
-		assertThat(placement.choose(fleet, Set.of(), SlotSharing::batchRoom)).isEmpty();
+		assertThat(placement.choose(fleet, Set.of(), SlotSharingTests::batchRoom)).isEmpty();
 	}
 
 }
