--- a/modules/gateway/src/main/java/org/ragworthook/gateway/upstream/SlotSharing.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/upstream/SlotSharing.java
@@ -5,19 +5,13 @@
  * <p>
  * Engines admit in order of arrival and know no priorities: an online request that
  * arrives at a full engine waits until some run ends, and an item of a batch job lasts
- * several times as long as a usual request. So batch leaves a slot free for the next
- * request, and gives slots back as soon as online requests need them; an item that is cut
- * goes on later after its last event, which costs the reading of its tokens anew, some
- * ten milliseconds.
+ * several times as long as a usual request. So batch fills the slots that are free and
+ * gives them back as soon as online requests need them, within some 20 ms of the request;
+ * an item that is cut goes on later after its last event, which costs the reading of its
+ * tokens anew, some ten milliseconds.
  */
 public final class SlotSharing {
 
-	/**
-	 * Slots of an upstream that batch leaves free. With one at each of a dozen upstreams
-	 * a burst finds room for the time that it takes until batch has yielded.
-	 */
-	private static final int HEADROOM = 1;
-
 	/**
 	 * Online requests beyond its slots that an engine gets, so that a slot does not stand
 	 * empty while the news of it travels.
@@ -51,7 +45,7 @@
 	 * @return whether it has
 	 */
 	public static boolean batchRoom(TrackedUpstream upstream, long nowNanos) {
-		return upstream.load() < upstream.entry().slots() - HEADROOM && !upstream.yieldedSince(nowNanos - CALM_NANOS);
+		return upstream.load() < upstream.entry().slots() && !upstream.yieldedSince(nowNanos - CALM_NANOS);
 	}
 
 	/**
