Hand jobs over when a process loses the store; know a route before missing it

Cause, from reading the code against the promises: a batch process that is cut off from the store alone is still heard by its peers, owned its jobs and could not list their results; one that had not yet seen the newest configuration took the route of a fresh job for a removed one and gave its items up; a connection whose long request body was still being written counted as free after an early answer.

Change: reports say that the store is lost, and owners are chosen among those that reach it; a job records the configuration by which it was accepted; a connection is free once the request is written.

Not yet shown: tests of these three follow.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/feed/StoreHealth.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/feed/StoreHealth.java
@@ -66,6 +66,14 @@
 		return this.up;
 	}
 
+	/**
+	 * Returns for how long the store has not answered.
+	 * @return the time, zero while it answers
+	 */
+	public Duration lostFor() {
+		return this.up ? Duration.ZERO : Duration.ofNanos(this.ticker.nanos() - this.lostNanos.get());
+	}
+
 	/**
 	 * Returns how long the store has answered without a failure.
 	 * @return the time, zero while it does not answer
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/http/ClientConnection.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/http/ClientConnection.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -33,6 +34,8 @@
 
 	private Exchange exchange;
 
+	private ChannelFuture written;
+
 	private boolean skipping;
 
 	private boolean reset;
@@ -60,7 +63,7 @@
 			return;
 		}
 		this.exchange = new Exchange(listener, expectedId.orElse(null));
-		this.channel.writeAndFlush(request, this.channel.voidPromise());
+		this.written = this.channel.writeAndFlush(request);
 	}
 
 	/**
@@ -83,11 +86,14 @@
 	}
 
 	/**
-	 * Tells whether the connection can carry another request.
+	 * Tells whether the connection can carry another request. An upstream may answer
+	 * before it has read a long body; until it has taken the rest, the connection is not
+	 * free.
 	 * @return whether it is open, without a request, and both sides keep it
 	 */
 	public boolean reusable() {
-		return this.reusable && this.exchange == null && !this.skipping && this.channel.isActive();
+		return this.reusable && this.exchange == null && !this.skipping && this.channel.isActive()
+				&& (this.written == null || this.written.isDone());
 	}
 
 	/**
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/Job.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/Job.java
@@ -10,13 +10,14 @@
  * @param host the host that it was submitted to
  * @param path the path that it was submitted to; with the host it leads to the route
  * @param acceptedMillis when it was submitted, Unix time
+ * @param configurationVersion the configuration by which it was accepted
  * @param itemCount how many items it has
  * @param chunks in how many further objects its items are, or 0 if they are in this one
  * @param ended whether its caller has ended it
  * @param items its items, empty if they are in further objects or the job has ended
  */
-public record Job(String id, String host, String path, long acceptedMillis, int itemCount, int chunks, boolean ended,
-		List<JobItem> items) {
+public record Job(String id, String host, String path, long acceptedMillis, long configurationVersion, int itemCount,
+		int chunks, boolean ended, List<JobItem> items) {
 
 	/**
 	 * Copies the items.
@@ -34,8 +35,8 @@
 	 * @return a copy
 	 */
 	public Job withItems(List<JobItem> all) {
-		return new Job(this.id, this.host, this.path, this.acceptedMillis, this.itemCount, this.chunks, this.ended,
-				all);
+		return new Job(this.id, this.host, this.path, this.acceptedMillis, this.configurationVersion, this.itemCount,
+				this.chunks, this.ended, all);
 	}
 
 	/**
@@ -43,7 +44,8 @@
 	 * @return a copy without items
 	 */
 	public Job end() {
-		return new Job(this.id, this.host, this.path, this.acceptedMillis, this.itemCount, 0, true, List.of());
+		return new Job(this.id, this.host, this.path, this.acceptedMillis, this.configurationVersion, this.itemCount, 0,
+				true, List.of());
 	}
 
 }
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobDocuments.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobDocuments.java
@@ -29,6 +29,7 @@
 		node.put("host", job.host());
 		node.put("path", job.path());
 		node.put("acceptedMillis", job.acceptedMillis());
+		node.put("configurationVersion", job.configurationVersion());
 		node.put("itemCount", job.itemCount());
 		node.put("chunks", job.chunks());
 		node.put("ended", job.ended());
@@ -39,8 +40,9 @@
 	static Job job(String text) {
 		JsonNode node = parse(text);
 		return new Job(node.path("id").asText(), node.path("host").asText(), node.path("path").asText(),
-				node.path("acceptedMillis").asLong(), node.path("itemCount").asInt(), node.path("chunks").asInt(),
-				node.path("ended").asBoolean(), items(node.path("items")));
+				node.path("acceptedMillis").asLong(), node.path("configurationVersion").asLong(),
+				node.path("itemCount").asInt(), node.path("chunks").asInt(), node.path("ended").asBoolean(),
+				items(node.path("items")));
 	}
 
 	static String writeItems(List<JobItem> items) {
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
@@ -234,9 +234,15 @@
 		return null;
 	}
 
+	/**
+	 * Gives up items that have used up their time or their attempts, or whose route is
+	 * gone. A process that has not seen the configuration by which the job was accepted
+	 * does not know the route yet, which must not look as if it were gone.
+	 * @param job the job
+	 */
 	private void giveUp(OwnedJob job) {
 		Optional<Configuration> configuration = this.parts.configuration().present();
-		if (configuration.isEmpty()) {
+		if (configuration.isEmpty() || configuration.get().version() < job.job().configurationVersion()) {
 			return;
 		}
 		Optional<Route> route = configuration.get().route(job.job().host(), job.job().path());
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobStore.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobStore.java
@@ -71,8 +71,8 @@
 		for (int n = 0; n < chunks.size(); n++) {
 			written.add(created(partKey(Kind.CHUNK, job.id(), n), JobDocuments.writeItems(chunks.get(n))));
 		}
-		Job head = new Job(job.id(), job.host(), job.path(), job.acceptedMillis(), job.itemCount(), chunks.size(),
-				false, List.of());
+		Job head = new Job(job.id(), job.host(), job.path(), job.acceptedMillis(), job.configurationVersion(),
+				job.itemCount(), chunks.size(), false, List.of());
 		return CompletableFuture.allOf(written.toArray(CompletableFuture[]::new))
 			.thenCompose((done) -> created(key(Kind.JOB, job.id()), JobDocuments.write(head)));
 	}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/Frontend.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/Frontend.java
@@ -251,7 +251,8 @@
 			return;
 		}
 		if (route.kind() == RouteKind.BATCH) {
-			this.jobs.submit(id, route.host(), request.uri(), route, body, new Reply(response, request));
+			this.jobs.submit(id, route.host(), request.uri(), route, configuration.version(), body,
+					new Reply(response, request));
 			return;
 		}
 		Duration allowed = millis(request, this.context.headers().deadlineMillis())
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/JobDesk.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/JobDesk.java
@@ -77,10 +77,11 @@
 	 * @param host the host that it was submitted to
 	 * @param path the path that it was submitted to
 	 * @param route its route
+	 * @param version the version of the configuration that the route is from
 	 * @param body the items
 	 * @param reply takes the answer
 	 */
-	void submit(String jobId, String host, String path, Route route, byte[] body, JobReply reply) {
+	void submit(String jobId, String host, String path, Route route, long version, byte[] body, JobReply reply) {
 		List<JobItem> items;
 		try {
 			items = this.format.items(body);
@@ -91,7 +92,7 @@
 			reply.status(ex.code().httpStatus(), ex.getMessage(), Optional.empty());
 			return;
 		}
-		Job job = new Job(jobId, host, path, this.wallMillis.get(), items.size(), 0, false, items);
+		Job job = new Job(jobId, host, path, this.wallMillis.get(), version, items.size(), 0, false, items);
 		Duration limit = (route.timeout().compareTo(TRY_FOR) < 0) ? route.timeout() : TRY_FOR;
 		create(job, Deadline.after(org.ragworthook.core.time.Ticker.system(), limit), reply, false);
 	}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/peer/LoadExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/peer/LoadExchange.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.bootstrap.Bootstrap;
@@ -79,6 +80,8 @@
 
 	private boolean urging;
 
+	private BooleanSupplier storeLost = () -> false;
+
 	private LoadExchange(EventLoop loop, Ticker ticker, UpstreamRegistry registry, PeerSettings self) {
 		this.loop = Objects.requireNonNull(loop, "loop is null");
 		this.ticker = Objects.requireNonNull(ticker, "ticker is null");
@@ -125,6 +128,15 @@
 		}
 	}
 
+	/**
+	 * Sets what tells whether this process has lost the store. It is heard by its peers
+	 * all the same; if it counted as the owner of jobs, nobody would list their results.
+	 * @param condition whether it has
+	 */
+	public void storeLost(BooleanSupplier condition) {
+		this.storeLost = Objects.requireNonNull(condition, "condition is null");
+	}
+
 	/**
 	 * Tells the peers that this process will stop, so that others take its jobs.
 	 */
@@ -151,20 +163,26 @@
 
 	/**
 	 * Returns the processes that run jobs and are heard, this one included if it does.
+	 * Those that have lost the store are left out, unless all have: then each goes on
+	 * with what it has.
 	 * @return their names
 	 */
 	public List<String> jobRunners() {
-		List<String> names = new ArrayList<>();
-		if (this.self.runsJobs() && !this.leaving) {
-			names.add(this.self.instance());
-		}
+		List<LoadReport> all = new ArrayList<>();
+		all.add(report(List.of()));
 		long since = this.ticker.nanos() - SILENCE.toNanos();
-		for (Peer peer : this.peers.values()) {
-			peer.report(since)
-				.filter((report) -> report.getRunsJobs() && !report.getLeaving())
-				.ifPresent((report) -> names.add(report.getInstance()));
+		this.peers.values().forEach((peer) -> peer.report(since).ifPresent(all::add));
+		List<String> names = new ArrayList<>();
+		List<String> able = new ArrayList<>();
+		for (LoadReport report : all) {
+			if (report.getRunsJobs() && !report.getLeaving()) {
+				names.add(report.getInstance());
+				if (!report.getStoreLost()) {
+					able.add(report.getInstance());
+				}
+			}
 		}
-		return names;
+		return able.isEmpty() ? names : able;
 	}
 
 	private void round() {
@@ -195,22 +213,27 @@
 	private void send(List<UpstreamLoad> loads) {
 		this.lastSent = loads;
 		this.quietRounds = 0;
-		LoadReport report = LoadReport.newBuilder()
+		this.sequence++;
+		byte[] bytes = report(loads).toByteArray();
+		for (Peer peer : this.peers.values()) {
+			this.channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), peer.address()),
+					this.channel.voidPromise());
+		}
+		this.channel.flush();
+	}
+
+	private LoadReport report(List<UpstreamLoad> loads) {
+		return LoadReport.newBuilder()
 			.setInstance(this.self.instance())
 			.setStartedMillis(this.self.startedMillis())
-			.setSequence(++this.sequence)
+			.setSequence(this.sequence)
 			.setHost(this.self.address().host())
 			.setPort(this.self.address().port())
 			.setRunsJobs(this.self.runsJobs())
 			.setLeaving(this.leaving)
+			.setStoreLost(this.storeLost.getAsBoolean())
 			.addAllLoads(loads)
 			.build();
-		byte[] bytes = report.toByteArray();
-		for (Peer peer : this.peers.values()) {
-			this.channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), peer.address()),
-					this.channel.voidPromise());
-		}
-		this.channel.flush();
 	}
 
 	private void sum() {
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
@@ -68,6 +68,9 @@
 	/** What is left of the grace when the process ends whatever is open. */
 	private static final Duration MARGIN = Duration.ofMillis(700);
 
+	/** How long the store may be silent until others run the jobs of this process. */
+	private static final Duration STORE_LOST = Duration.ofMillis(1_500);
+
 	private static final Duration LISTEN_AGAIN = Duration.ofMillis(200);
 
 	private static final Duration LOOK = Duration.ofMillis(50);
@@ -204,6 +207,7 @@
 					this.configuration, this.upstreams, placement, connections, this.platform.headers(), this.ticker,
 					System::currentTimeMillis, this.timers, ThreadLocalRandom.current()::nextDouble, this.loop));
 		this.runner = Optional.of(jobRunner);
+		this.loads.storeLost(() -> this.health.lostFor().compareTo(STORE_LOST) >= 0);
 		this.loads.onReport(jobRunner::giveWay);
 		follow(this.platform.jobs(), new JobListener(jobRunner));
 		follow(this.platform.retirements(), new RetirementListener());
--- a/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReport.java
+++ b/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReport.java
@@ -246,15 +246,19 @@
     return loads_.get(index);
   }
 
-  public static final int CONFIGURATION_VERSION_FIELD_NUMBER = 9;
-  private long configurationVersion_ = 0L;
+  public static final int STORE_LOST_FIELD_NUMBER = 9;
+  private boolean storeLost_ = false;
   /**
-   * <code>uint64 configuration_version = 9;</code>
-   * @return The configurationVersion.
+   * <pre>
+   * does not reach the platform's store
+   * </pre>
+   *
+   * <code>bool store_lost = 9;</code>
+   * @return The storeLost.
    */
   @java.lang.Override
-  public long getConfigurationVersion() {
-    return configurationVersion_;
+  public boolean getStoreLost() {
+    return storeLost_;
   }
 
   private byte memoizedIsInitialized = -1;
@@ -295,8 +299,8 @@
     for (int i = 0; i < loads_.size(); i++) {
       output.writeMessage(8, loads_.get(i));
     }
-    if (configurationVersion_ != 0L) {
-      output.writeUInt64(9, configurationVersion_);
+    if (storeLost_ != false) {
+      output.writeBool(9, storeLost_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -337,9 +341,9 @@
           }
           size += 1 * count;
         }
-    if (configurationVersion_ != 0L) {
+    if (storeLost_ != false) {
       size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(9, configurationVersion_);
+        .computeBoolSize(9, storeLost_);
     }
     return size;
   }
@@ -381,8 +385,8 @@
         != other.getLeaving()) return false;
     if (!getLoadsList()
         .equals(other.getLoadsList())) return false;
-    if (getConfigurationVersion()
-        != other.getConfigurationVersion()) return false;
+    if (getStoreLost()
+        != other.getStoreLost()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -416,9 +420,9 @@
       hash = (37 * hash) + LOADS_FIELD_NUMBER;
       hash = (53 * hash) + getLoadsList().hashCode();
     }
-    hash = (37 * hash) + CONFIGURATION_VERSION_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getConfigurationVersion());
+    hash = (37 * hash) + STORE_LOST_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getStoreLost());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -569,7 +573,7 @@
         loadsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000080);
-      configurationVersion_ = 0L;
+      storeLost_ = false;
       return this;
     }
 
@@ -638,7 +642,7 @@
         result.leaving_ = leaving_;
       }
       if (((from_bitField0_ & 0x00000100) != 0)) {
-        result.configurationVersion_ = configurationVersion_;
+        result.storeLost_ = storeLost_;
       }
     }
 
@@ -705,8 +709,8 @@
           }
         }
       }
-      if (other.getConfigurationVersion() != 0L) {
-        setConfigurationVersion(other.getConfigurationVersion());
+      if (other.getStoreLost() != false) {
+        setStoreLost(other.getStoreLost());
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -781,7 +785,7 @@
               break;
             } // case 66
             case 72: {
-              configurationVersion_ = input.readUInt64();
+              storeLost_ = input.readBool();
               bitField0_ |= 0x00000100;
               break;
             } // case 72
@@ -1384,34 +1388,46 @@
       return loadsBuilder_;
     }
 
-    private long configurationVersion_ ;
+    private boolean storeLost_ ;
     /**
-     * <code>uint64 configuration_version = 9;</code>
-     * @return The configurationVersion.
+     * <pre>
+     * does not reach the platform's store
+     * </pre>
+     *
+     * <code>bool store_lost = 9;</code>
+     * @return The storeLost.
      */
     @java.lang.Override
-    public long getConfigurationVersion() {
-      return configurationVersion_;
+    public boolean getStoreLost() {
+      return storeLost_;
     }
     /**
-     * <code>uint64 configuration_version = 9;</code>
-     * @param value The configurationVersion to set.
+     * <pre>
+     * does not reach the platform's store
+     * </pre>
+     *
+     * <code>bool store_lost = 9;</code>
+     * @param value The storeLost to set.
      * @return This builder for chaining.
      */
-    public Builder setConfigurationVersion(long value) {
+    public Builder setStoreLost(boolean value) {
 
-      configurationVersion_ = value;
+      storeLost_ = value;
       bitField0_ |= 0x00000100;
       onChanged();
       return this;
     }
     /**
-     * <code>uint64 configuration_version = 9;</code>
+     * <pre>
+     * does not reach the platform's store
+     * </pre>
+     *
+     * <code>bool store_lost = 9;</code>
      * @return This builder for chaining.
      */
-    public Builder clearConfigurationVersion() {
+    public Builder clearStoreLost() {
       bitField0_ = (bitField0_ & ~0x00000100);
-      configurationVersion_ = 0L;
+      storeLost_ = false;
       onChanged();
       return this;
     }
--- a/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReportOrBuilder.java
+++ b/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReportOrBuilder.java
@@ -105,8 +105,12 @@
       int index);
 
   /**
-   * <code>uint64 configuration_version = 9;</code>
-   * @return The configurationVersion.
+   * <pre>
+   * does not reach the platform's store
+   * </pre>
+   *
+   * <code>bool store_lost = 9;</code>
+   * @return The storeLost.
    */
-  long getConfigurationVersion();
+  boolean getStoreLost();
 }
