Keep the last log lines of a process

Cause: MainTests failed once more with the line of the stop missing. The writing thread had taken the line out of the queue and waited to gather more when the process ended. Change: a line stays in the queue until it is written. Tests: BoundedLogTests; also of peers and owners.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/log/BoundedLog.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/log/BoundedLog.java
@@ -3,6 +3,7 @@
 import java.io.PrintStream;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -17,8 +18,8 @@
 	/** Lines that may wait: some seconds of a busy process. */
 	private static final int CAPACITY = 4_096;
 
-	/** Lines that are written at once. */
-	private static final int BATCH = 256;
+	/** Characters that are written at once. */
+	private static final int WRITE_CHARS = 32_768;
 
 	private static final int LINE_CHARS = 200;
 
@@ -31,6 +32,8 @@
 
 	private final BlockingQueue<String> lines = new ArrayBlockingQueue<>(CAPACITY);
 
+	private final Semaphore waiting = new Semaphore(0);
+
 	private final AtomicLong dropped = new AtomicLong();
 
 	private final PrintStream out;
@@ -66,6 +69,9 @@
 		if (!this.lines.offer(line.append('\n').toString())) {
 			this.dropped.incrementAndGet();
 		}
+		if (this.waiting.availablePermits() == 0) {
+			this.waiting.release();
+		}
 	}
 
 	private static String trace(Throwable thrown) {
@@ -77,12 +83,17 @@
 		return text.toString().replace('"', '\'').replace('\n', ' ');
 	}
 
+	/**
+	 * Waits for lines and writes them. A line stays in the queue until it is written, so
+	 * that the end of the process finds it there.
+	 */
 	private void write() {
 		try {
 			while (true) {
-				String first = this.lines.take();
+				this.waiting.acquire();
 				TimeUnit.MILLISECONDS.sleep(GATHER_MILLIS);
-				put(first);
+				this.waiting.drainPermits();
+				flush();
 			}
 		}
 		catch (InterruptedException ex) {
@@ -90,14 +101,17 @@
 		}
 	}
 
-	private synchronized void put(String first) {
-		StringBuilder text = new StringBuilder(first);
-		for (int i = 1; i < BATCH; i++) {
-			String next = this.lines.poll();
-			if (next == null) {
-				break;
+	/**
+	 * Writes what waits.
+	 */
+	public synchronized void flush() {
+		StringBuilder text = new StringBuilder();
+		for (String line = this.lines.poll(); line != null; line = this.lines.poll()) {
+			text.append(line);
+			if (text.length() >= WRITE_CHARS) {
+				this.out.print(text);
+				text.setLength(0);
 			}
-			text.append(next);
 		}
 		long lost = this.dropped.getAndSet(0);
 		if (lost > 0) {
@@ -111,13 +125,4 @@
 		this.out.flush();
 	}
 
-	/**
-	 * Writes what waits, for the end of the process.
-	 */
-	public void flush() {
-		for (String line = this.lines.poll(); line != null; line = this.lines.poll()) {
-			put(line);
-		}
-	}
-
 }
--- /dev/null
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/peer/LoadExchangeTests.java
@@ -0,0 +1,129 @@
+package org.ragworthook.gateway.peer;
+
+import java.net.DatagramSocket;
+import java.net.SocketException;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.ragworthook.core.close.Closer;
+import org.ragworthook.core.fleet.Address;
+import org.ragworthook.core.time.Ticker;
+import org.ragworthook.gateway.upstream.TrackedUpstream;
+import org.ragworthook.gateway.upstream.UpstreamEntry;
+import org.ragworthook.gateway.upstream.UpstreamRegistry;
+import org.ragworthook.gateway.upstream.WorkClass;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * What processes tell each other of the load of upstreams and of themselves.
+ */
+class LoadExchangeTests {
+
+	private static final long LIMIT_SECONDS = 30;
+
+	private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+	private final EventLoop loop = (EventLoop) this.group.next();
+
+	private final Closer closer = Closer.empty();
+
+	@AfterEach
+	void stop() {
+		this.closer.close();
+		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+	}
+
+	private static Address free() {
+		try (DatagramSocket socket = new DatagramSocket()) {
+			return new Address("127.0.0.1", socket.getLocalPort());
+		}
+		catch (SocketException ex) {
+			throw new AssertionError("no free port", ex);
+		}
+	}
+
+	private static UpstreamRegistry registry() {
+		UpstreamRegistry registry = UpstreamRegistry.empty();
+		registry.put(new UpstreamEntry("u-1", "svc", new Address("10.0.0.1", 80), "a", 8, false));
+		return registry;
+	}
+
+	private LoadExchange exchange(String name, Address address, UpstreamRegistry registry, boolean runsJobs) {
+		return this.closer.add(
+				LoadExchange.start(this.loop, Ticker.system(), registry, new PeerSettings(name, 1, address, runsJobs)));
+	}
+
+	private static void until(BooleanSupplier condition) throws InterruptedException {
+		long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(LIMIT_SECONDS);
+		while (!condition.getAsBoolean()) {
+			assertThat(System.nanoTime() - end).isLessThan(0L);
+			new CountDownLatch(1).await(5, TimeUnit.MILLISECONDS);
+		}
+	}
+
+	@Test
+	void shouldCountWhatPeersHaveAtUpstreams() throws InterruptedException {
+		Address first = free();
+		Address second = free();
+		UpstreamRegistry mine = registry();
+		UpstreamRegistry other = registry();
+		exchange("a", first, mine, false);
+		exchange("b", second, other, false).introduce(first);
+		TrackedUpstream theirs = other.serving("svc").get(0);
+		theirs.begin(WorkClass.ONLINE);
+		theirs.begin(WorkClass.BATCH);
+		until(() -> mine.serving("svc").get(0).load() == 2);
+		assertThat(mine.serving("svc").get(0).batchLoad()).isEqualTo(1);
+		theirs.end(WorkClass.ONLINE);
+		theirs.end(WorkClass.BATCH);
+		until(() -> mine.serving("svc").get(0).load() == 0);
+	}
+
+	/**
+	 * A process that runs jobs is cut off from the store alone. Its peers hear it, and
+	 * were it to keep its jobs, nobody would list their results. Others take them, unless
+	 * the store is lost to all.
+	 */
+	@Test
+	void shouldLeaveOutWhoLostTheStoreUnlessAllHave() throws InterruptedException {
+		Address first = free();
+		Address second = free();
+		AtomicBoolean firstLost = new AtomicBoolean();
+		AtomicBoolean secondLost = new AtomicBoolean();
+		LoadExchange a = exchange("a", first, registry(), true);
+		LoadExchange b = exchange("b", second, registry(), true);
+		a.storeLost(firstLost::get);
+		b.storeLost(secondLost::get);
+		b.introduce(first);
+		until(() -> a.jobRunners().size() == 2);
+		secondLost.set(true);
+		until(() -> a.jobRunners().equals(List.of("a")));
+		firstLost.set(true);
+		until(() -> a.jobRunners().size() == 2);
+	}
+
+	/**
+	 * A process says that it leaves, and later falls silent. Its jobs are taken at once,
+	 * not only after the silence.
+	 */
+	@Test
+	void shouldLeaveOutWhoLeaves() throws InterruptedException {
+		Address first = free();
+		LoadExchange a = exchange("a", first, registry(), true);
+		LoadExchange b = exchange("b", free(), registry(), true);
+		b.introduce(first);
+		until(() -> a.jobRunners().size() == 2);
+		b.leave();
+		until(() -> a.jobRunners().equals(List.of("a")));
+	}
+
+}
