List anew after every cut of a watch; refuse late callers of a stopping entry

Ruled out: a silent connection (the cut was noticed within 100 ms). Now any interruption leads to a listing.

Now it answers 503 once the balancer had three looks.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/feed/FeedFollower.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/feed/FeedFollower.java
@@ -12,9 +12,10 @@
  * Follows a collection for as long as the process runs.
  * <p>
  * A watch can be cut off, and the platform can drop the history that it would go on from.
- * Changes of that time are then never reported; one would notice upstreams that are used
- * long after they left. So after an interruption the collection is listed anew, unless
- * the platform still knows what came after the last version seen.
+ * Around such a moment a watch that is taken up from the last version seen may be
+ * accepted and still not be told what came in between; one would notice upstreams that
+ * are used long after they left, or callers refused by a configuration of the past. So
+ * after any interruption the collection is listed anew.
  *
  * @param <T> what the collection holds
  */
@@ -79,7 +80,7 @@
 		}
 		this.feed.list().whenCompleteAsync((all, failure) -> {
 			if (failure != null) {
-				failed(failure, this::list);
+				failed(failure);
 				return;
 			}
 			answered();
@@ -96,7 +97,7 @@
 		}
 		this.feed.changes(version, this.wait).whenCompleteAsync((changes, failure) -> {
 			if (failure != null) {
-				failed(failure, () -> watch(version));
+				failed(failure);
 				return;
 			}
 			answered();
@@ -115,12 +116,12 @@
 		this.health.answered();
 	}
 
-	private void failed(Throwable failure, Runnable again) {
+	private void failed(Throwable failure) {
 		this.failures++;
 		this.health.failed();
 		LOG.warning("feed_interrupted", "feed", this.feed.name(), "failures", this.failures, "error",
 				Failures.root(failure));
-		this.timers.schedule(pause(), again);
+		this.timers.schedule(pause(), this::list);
 	}
 
 	/**
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/Frontend.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/Frontend.java
@@ -59,6 +59,8 @@
 
 	private boolean leaving;
 
+	private boolean refusing;
+
 	private int open;
 
 	private Frontend(Vertx vertx, OnlineContext context, JobDesk jobs) {
@@ -87,7 +89,7 @@
 	 * @return completes once it listens
 	 */
 	public Future<Void> listen(Address address) {
-		HttpServer server = this.vertx
+		HttpServer listener = this.vertx
 			.createHttpServer(new HttpServerOptions().setMaxHeaderSize(LARGEST_HEAD)
 				.setMaxInitialLineLength(LARGEST_LINE)
 				.setTcpNoDelay(true)
@@ -96,7 +98,7 @@
 			.connectionHandler(this::connected)
 			.requestHandler(this::handle)
 			.invalidRequestHandler(this::invalid);
-		return server.listen(address.port(), address.host())
+		return listener.listen(address.port(), address.host())
 			.onSuccess((listening) -> this.context.timers().schedule(SWEEP, this::sweep))
 			.mapEmpty();
 	}
@@ -116,9 +118,20 @@
 	}
 
 	/**
-	 * Closes the connections that carry no request.
+	 * Takes no more requests. Where all entries of a failure domain stop together, the
+	 * balancer goes on sending new connections; taken, their requests would be cut when
+	 * the time to stop is over. What is being answered goes on. (Vert.x's own shutdown of
+	 * a server cuts answers in progress.)
 	 */
-	public void closeIdle() {
+	public void refuseMore() {
+		if (!this.refusing) {
+			this.refusing = true;
+			LOG.info("refusing_more", "open", this.open, "connections", this.connections.size());
+		}
+		closeIdle();
+	}
+
+	private void closeIdle() {
 		Map.copyOf(this.connections).forEach((connection, usage) -> {
 			if (usage.requests == 0) {
 				connection.close();
@@ -181,6 +194,11 @@
 			response.answer(503, "not run: no configuration is known yet", Optional.of(COME_AGAIN));
 			return;
 		}
+		if (this.refusing) {
+			LOG.info("refused", "request", request.getHeader(this.context.headers().requestId()), "reason", "stopping");
+			response.answer(503, "not run: this instance stops", Optional.of(Duration.ZERO));
+			return;
+		}
 		String host = Optional.ofNullable(request.getHeader("Host")).orElse("");
 		Optional<Route> route = configuration.get().route(host, request.uri());
 		Optional<JobCall> call = route.isPresent() ? Optional.empty()
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
@@ -106,12 +106,16 @@
 		if (this.over) {
 			return true;
 		}
-		Optional<TrackedUpstream> choice = this.context.placement()
-			.choose(this.context.upstreams().serving(this.service), this.tried, this.queues.room());
+		Optional<TrackedUpstream> choice = choice();
 		choice.ifPresent(this::send);
 		return choice.isPresent();
 	}
 
+	private Optional<TrackedUpstream> choice() {
+		return this.context.placement()
+			.choose(this.context.upstreams().serving(this.service), this.tried, this.queues.room());
+	}
+
 	private void send(TrackedUpstream upstream) {
 		stop(this.patience);
 		boolean urgent = SlotSharing.needsYield(upstream);
@@ -145,24 +149,41 @@
 	 */
 	void checkStall(long nowNanos) {
 		Duration patience = StallRule.patience(this.answering, this.queued);
-		if (this.over || this.attempt == null || this.stalled || this.response.full()
+		if (this.over || this.attempt == null || this.response.full()
 				|| nowNanos - this.heardNanos < patience.toNanos()) {
 			return;
 		}
-		this.stalled = true;
 		TrackedUpstream silent = this.attempt.upstream();
-		this.queues.stalled(silent, this.heardNanos);
-		boolean move = this.attempt.sent() && this.request.route().repeatable()
-				&& this.sends + 1 < this.request.route().maxAttempts();
-		LOG.info("upstream_silent", "request", this.request.id(), "upstream", silent, "answering", this.answering, "ms",
-				(nowNanos - this.heardNanos) / NANOS_PER_MILLI, "moves", move);
-		if (move) {
-			this.attempt.abandon();
-			this.sends++;
-			this.mayHaveRun = true;
-			this.tried.add(silent);
-			place();
+		if (!this.stalled) {
+			this.stalled = true;
+			this.queues.stalled(silent, this.heardNanos);
+			LOG.info("upstream_silent", "request", this.request.id(), "upstream", silent, "answering", this.answering,
+					"ms", (nowNanos - this.heardNanos) / NANOS_PER_MILLI);
+		}
+		if (this.attempt.sent() && this.request.route().repeatable()
+				&& this.sends + 1 < this.request.route().maxAttempts()) {
+			move(silent);
+		}
+	}
+
+	/**
+	 * Moves the request to another upstream, if one has room. Otherwise it stays: the
+	 * silent one may go on, and an answer is not ended because of a pause.
+	 * @param silent where it is
+	 */
+	private void move(TrackedUpstream silent) {
+		this.tried.add(silent);
+		Optional<TrackedUpstream> other = choice();
+		if (other.isEmpty()) {
+			this.tried.remove(silent);
+			return;
 		}
+		LOG.info("moves", "request", this.request.id(), "from", silent, "to", other.get(), "last_event",
+				this.lastEvent);
+		this.attempt.abandon();
+		this.sends++;
+		this.mayHaveRun = true;
+		send(other.get());
 	}
 
 	/**
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
@@ -246,7 +246,7 @@
 				break;
 			}
 			if (gone.compareTo(least) >= 0) {
-				this.loop.execute(() -> this.frontend.ifPresent(Frontend::closeIdle));
+				this.loop.execute(() -> this.frontend.ifPresent(Frontend::refuseMore));
 			}
 			pause();
 		}
