--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
@@ -21,6 +21,7 @@
 import org.ragworthook.core.time.Timers;
 import org.ragworthook.gateway.dialect.HeaderNames;
 import org.ragworthook.gateway.http.ConnectionPool;
+import org.ragworthook.gateway.metrics.GatewayMetrics;
 import org.ragworthook.gateway.route.Configuration;
 import org.ragworthook.gateway.route.ConfigurationInForce;
 import org.ragworthook.gateway.route.Route;
@@ -154,6 +155,7 @@
 	}
 
 	private void giveWay(TrackedUpstream upstream, int count) {
+		this.parts.metrics().yielded(count);
 		upstream.yielded(this.parts.ticker().nanos());
 		LOG.info("batch_yields", "upstream", upstream, "items", count, "online", upstream.onlineLoad(), "batch",
 				upstream.batchLoad());
@@ -258,6 +260,7 @@
 				run.stop();
 				LOG.info("item_given_up", "job", job.job().id(), "item", run.item().id(), "route_present",
 						route.isPresent(), "age_ms", age, "server_errors", run.serverErrors());
+				this.parts.metrics().itemEnded(false);
 				job.finish(ItemOutcome.givenUp(run.item().id()), this.parts.ticker().nanos());
 			}
 		}
@@ -335,6 +338,7 @@
 		public void ended(ItemRun run, Optional<ItemOutcome> outcome) {
 			OwnedJob job = JobRunner.this.jobs.get(run.job().id());
 			if (outcome.isPresent() && job != null) {
+				JobRunner.this.parts.metrics().itemEnded(outcome.get().completed());
 				job.finish(outcome.get(), JobRunner.this.parts.ticker().nanos());
 			}
 			JobRunner.this.parts.timers().schedule(Duration.ZERO, JobRunner.this::pump);
@@ -375,10 +379,12 @@
 	 * @param timers runs tasks later, on the event loop
 	 * @param draw draws numbers from 0 to below 1
 	 * @param loop the event loop
+	 * @param metrics counts what happens
 	 */
 	public record Parts(JobStore store, JobOwners owners, IntSupplier processes, ConfigurationInForce configuration,
 			UpstreamRegistry upstreams, Placement placement, ConnectionPool connections, HeaderNames headers,
-			Ticker ticker, Supplier<Long> wallMillis, Timers timers, DoubleSupplier draw, Executor loop) {
+			Ticker ticker, Supplier<Long> wallMillis, Timers timers, DoubleSupplier draw, Executor loop,
+			GatewayMetrics metrics) {
 	}
 
 }
--- /dev/null
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/metrics/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Counters and histograms of a process.
+ */
+package org.ragworthook.gateway.metrics;
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 
@@ -180,6 +181,7 @@
 		}
 		LOG.info("moves", "request", this.request.id(), "from", silent, "to", other.get(), "last_event",
 				this.lastEvent);
+		this.context.metrics().attemptFailed("silent");
 		this.attempt.abandon();
 		this.sends++;
 		this.mayHaveRun = true;
@@ -242,6 +244,7 @@
 		LOG.info("request_ended", "request", this.request.id(), "route", this.request.route().name(), "config",
 				this.request.configurationVersion(), "outcome", outcome, "status", status, "upstream", at, "sends",
 				this.sends, "first_ms", firstByteMillis(), "ms", sinceBegin(), "last_event", this.lastEvent);
+		this.context.metrics().requestEnded(outcome, firstByteMillis(), sinceBegin());
 		this.queues.freed(this.service);
 	}
 
@@ -326,6 +329,7 @@
 			exchange.tried.add(refusing);
 			LOG.info("not_run", "request", exchange.request.id(), "upstream", refusing, "status", status, "sends",
 					exchange.sends);
+			exchange.context.metrics().attemptFailed("not_run");
 			exchange.queues.refused(refusing, status);
 			next(RetryRule.afterRefusal(exchange.request.route(), exchange.sends, exchange.mayHaveRun,
 					exchange.answering));
@@ -342,6 +346,7 @@
 			}
 			LOG.info("attempt_failed", "request", exchange.request.id(), "upstream", failing, "failure", failure,
 					"sends", exchange.sends, "last_event", exchange.lastEvent);
+			exchange.context.metrics().attemptFailed(failure.name().toLowerCase(Locale.ROOT));
 			exchange.queues.failed(failing, failure);
 			next(RetryRule.afterFailure(exchange.request.route(), exchange.sends, exchange.answering, failure));
 		}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
@@ -35,6 +35,7 @@
 import org.ragworthook.gateway.job.JobReader;
 import org.ragworthook.gateway.job.JobRunner;
 import org.ragworthook.gateway.job.JobStore;
+import org.ragworthook.gateway.metrics.GatewayMetrics;
 import org.ragworthook.gateway.online.Frontend;
 import org.ragworthook.gateway.online.OnlineContext;
 import org.ragworthook.gateway.online.OnlinePart;
@@ -91,6 +92,8 @@
 
 	private final StoreHealth health = StoreHealth.unknown(this.ticker);
 
+	private final GatewayMetrics metrics = GatewayMetrics.empty();
+
 	private final Platform platform;
 
 	private final JobStore jobs;
@@ -119,7 +122,7 @@
 					new FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false)));
 		this.loop = ((ContextInternal) this.vertx.getOrCreateContext()).nettyEventLoop();
 		this.timers = new LoopTimers(this.loop);
-		this.platform = adapter.apply(new Runtime(this.loop, this.ticker, this.timers));
+		this.platform = adapter.apply(new Runtime(this.loop, this.ticker, this.timers, this.metrics));
 		long started = System.currentTimeMillis();
 		this.writer = ConditionalWriter.of(this.platform.store(),
 				Stamps.of(settings.instance() + "-" + started + "-" + ThreadLocalRandom.current().nextInt()));
@@ -149,6 +152,7 @@
 		Placement placement = Placement.of(this.settings.failureDomain(), this.ticker, ThreadLocalRandom.current());
 		ConnectionPool connections = ConnectionPool.of(this.loop, this.ticker, UPSTREAM_CONNECT,
 				this.platform.headers().requestId());
+		showMetrics();
 		follow(this.platform.upstreams(), this.upstreamFeed);
 		follow(this.platform.configuration(), new ConfigurationListener());
 		if (this.settings.front().isPresent()) {
@@ -159,13 +163,24 @@
 		}
 	}
 
+	private void showMetrics() {
+		this.metrics.gauge("upstreams", this.upstreams, (all) -> all.all().size());
+		this.metrics.gauge("configuration.version", this.configuration,
+				(present) -> present.present().map(Configuration::version).orElse(0L));
+		this.metrics.gauge("store.up", this.health, (present) -> present.up() ? 1 : 0);
+		MetricsServer server = new MetricsServer(this.vertx, this.metrics);
+		Address address = this.settings.metrics();
+		listen("metrics", () -> server.listen(address));
+	}
+
 	private <T> void follow(Feed<T> feed, FeedListener<T> listener) {
 		this.followers.add(FeedFollower.start(feed, listener, this.timers, this.loop, WATCH, this.health));
 	}
 
 	private void serveCallers(Placement placement, ConnectionPool connections) {
 		OnlineContext context = new OnlineContext(this.configuration, this.upstreams, placement, connections,
-				this.platform.headers(), this.ticker, this.timers, ThreadLocalRandom.current(), this.loads::urge);
+				this.platform.headers(), this.ticker, this.timers, ThreadLocalRandom.current(), this.metrics,
+				this.loads::urge);
 		Frontend front = OnlinePart.of(this.vertx, context, this.jobs, JobReader.of(this.jobs, this.timers),
 				this.platform.jobFormat(), this.loop);
 		this.frontend = Optional.of(front);
@@ -206,7 +221,7 @@
 			.of(new JobRunner.Parts(this.jobs, RendezvousOwners.of(this.settings.instance(), this.loads::jobRunners),
 					() -> this.loads.jobRunners().size(), this.configuration, this.upstreams, placement, connections,
 					this.platform.headers(), this.ticker, System::currentTimeMillis, this.timers,
-					ThreadLocalRandom.current()::nextDouble, this.loop));
+					ThreadLocalRandom.current()::nextDouble, this.loop, this.metrics));
 		this.runner = Optional.of(jobRunner);
 		this.loads.storeLost(() -> this.health.lostFor().compareTo(STORE_LOST) >= 0);
 		this.loads.onReport(jobRunner::giveWay);
@@ -288,8 +303,9 @@
 	 * @param loop the event loop
 	 * @param ticker the time
 	 * @param timers runs tasks later, on the event loop
+	 * @param metrics counts calls of the store
 	 */
-	public record Runtime(EventLoop loop, Ticker ticker, Timers timers) {
+	public record Runtime(EventLoop loop, Ticker ticker, Timers timers, GatewayMetrics metrics) {
 	}
 
 	private final class ConfigurationListener implements FeedListener<Configuration> {
