--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
@@ -59,7 +59,7 @@
 	private static final Duration UPSTREAM_CONNECT = Duration.ofMillis(500);
 
 	/** How long one call waits for changes. */
-	private static final Duration WATCH = Duration.ofSeconds(15);
+	private static final Duration WATCH = Duration.ofSeconds(25);
 
 	/**
 	 * How long callers may still come after the stop began: three looks of the balancer.
