--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
@@ -37,7 +37,15 @@
 	/** The first pause after a run that broke off; it doubles with each. */
 	private static final Duration FIRST_PAUSE = Duration.ofMillis(100);
 
-	private static final int MOST_DOUBLINGS = 6;
+	private static final int MOST_DOUBLINGS = 3;
+
+	/**
+	 * Fruitless runs after which an item is taken to crash the upstreams that run it. It
+	 * may not be given up for that, so it is run seldom until its time is up.
+	 */
+	private static final int SUSPECT_AT = 3;
+
+	private static final Duration SUSPECT_PAUSE = Duration.ofSeconds(20);
 
 	private final Job job;
 
@@ -51,7 +59,10 @@
 
 	private int serverErrors;
 
-	private int breaks;
+	/** Runs in a row that broke off without a new event. */
+	private int fruitless;
+
+	private long startedAfter;
 
 	private int status;
 
@@ -86,8 +97,9 @@
 
 	void start(TrackedUpstream upstream, ConnectionPool pool, HeaderNames names, ItemListener listener) {
 		LOG.info("item_placed", "job", this.job.id(), "item", this.item.id(), "upstream", upstream, "load",
-				upstream.load(), "from_event", this.lastEvent, "breaks", this.breaks);
+				upstream.load(), "from_event", this.lastEvent, "fruitless", this.fruitless);
 		this.status = 0;
+		this.startedAfter = this.lastEvent;
 		this.attempt = Attempt.start(upstream, WorkClass.BATCH, pool, names, () -> message(names), this.item.id(),
 				this.lastEvent, new Answer(listener));
 	}
@@ -182,15 +194,17 @@
 					"failure", failure, "last_event", run.lastEvent);
 			this.listener.failed(run.attempt.upstream());
 			run.attempt = null;
-			run.breaks++;
+			boolean ran = failure != SendFailure.NOT_SENT && run.lastEvent == run.startedAfter;
+			run.fruitless = ran ? run.fruitless + 1 : 0;
 			pause();
 			this.listener.ended(run, Optional.empty());
 		}
 
 		private void pause() {
 			ItemRun run = ItemRun.this;
-			int doublings = Math.min(MOST_DOUBLINGS, Math.max(0, run.breaks + run.serverErrors - 1));
-			run.notBeforeNanos = this.listener.nanosAfter(FIRST_PAUSE.multipliedBy(1L << doublings));
+			int doublings = Math.min(MOST_DOUBLINGS, Math.max(0, run.fruitless + run.serverErrors - 1));
+			run.notBeforeNanos = this.listener
+				.nanosAfter((run.fruitless >= SUSPECT_AT) ? SUSPECT_PAUSE : FIRST_PAUSE.multipliedBy(1L << doublings));
 		}
 
 	}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineContext.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineContext.java
@@ -9,6 +9,7 @@
 import org.ragworthook.gateway.http.ConnectionPool;
 import org.ragworthook.gateway.metrics.GatewayMetrics;
 import org.ragworthook.gateway.route.ConfigurationInForce;
+import org.ragworthook.gateway.suspect.SuspectRequests;
 import org.ragworthook.gateway.upstream.Placement;
 import org.ragworthook.gateway.upstream.UpstreamRegistry;
 
@@ -23,12 +24,13 @@
  * @param ticker the time
  * @param timers runs tasks later, on the event loop of the connections
  * @param random draws for weights and delays
+ * @param suspects the requests that make upstreams crash
  * @param metrics counts what happens
  * @param urge tells the peers at once what this process has at upstreams
  */
 public record OnlineContext(ConfigurationInForce configuration, UpstreamRegistry upstreams, Placement placement,
 		ConnectionPool connections, HeaderNames headers, Ticker ticker, Timers timers, RandomGenerator random,
-		GatewayMetrics metrics, Runnable urge) {
+		SuspectRequests suspects, GatewayMetrics metrics, Runnable urge) {
 
 	/**
 	 * Checks that all parts are there.
@@ -42,6 +44,7 @@
 		Objects.requireNonNull(ticker, "ticker is null");
 		Objects.requireNonNull(timers, "timers is null");
 		Objects.requireNonNull(random, "random is null");
+		Objects.requireNonNull(suspects, "suspects is null");
 		Objects.requireNonNull(metrics, "metrics is null");
 		Objects.requireNonNull(urge, "urge is null");
 	}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
@@ -13,6 +13,7 @@
 import org.ragworthook.gateway.attempt.Attempt;
 import org.ragworthook.gateway.attempt.AttemptListener;
 import org.ragworthook.gateway.http.SendFailure;
+import org.ragworthook.gateway.suspect.SuspectRequests;
 import org.ragworthook.gateway.upstream.SlotSharing;
 import org.ragworthook.gateway.upstream.TrackedUpstream;
 import org.ragworthook.gateway.upstream.WorkClass;
@@ -32,6 +33,9 @@
 
 	private static final int GATEWAY_TIMEOUT = 504;
 
+	/** When the sender of a request that crashes upstreams may come again. */
+	private static final Duration CONVICTED = Duration.ofSeconds(60);
+
 	/** How soon a caller may come again where no better estimate is at hand. */
 	private static final Duration COME_AGAIN = Duration.ofMillis(200);
 
@@ -47,6 +51,8 @@
 
 	private final long begunNanos;
 
+	private final long fingerprint;
+
 	private final Set<TrackedUpstream> tried = new HashSet<>();
 
 	private int sends;
@@ -82,6 +88,7 @@
 		this.service = request.route().service(context.random().nextDouble());
 		this.begunNanos = context.ticker().nanos();
 		this.lastEvent = request.lastEvent().orElse(0L);
+		this.fingerprint = SuspectRequests.fingerprint(request.route().host(), request.uri(), request.body());
 	}
 
 	/**
@@ -94,6 +101,12 @@
 	}
 
 	private void place() {
+		if (this.context.suspects().refused(this.fingerprint)) {
+			LOG.info("convicted_refused", "request", this.request.id(), "fingerprint",
+					Long.toHexString(this.fingerprint), "sends", this.sends);
+			refuse(CONVICTED);
+			return;
+		}
 		if (!tryPlace()) {
 			this.queues.enter(this.service, this);
 		}
@@ -343,6 +356,7 @@
 			if (failure != SendFailure.NOT_SENT) {
 				exchange.sends++;
 				exchange.mayHaveRun = true;
+				exchange.context.suspects().broke(exchange.fingerprint);
 			}
 			LOG.info("attempt_failed", "request", exchange.request.id(), "upstream", failing, "failure", failure,
 					"sends", exchange.sends, "last_event", exchange.lastEvent);
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/peer/LoadExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/peer/LoadExchange.java
@@ -25,10 +25,12 @@
 import org.ragworthook.core.fleet.Address;
 import org.ragworthook.core.log.EventLog;
 import org.ragworthook.core.time.Ticker;
+import org.ragworthook.gateway.suspect.SuspectRequests;
 import org.ragworthook.gateway.upstream.TrackedUpstream;
 import org.ragworthook.gateway.upstream.UpstreamRegistry;
 import org.ragworthook.gateway.upstream.WorkClass;
 import org.ragworthook.wire.load.LoadReport;
+import org.ragworthook.wire.load.SuspectRequest;
 import org.ragworthook.wire.load.UpstreamLoad;
 
 /**
@@ -82,7 +84,11 @@
 
 	private BooleanSupplier storeLost = () -> false;
 
-	private LoadExchange(EventLoop loop, Ticker ticker, UpstreamRegistry registry, PeerSettings self) {
+	private final SuspectRequests suspects;
+
+	private LoadExchange(EventLoop loop, Ticker ticker, UpstreamRegistry registry, SuspectRequests suspects,
+			PeerSettings self) {
+		this.suspects = Objects.requireNonNull(suspects, "suspects is null");
 		this.loop = Objects.requireNonNull(loop, "loop is null");
 		this.ticker = Objects.requireNonNull(ticker, "ticker is null");
 		this.registry = Objects.requireNonNull(registry, "registry is null");
@@ -94,11 +100,13 @@
 	 * @param loop the thread
 	 * @param ticker the time
 	 * @param registry the upstreams whose counts are told and kept
+	 * @param suspects the requests whose breaks are told and kept
 	 * @param self how this process shows itself
 	 * @return the exchange
 	 */
-	public static LoadExchange start(EventLoop loop, Ticker ticker, UpstreamRegistry registry, PeerSettings self) {
-		LoadExchange exchange = new LoadExchange(loop, ticker, registry, self);
+	public static LoadExchange start(EventLoop loop, Ticker ticker, UpstreamRegistry registry, SuspectRequests suspects,
+			PeerSettings self) {
+		LoadExchange exchange = new LoadExchange(loop, ticker, registry, suspects, self);
 		exchange.channel = new Bootstrap().group(loop)
 			.channel(NioDatagramChannel.class)
 			.handler(exchange.new Receiver())
@@ -223,8 +231,11 @@
 	}
 
 	private LoadReport report(List<UpstreamLoad> loads) {
-		return LoadReport.newBuilder()
-			.setInstance(this.self.instance())
+		LoadReport.Builder report = LoadReport.newBuilder();
+		this.suspects.own()
+			.forEach((fingerprint, breaks) -> report
+				.addSuspects(SuspectRequest.newBuilder().setFingerprint(fingerprint).setBreaks(breaks)));
+		return report.setInstance(this.self.instance())
 			.setStartedMillis(this.self.startedMillis())
 			.setSequence(this.sequence)
 			.setHost(this.self.address().host())
@@ -239,15 +250,20 @@
 	private void sum() {
 		long since = this.ticker.nanos() - SILENCE.toNanos();
 		Map<Integer, int[]> sums = new HashMap<>();
+		Map<Long, Integer> breaks = new HashMap<>();
 		for (Peer peer : this.peers.values()) {
 			Optional<LoadReport> report = peer.report(since);
 			watch(peer, report.isPresent());
+			peer.newest()
+				.ifPresent((last) -> last.getSuspectsList()
+					.forEach((suspect) -> breaks.merge(suspect.getFingerprint(), suspect.getBreaks(), Integer::sum)));
 			report.ifPresent((present) -> present.getLoadsList().forEach((load) -> {
 				int[] sum = sums.computeIfAbsent(load.getUpstream(), (key) -> new int[2]);
 				sum[0] += load.getOnline();
 				sum[1] += load.getBatch();
 			}));
 		}
+		this.suspects.peers(breaks);
 		for (TrackedUpstream upstream : this.registry.all()) {
 			int[] sum = sums.getOrDefault(upstream.key(), new int[2]);
 			upstream.peers(sum[0], sum[1]);
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/peer/Peer.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/peer/Peer.java
@@ -44,6 +44,14 @@
 		return true;
 	}
 
+	/**
+	 * Returns the newest report, however old.
+	 * @return the report, or empty if there is none
+	 */
+	Optional<LoadReport> newest() {
+		return Optional.ofNullable(this.report);
+	}
+
 	/**
 	 * Returns the newest report.
 	 * @param sinceNanos the ticker's reading before which a report is too old
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
@@ -45,6 +45,7 @@
 import org.ragworthook.gateway.peer.RendezvousOwners;
 import org.ragworthook.gateway.route.Configuration;
 import org.ragworthook.gateway.route.ConfigurationInForce;
+import org.ragworthook.gateway.suspect.SuspectRequests;
 import org.ragworthook.gateway.upstream.Placement;
 import org.ragworthook.gateway.upstream.UpstreamRegistry;
 
@@ -94,6 +95,8 @@
 
 	private final GatewayMetrics metrics = GatewayMetrics.empty();
 
+	private final SuspectRequests suspects = SuspectRequests.none(this.ticker);
+
 	private final Platform platform;
 
 	private final JobStore jobs;
@@ -128,7 +131,7 @@
 				Stamps.of(settings.instance() + "-" + started + "-" + ThreadLocalRandom.current().nextInt()));
 		this.jobs = JobStore.of(this.platform.store(), this.writer);
 		PeerSettings self = new PeerSettings(settings.instance(), started, settings.peers(), settings.runsJobs());
-		this.loads = LoadExchange.start(this.loop, this.ticker, this.upstreams, self);
+		this.loads = LoadExchange.start(this.loop, this.ticker, this.upstreams, this.suspects, self);
 		this.upstreamFeed = UpstreamFeedListener.of(this.upstreams, this.health, this.timers);
 		PeerDirectory.join(this.platform.store(), this.writer, this.platform.peers(), this.loads, self, this.timers);
 	}
@@ -179,8 +182,8 @@
 
 	private void serveCallers(Placement placement, ConnectionPool connections) {
 		OnlineContext context = new OnlineContext(this.configuration, this.upstreams, placement, connections,
-				this.platform.headers(), this.ticker, this.timers, ThreadLocalRandom.current(), this.metrics,
-				this.loads::urge);
+				this.platform.headers(), this.ticker, this.timers, ThreadLocalRandom.current(), this.suspects,
+				this.metrics, this.loads::urge);
 		Frontend front = OnlinePart.of(this.vertx, context, this.jobs, JobReader.of(this.jobs, this.timers),
 				this.platform.jobFormat(), this.loop);
 		this.frontend = Optional.of(front);
--- /dev/null
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/suspect/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Requests that make upstreams crash, recognised when they come again.
+ */
+package org.ragworthook.gateway.suspect;
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/peer/LoadExchangeTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/peer/LoadExchangeTests.java
@@ -16,6 +16,7 @@
 import org.ragworthook.core.close.Closer;
 import org.ragworthook.core.fleet.Address;
 import org.ragworthook.core.time.Ticker;
+import org.ragworthook.gateway.suspect.SuspectRequests;
 import org.ragworthook.gateway.upstream.TrackedUpstream;
 import org.ragworthook.gateway.upstream.UpstreamEntry;
 import org.ragworthook.gateway.upstream.UpstreamRegistry;
@@ -58,8 +59,8 @@
 	}
 
 	private LoadExchange exchange(String name, Address address, UpstreamRegistry registry, boolean runsJobs) {
-		return this.closer.add(
-				LoadExchange.start(this.loop, Ticker.system(), registry, new PeerSettings(name, 1, address, runsJobs)));
+		return this.closer.add(LoadExchange.start(this.loop, Ticker.system(), registry,
+				SuspectRequests.none(Ticker.system()), new PeerSettings(name, 1, address, runsJobs)));
 	}
 
 	private static void until(BooleanSupplier condition) throws InterruptedException {
--- a/modules/wire/src/main/java/org/ragworthook/wire/load/Load.java
+++ b/modules/wire/src/main/java/org/ragworthook/wire/load/Load.java
@@ -36,6 +36,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_ragworthook_UpstreamLoad_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ragworthook_SuspectRequest_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ragworthook_SuspectRequest_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -45,15 +50,17 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\nload.proto\022\013ragworthook\"\306\001\n\nLoadReport" +
+      "\n\nload.proto\022\013ragworthook\"\365\001\n\nLoadReport" +
       "\022\020\n\010instance\030\001 \001(\t\022\026\n\016started_millis\030\002 \001" +
       "(\004\022\020\n\010sequence\030\003 \001(\004\022\014\n\004host\030\004 \001(\t\022\014\n\004po" +
       "rt\030\005 \001(\r\022\021\n\truns_jobs\030\006 \001(\010\022\017\n\007leaving\030\007" +
       " \001(\010\022(\n\005loads\030\010 \003(\0132\031.ragworthook.Upstre" +
-      "amLoad\022\022\n\nstore_lost\030\t \001(\010\"?\n\014UpstreamLo" +
-      "ad\022\020\n\010upstream\030\001 \001(\007\022\016\n\006online\030\002 \001(\r\022\r\n\005" +
-      "batch\030\003 \001(\rB\035\n\031org.ragworthook.wire.load" +
-      "P\001b\006proto3"
+      "amLoad\022-\n\010suspects\030\n \003(\0132\033.ragworthook.S" +
+      "uspectRequest\022\022\n\nstore_lost\030\t \001(\010\"?\n\014Ups" +
+      "treamLoad\022\020\n\010upstream\030\001 \001(\007\022\016\n\006online\030\002 " +
+      "\001(\r\022\r\n\005batch\030\003 \001(\r\"5\n\016SuspectRequest\022\023\n\013" +
+      "fingerprint\030\001 \001(\006\022\016\n\006breaks\030\002 \001(\rB\035\n\031org" +
+      ".ragworthook.wire.loadP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -64,13 +71,19 @@
     internal_static_ragworthook_LoadReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragworthook_LoadReport_descriptor,
-        new java.lang.String[] { "Instance", "StartedMillis", "Sequence", "Host", "Port", "RunsJobs", "Leaving", "Loads", "StoreLost", });
+        new java.lang.String[] { "Instance", "StartedMillis", "Sequence", "Host", "Port", "RunsJobs", "Leaving", "Loads", "Suspects", "StoreLost", });
     internal_static_ragworthook_UpstreamLoad_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_ragworthook_UpstreamLoad_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragworthook_UpstreamLoad_descriptor,
         new java.lang.String[] { "Upstream", "Online", "Batch", });
+    internal_static_ragworthook_SuspectRequest_descriptor =
+      getDescriptor().getMessageType(2);
+    internal_static_ragworthook_SuspectRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ragworthook_SuspectRequest_descriptor,
+        new java.lang.String[] { "Fingerprint", "Breaks", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReport.java
+++ b/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReport.java
@@ -36,6 +36,7 @@
     instance_ = "";
     host_ = "";
     loads_ = java.util.Collections.emptyList();
+    suspects_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -246,6 +247,47 @@
     return loads_.get(index);
   }
 
+  public static final int SUSPECTS_FIELD_NUMBER = 10;
+  @SuppressWarnings("serial")
+  private java.util.List<org.ragworthook.wire.load.SuspectRequest> suspects_;
+  /**
+   * <code>repeated .ragworthook.SuspectRequest suspects = 10;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.ragworthook.wire.load.SuspectRequest> getSuspectsList() {
+    return suspects_;
+  }
+  /**
+   * <code>repeated .ragworthook.SuspectRequest suspects = 10;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.ragworthook.wire.load.SuspectRequestOrBuilder> 
+      getSuspectsOrBuilderList() {
+    return suspects_;
+  }
+  /**
+   * <code>repeated .ragworthook.SuspectRequest suspects = 10;</code>
+   */
+  @java.lang.Override
+  public int getSuspectsCount() {
+    return suspects_.size();
+  }
+  /**
+   * <code>repeated .ragworthook.SuspectRequest suspects = 10;</code>
+   */
+  @java.lang.Override
+  public org.ragworthook.wire.load.SuspectRequest getSuspects(int index) {
+    return suspects_.get(index);
+  }
+  /**
+   * <code>repeated .ragworthook.SuspectRequest suspects = 10;</code>
+   */
+  @java.lang.Override
+  public org.ragworthook.wire.load.SuspectRequestOrBuilder getSuspectsOrBuilder(
+      int index) {
+    return suspects_.get(index);
+  }
+
   public static final int STORE_LOST_FIELD_NUMBER = 9;
   private boolean storeLost_ = false;
   /**
@@ -302,6 +344,9 @@
     if (storeLost_ != false) {
       output.writeBool(9, storeLost_);
     }
+    for (int i = 0; i < suspects_.size(); i++) {
+      output.writeMessage(10, suspects_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -345,6 +390,15 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(9, storeLost_);
     }
+
+        {
+          final int count = suspects_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(suspects_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -385,6 +439,8 @@
         != other.getLeaving()) return false;
     if (!getLoadsList()
         .equals(other.getLoadsList())) return false;
+    if (!getSuspectsList()
+        .equals(other.getSuspectsList())) return false;
     if (getStoreLost()
         != other.getStoreLost()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
@@ -420,6 +476,10 @@
       hash = (37 * hash) + LOADS_FIELD_NUMBER;
       hash = (53 * hash) + getLoadsList().hashCode();
     }
+    if (getSuspectsCount() > 0) {
+      hash = (37 * hash) + SUSPECTS_FIELD_NUMBER;
+      hash = (53 * hash) + getSuspectsList().hashCode();
+    }
     hash = (37 * hash) + STORE_LOST_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getStoreLost());
@@ -573,6 +633,13 @@
         loadsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000080);
+      if (suspectsBuilder_ == null) {
+        suspects_ = java.util.Collections.emptyList();
+      } else {
+        suspects_ = null;
+        suspectsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000100);
       storeLost_ = false;
       return this;
     }
@@ -616,6 +683,15 @@
       } else {
         result.loads_ = loadsBuilder_.build();
       }
+      if (suspectsBuilder_ == null) {
+        if (((bitField0_ & 0x00000100) != 0)) {
+          suspects_ = java.util.Collections.unmodifiableList(suspects_);
+          bitField0_ = (bitField0_ & ~0x00000100);
+        }
+        result.suspects_ = suspects_;
+      } else {
+        result.suspects_ = suspectsBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.ragworthook.wire.load.LoadReport result) {
@@ -641,7 +717,7 @@
       if (((from_bitField0_ & 0x00000040) != 0)) {
         result.leaving_ = leaving_;
       }
-      if (((from_bitField0_ & 0x00000100) != 0)) {
+      if (((from_bitField0_ & 0x00000200) != 0)) {
         result.storeLost_ = storeLost_;
       }
     }
@@ -709,6 +785,32 @@
           }
         }
       }
+      if (suspectsBuilder_ == null) {
+        if (!other.suspects_.isEmpty()) {
+          if (suspects_.isEmpty()) {
+            suspects_ = other.suspects_;
+            bitField0_ = (bitField0_ & ~0x00000100);
+          } else {
+            ensureSuspectsIsMutable();
+            suspects_.addAll(other.suspects_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.suspects_.isEmpty()) {
+          if (suspectsBuilder_.isEmpty()) {
+            suspectsBuilder_.dispose();
+            suspectsBuilder_ = null;
+            suspects_ = other.suspects_;
+            bitField0_ = (bitField0_ & ~0x00000100);
+            suspectsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetSuspectsFieldBuilder() : null;
+          } else {
+            suspectsBuilder_.addAllMessages(other.suspects_);
+          }
+        }
+      }
       if (other.getStoreLost() != false) {
         setStoreLost(other.getStoreLost());
       }
@@ -786,9 +888,22 @@
             } // case 66
             case 72: {
               storeLost_ = input.readBool();
-              bitField0_ |= 0x00000100;
+              bitField0_ |= 0x00000200;
               break;
             } // case 72
+            case 82: {
+              org.ragworthook.wire.load.SuspectRequest m =
+                  input.readMessage(
+                      org.ragworthook.wire.load.SuspectRequest.parser(),
+                      extensionRegistry);
+              if (suspectsBuilder_ == null) {
+                ensureSuspectsIsMutable();
+                suspects_.add(m);
+              } else {
+                suspectsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 82
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1388,6 +1503,240 @@
       return loadsBuilder_;
     }
 
+    private java.util.List<org.ragworthook.wire.load.SuspectRequest> suspects_ =
+      java.util.Collections.emptyList();
+    private void ensureSuspectsIsMutable() {
+      if (!((bitField0_ & 0x00000100) != 0)) {
+        suspects_ = new java.util.ArrayList<org.ragworthook.wire.load.SuspectRequest>(suspects_);
+        bitField0_ |= 0x00000100;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.ragworthook.wire.load.SuspectRequest, org.ragworthook.wire.load.SuspectRequest.Builder, org.ragworthook.wire.load.SuspectRequestOrBuilder> suspectsBuilder_;
+
+    /**
+     * <code>repeated .ragworthook.SuspectRequest suspects = 10;</code>
+     */
+    public java.util.List<org.ragworthook.wire.load.SuspectRequest> getSuspectsList() {
+      if (suspectsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(suspects_);
+      } else {
+        return suspectsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .ragworthook.SuspectRequest suspects = 10;</code>
+     */
+    public int getSuspectsCount() {
+      if (suspectsBuilder_ == null) {
+        return suspects_.size();
+      } else {
+        return suspectsBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .ragworthook.SuspectRequest suspects = 10;</code>
+     */
+    public org.ragworthook.wire.load.SuspectRequest getSuspects(int index) {
+      if (suspectsBuilder_ == null) {
+        return suspects_.get(index);
+      } else {
+        return suspectsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .ragworthook.SuspectRequest suspects = 10;</code>
+     */
+    public Builder setSuspects(
+        int index, org.ragworthook.wire.load.SuspectRequest value) {
+      if (suspectsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureSuspectsIsMutable();
+        suspects_.set(index, value);
+        onChanged();
+      } else {
+        suspectsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragworthook.SuspectRequest suspects = 10;</code>
+     */
+    public Builder setSuspects(
+        int index, org.ragworthook.wire.load.SuspectRequest.Builder builderForValue) {
+      if (suspectsBuilder_ == null) {
+        ensureSuspectsIsMutable();
+        suspects_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        suspectsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragworthook.SuspectRequest suspects = 10;</code>
+     */
+    public Builder addSuspects(org.ragworthook.wire.load.SuspectRequest value) {
+      if (suspectsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureSuspectsIsMutable();
+        suspects_.add(value);
+        onChanged();
+      } else {
+        suspectsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragworthook.SuspectRequest suspects = 10;</code>
+     */
+    public Builder addSuspects(
+        int index, org.ragworthook.wire.load.SuspectRequest value) {
+      if (suspectsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureSuspectsIsMutable();
+        suspects_.add(index, value);
+        onChanged();
+      } else {
+        suspectsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragworthook.SuspectRequest suspects = 10;</code>
+     */
+    public Builder addSuspects(
+        org.ragworthook.wire.load.SuspectRequest.Builder builderForValue) {
+      if (suspectsBuilder_ == null) {
+        ensureSuspectsIsMutable();
+        suspects_.add(builderForValue.build());
+        onChanged();
+      } else {
+        suspectsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragworthook.SuspectRequest suspects = 10;</code>
+     */
+    public Builder addSuspects(
+        int index, org.ragworthook.wire.load.SuspectRequest.Builder builderForValue) {
+      if (suspectsBuilder_ == null) {
+        ensureSuspectsIsMutable();
+        suspects_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        suspectsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragworthook.SuspectRequest suspects = 10;</code>
+     */
+    public Builder addAllSuspects(
+        java.lang.Iterable<? extends org.ragworthook.wire.load.SuspectRequest> values) {
+      if (suspectsBuilder_ == null) {
+        ensureSuspectsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, suspects_);
+        onChanged();
+      } else {
+        suspectsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragworthook.SuspectRequest suspects = 10;</code>
+     */
+    public Builder clearSuspects() {
+      if (suspectsBuilder_ == null) {
+        suspects_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000100);
+        onChanged();
+      } else {
+        suspectsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragworthook.SuspectRequest suspects = 10;</code>
+     */
+    public Builder removeSuspects(int index) {
+      if (suspectsBuilder_ == null) {
+        ensureSuspectsIsMutable();
+        suspects_.remove(index);
+        onChanged();
+      } else {
+        suspectsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragworthook.SuspectRequest suspects = 10;</code>
+     */
+    public org.ragworthook.wire.load.SuspectRequest.Builder getSuspectsBuilder(
+        int index) {
+      return internalGetSuspectsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .ragworthook.SuspectRequest suspects = 10;</code>
+     */
+    public org.ragworthook.wire.load.SuspectRequestOrBuilder getSuspectsOrBuilder(
+        int index) {
+      if (suspectsBuilder_ == null) {
+        return suspects_.get(index);  } else {
+        return suspectsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .ragworthook.SuspectRequest suspects = 10;</code>
+     */
+    public java.util.List<? extends org.ragworthook.wire.load.SuspectRequestOrBuilder> 
+         getSuspectsOrBuilderList() {
+      if (suspectsBuilder_ != null) {
+        return suspectsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(suspects_);
+      }
+    }
+    /**
+     * <code>repeated .ragworthook.SuspectRequest suspects = 10;</code>
+     */
+    public org.ragworthook.wire.load.SuspectRequest.Builder addSuspectsBuilder() {
+      return internalGetSuspectsFieldBuilder().addBuilder(
+          org.ragworthook.wire.load.SuspectRequest.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .ragworthook.SuspectRequest suspects = 10;</code>
+     */
+    public org.ragworthook.wire.load.SuspectRequest.Builder addSuspectsBuilder(
+        int index) {
+      return internalGetSuspectsFieldBuilder().addBuilder(
+          index, org.ragworthook.wire.load.SuspectRequest.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .ragworthook.SuspectRequest suspects = 10;</code>
+     */
+    public java.util.List<org.ragworthook.wire.load.SuspectRequest.Builder> 
+         getSuspectsBuilderList() {
+      return internalGetSuspectsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.ragworthook.wire.load.SuspectRequest, org.ragworthook.wire.load.SuspectRequest.Builder, org.ragworthook.wire.load.SuspectRequestOrBuilder> 
+        internalGetSuspectsFieldBuilder() {
+      if (suspectsBuilder_ == null) {
+        suspectsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.ragworthook.wire.load.SuspectRequest, org.ragworthook.wire.load.SuspectRequest.Builder, org.ragworthook.wire.load.SuspectRequestOrBuilder>(
+                suspects_,
+                ((bitField0_ & 0x00000100) != 0),
+                getParentForChildren(),
+                isClean());
+        suspects_ = null;
+      }
+      return suspectsBuilder_;
+    }
+
     private boolean storeLost_ ;
     /**
      * <pre>
@@ -1413,7 +1762,7 @@
     public Builder setStoreLost(boolean value) {
 
       storeLost_ = value;
-      bitField0_ |= 0x00000100;
+      bitField0_ |= 0x00000200;
       onChanged();
       return this;
     }
@@ -1426,7 +1775,7 @@
      * @return This builder for chaining.
      */
     public Builder clearStoreLost() {
-      bitField0_ = (bitField0_ & ~0x00000100);
+      bitField0_ = (bitField0_ & ~0x00000200);
       storeLost_ = false;
       onChanged();
       return this;
--- a/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReportOrBuilder.java
+++ b/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReportOrBuilder.java
@@ -104,6 +104,30 @@
   org.ragworthook.wire.load.UpstreamLoadOrBuilder getLoadsOrBuilder(
       int index);
 
+  /**
+   * <code>repeated .ragworthook.SuspectRequest suspects = 10;</code>
+   */
+  java.util.List<org.ragworthook.wire.load.SuspectRequest> 
+      getSuspectsList();
+  /**
+   * <code>repeated .ragworthook.SuspectRequest suspects = 10;</code>
+   */
+  org.ragworthook.wire.load.SuspectRequest getSuspects(int index);
+  /**
+   * <code>repeated .ragworthook.SuspectRequest suspects = 10;</code>
+   */
+  int getSuspectsCount();
+  /**
+   * <code>repeated .ragworthook.SuspectRequest suspects = 10;</code>
+   */
+  java.util.List<? extends org.ragworthook.wire.load.SuspectRequestOrBuilder> 
+      getSuspectsOrBuilderList();
+  /**
+   * <code>repeated .ragworthook.SuspectRequest suspects = 10;</code>
+   */
+  org.ragworthook.wire.load.SuspectRequestOrBuilder getSuspectsOrBuilder(
+      int index);
+
   /**
    * <pre>
    * does not reach the platform's store
