Send a waiting request once; move only to a sound upstream with a free slot

The test for it showed two more faults: a request without anywhere to go held up all behind it in the queue, and a stream that paused was moved to an upstream known to be misdirected, and lost.

Change: an ended attempt is forgotten, a sent request leaves the queue, the queue looks past four requests without room, and a move needs a free slot at an upstream that is not avoided.

Test: shouldSendAWaitingRequestOnce, failing before.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
@@ -14,6 +14,7 @@
 import org.ragworthook.gateway.attempt.AttemptListener;
 import org.ragworthook.gateway.http.SendFailure;
 import org.ragworthook.gateway.suspect.SuspectRequests;
+import org.ragworthook.gateway.upstream.Placement;
 import org.ragworthook.gateway.upstream.SlotSharing;
 import org.ragworthook.gateway.upstream.TrackedUpstream;
 import org.ragworthook.gateway.upstream.WorkClass;
@@ -65,8 +66,12 @@
 
 	private long lastEvent;
 
+	/** The attempt in progress, or {@code null} while there is none. */
 	private Attempt attempt;
 
+	/** Where the last attempt was, for the log. */
+	private TrackedUpstream last;
+
 	private Timers.Timer timeout;
 
 	private Timers.Timer patience;
@@ -120,18 +125,18 @@
 		if (this.over) {
 			return true;
 		}
-		Optional<TrackedUpstream> choice = choice();
+		Optional<TrackedUpstream> choice = choice(this.queues.room());
 		choice.ifPresent(this::send);
 		return choice.isPresent();
 	}
 
-	private Optional<TrackedUpstream> choice() {
-		return this.context.placement()
-			.choose(this.context.upstreams().serving(this.service), this.tried, this.queues.room());
+	private Optional<TrackedUpstream> choice(Placement.Room room) {
+		return this.context.placement().choose(this.context.upstreams().serving(this.service), this.tried, room);
 	}
 
 	private void send(TrackedUpstream upstream) {
 		stop(this.patience);
+		this.queues.leave(this.service, this);
 		boolean urgent = SlotSharing.needsYield(upstream);
 		this.queued = upstream.load() >= upstream.entry().slots();
 		this.heardNanos = this.context.ticker().nanos();
@@ -139,6 +144,7 @@
 		this.queues.stalls().add(this);
 		LOG.info("placed", "request", this.request.id(), "upstream", upstream, "load", upstream.load(), "sends",
 				this.sends, "after_ms", sinceBegin());
+		this.last = upstream;
 		this.attempt = Attempt.start(upstream, WorkClass.ONLINE, this.context.connections(), this.context.headers(),
 				this::message, this.request.id(), this.lastEvent, new Answer());
 		if (urgent) {
@@ -181,13 +187,15 @@
 	}
 
 	/**
-	 * Moves the request to another upstream, if one has room. Otherwise it stays: the
-	 * silent one may go on, and an answer is not ended because of a pause.
+	 * Moves the request to another upstream, if a sound one has a slot free. Otherwise it
+	 * stays: the silent one may go on, and an answer is not ended because of a pause.
 	 * @param silent where it is
 	 */
 	private void move(TrackedUpstream silent) {
 		this.tried.add(silent);
-		Optional<TrackedUpstream> other = choice();
+		long now = this.context.ticker().nanos();
+		Optional<TrackedUpstream> other = choice(
+				(candidate) -> SlotSharing.slotFree(candidate) && !candidate.avoided(now));
 		if (other.isEmpty()) {
 			this.tried.remove(silent);
 			return;
@@ -249,14 +257,12 @@
 		stop(this.patience);
 		this.queues.stalls().remove(this);
 		this.queues.leave(this.service, this);
-		TrackedUpstream at = null;
 		if (this.attempt != null) {
-			at = this.attempt.upstream();
 			this.attempt.abandon();
 		}
 		LOG.info("request_ended", "request", this.request.id(), "route", this.request.route().name(), "config",
-				this.request.configurationVersion(), "outcome", outcome, "status", status, "upstream", at, "sends",
-				this.sends, "first_ms", firstByteMillis(), "ms", sinceBegin(), "last_event", this.lastEvent);
+				this.request.configurationVersion(), "outcome", outcome, "status", status, "upstream", this.last,
+				"sends", this.sends, "first_ms", firstByteMillis(), "ms", sinceBegin(), "last_event", this.lastEvent);
 		this.context.metrics().requestEnded(outcome, firstByteMillis(), sinceBegin());
 		this.queues.freed(this.service);
 	}
@@ -338,7 +344,7 @@
 			if (status != 421) {
 				exchange.sends++;
 			}
-			TrackedUpstream refusing = exchange.attempt.upstream();
+			TrackedUpstream refusing = attemptEnded();
 			exchange.tried.add(refusing);
 			LOG.info("not_run", "request", exchange.request.id(), "upstream", refusing, "status", status, "sends",
 					exchange.sends);
@@ -351,7 +357,7 @@
 		@Override
 		public void failed(SendFailure failure) {
 			OnlineExchange exchange = OnlineExchange.this;
-			TrackedUpstream failing = exchange.attempt.upstream();
+			TrackedUpstream failing = attemptEnded();
 			exchange.tried.add(failing);
 			if (failure != SendFailure.NOT_SENT) {
 				exchange.sends++;
@@ -365,6 +371,20 @@
 			next(RetryRule.afterFailure(exchange.request.route(), exchange.sends, exchange.answering, failure));
 		}
 
+		/**
+		 * Forgets the attempt. While the request waits for its next one there is nothing
+		 * whose silence could be watched; watched on, it was sent once by the watch and
+		 * once from the queue.
+		 * @return where the attempt was
+		 */
+		private TrackedUpstream attemptEnded() {
+			OnlineExchange exchange = OnlineExchange.this;
+			TrackedUpstream upstream = exchange.attempt.upstream();
+			exchange.attempt = null;
+			exchange.queues.stalls().remove(exchange);
+			return upstream;
+		}
+
 		private void next(RetryRule.Next next) {
 			OnlineExchange exchange = OnlineExchange.this;
 			switch (next) {
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/ServiceLine.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/ServiceLine.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.Iterator;
+import java.util.List;
 import java.util.Objects;
 import java.util.function.Predicate;
 
@@ -13,6 +13,9 @@
  */
 final class ServiceLine<T> {
 
+	/** Requests without room that are looked past in one round. */
+	private static final int LOOKED_PAST = 4;
+
 	private final Deque<T> waiting = new ArrayDeque<>();
 
 	/**
@@ -33,16 +36,20 @@
 	}
 
 	/**
-	 * Offers the requests in turn until one finds no room.
+	 * Offers the requests in turn. One that finds no room does not hold up those behind
+	 * it, since it may have been turned away by the very upstreams that have room; after
+	 * some such there is no room for anybody.
 	 * @param place places a request and tells whether it found room
 	 */
 	void drain(Predicate<T> place) {
-		Iterator<T> next = this.waiting.iterator();
-		while (next.hasNext()) {
-			if (!place.test(next.next())) {
+		int without = 0;
+		for (T request : List.copyOf(this.waiting)) {
+			if (place.test(request)) {
+				this.waiting.remove(request);
+			}
+			else if (++without >= LOOKED_PAST) {
 				return;
 			}
-			next.remove();
 		}
 	}
 
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/upstream/SlotSharing.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/upstream/SlotSharing.java
@@ -47,6 +47,15 @@
 		return upstream.onlineLoad() < upstream.entry().slots() + AHEAD;
 	}
 
+	/**
+	 * Tells whether a request would begin to run at once.
+	 * @param upstream the upstream
+	 * @return whether a slot is free
+	 */
+	public static boolean slotFree(TrackedUpstream upstream) {
+		return upstream.load() < upstream.entry().slots();
+	}
+
 	/**
 	 * Tells whether an upstream has room for a batch item.
 	 * @param upstream the upstream
@@ -54,7 +63,7 @@
 	 * @return whether it has
 	 */
 	public static boolean batchRoom(TrackedUpstream upstream, long nowNanos) {
-		return upstream.load() < upstream.entry().slots() && !upstream.yieldedSince(nowNanos - CALM_NANOS);
+		return slotFree(upstream) && !upstream.yieldedSince(nowNanos - CALM_NANOS);
 	}
 
 	/**
