--- a/modules/gateway/src/main/java/org/ragworthook/gateway/attempt/Attempt.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/attempt/Attempt.java
@@ -1,5 +1,6 @@
 package org.ragworthook.gateway.attempt;
 
+import java.util.Locale;
 import java.util.Optional;
 
 import io.netty.buffer.ByteBuf;
@@ -28,8 +29,11 @@
  */
 public final class Attempt implements ResponseListener {
 
+	/** Another upstream has the address, and did not run the request. */
 	private static final int MISDIRECTED = 421;
 
+	private static final int OK = 200;
+
 	private static final String EVENT_STREAM = "text/event-stream";
 
 	private final TrackedUpstream upstream;
@@ -56,8 +60,12 @@
 
 	private long lastEvent;
 
+	/** Whether an event was missing; nothing after it may be passed on. */
 	private boolean gap;
 
+	/** The status of an answer that says that the request was not run. */
+	private int refusal;
+
 	private Attempt(TrackedUpstream upstream, WorkClass work, ConnectionPool pool, HeaderNames names, long lastEvent,
 			AttemptListener listener) {
 		this.upstream = upstream;
@@ -191,12 +199,10 @@
 		this.upstream.answered();
 		this.state = State.ANSWERING;
 		String type = head.headers().get(HttpHeaderNames.CONTENT_TYPE);
-		this.events = head.status().code() == 200 && type != null && type.startsWith(EVENT_STREAM);
+		this.events = head.status().code() == OK && type != null && type.startsWith(EVENT_STREAM);
 		this.listener.head(head);
 	}
 
-	private int refusal;
-
 	@Override
 	public void content(ByteBuf data) {
 		if (this.state != State.ANSWERING) {
@@ -277,7 +283,7 @@
 
 	@Override
 	public String toString() {
-		return this.upstream + "/" + this.state.name().toLowerCase(java.util.Locale.ROOT);
+		return this.upstream + "/" + this.state.name().toLowerCase(Locale.ROOT);
 	}
 
 	/**
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/http/ClientConnection.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/http/ClientConnection.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
@@ -132,7 +133,7 @@
 	}
 
 	private void head(HttpResponse head) {
-		if (head.status().code() < 200 && head.status().code() != 101) {
+		if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
 			this.skipping = true;
 			return;
 		}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
@@ -50,6 +50,12 @@
 	/** The pause after the store did not take a call. */
 	private static final Duration STORE_PAUSE = Duration.ofMillis(300);
 
+	/** How long an upstream that broke off twice in a row is avoided. */
+	private static final Duration AVOID = Duration.ofMillis(1_500);
+
+	/** How long an upstream that said it was full is avoided: half a usual request. */
+	private static final Duration AVOID_FULL = Duration.ofMillis(300);
+
 	private final Parts parts;
 
 	private final Map<String, OwnedJob> jobs = new LinkedHashMap<>();
@@ -346,13 +352,13 @@
 
 		@Override
 		public void refused(TrackedUpstream upstream) {
-			upstream.avoid(nanosAfter(STORE_PAUSE));
+			upstream.avoid(nanosAfter(AVOID_FULL));
 		}
 
 		@Override
 		public void failed(TrackedUpstream upstream) {
 			if (upstream.failed() > 1) {
-				upstream.avoid(nanosAfter(Duration.ofMillis(1_500)));
+				upstream.avoid(nanosAfter(AVOID));
 			}
 		}
 
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobStore.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobStore.java
@@ -1,5 +1,6 @@
 package org.ragworthook.gateway.job;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
@@ -206,7 +207,7 @@
 		if (PLAIN.matcher(jobId).matches()) {
 			return "j" + jobId;
 		}
-		return "x" + HexFormat.of().formatHex(jobId.getBytes(java.nio.charset.StandardCharsets.UTF_8));
+		return "x" + HexFormat.of().formatHex(jobId.getBytes(StandardCharsets.UTF_8));
 	}
 
 }
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/JobDesk.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/JobDesk.java
@@ -16,6 +16,7 @@
 import org.ragworthook.core.log.EventLog;
 import org.ragworthook.core.retry.Deadline;
 import org.ragworthook.core.store.ConditionalWriter;
+import org.ragworthook.core.time.Ticker;
 import org.ragworthook.core.time.Timers;
 import org.ragworthook.gateway.dialect.JobCall;
 import org.ragworthook.gateway.dialect.JobFormat;
@@ -42,7 +43,10 @@
 	/** The pause between two tries to write a job that the store did not take. */
 	private static final Duration TRY_AGAIN = Duration.ofMillis(150);
 
-	/** Share of a submission's time in which it is tried again. */
+	/**
+	 * How long a submission is tried again while the store does not take it: a third of
+	 * what callers usually wait, so that they have time to come again.
+	 */
 	private static final Duration TRY_FOR = Duration.ofMillis(1_200);
 
 	private final JobStore store;
@@ -94,7 +98,7 @@
 		}
 		Job job = new Job(jobId, host, path, this.wallMillis.get(), version, items.size(), 0, false, items);
 		Duration limit = (route.timeout().compareTo(TRY_FOR) < 0) ? route.timeout() : TRY_FOR;
-		create(job, Deadline.after(org.ragworthook.core.time.Ticker.system(), limit), reply, false);
+		create(job, Deadline.after(Ticker.system(), limit), reply, false);
 	}
 
 	private static void check(String jobId, List<JobItem> items) {
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
@@ -28,6 +28,12 @@
 
 	private static final long NANOS_PER_MILLI = 1_000_000;
 
+	/**
+	 * An upstream that is not the one meant; it does not count as one that got the
+	 * request.
+	 */
+	private static final int MISDIRECTED = 421;
+
 	private static final int BAD_GATEWAY = 502;
 
 	private static final int UNAVAILABLE = 503;
@@ -341,7 +347,7 @@
 		@Override
 		public void notRun(int status) {
 			OnlineExchange exchange = OnlineExchange.this;
-			if (status != 421) {
+			if (status != MISDIRECTED) {
 				exchange.sends++;
 			}
 			TrackedUpstream refusing = attemptEnded();
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineQueues.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineQueues.java
@@ -23,19 +23,31 @@
 
 	private static final EventLog LOG = EventLog.of(OnlineQueues.class);
 
-	/** Share of a request's time after which it is no longer let wait for a slot. */
+	/**
+	 * Share of a request's time after which it is no longer let wait for a slot: what is
+	 * left then is enough for the caller to come again and be served elsewhere.
+	 */
 	private static final double PATIENCE = 0.3;
 
 	/** How soon a refused caller may come again: half of a usual stream's length. */
 	private static final Duration COME_AGAIN = Duration.ofMillis(400);
 
-	/** How long an upstream that could not be reached or broke off is avoided. */
+	/**
+	 * How long an upstream that could not be reached, broke off or fell silent is
+	 * avoided: a crashed one is back after some seconds, and each look in between costs a
+	 * request.
+	 */
 	private static final Duration AVOID = Duration.ofMillis(1_500);
 
-	/** How long an upstream that said it was full is avoided. */
+	/**
+	 * How long an upstream that said it was full is avoided: a fifth of a usual request.
+	 */
 	private static final Duration AVOID_FULL = Duration.ofMillis(150);
 
-	/** How long an upstream whose address another one has is avoided. */
+	/**
+	 * How long an upstream whose address another one has is avoided: longer than its
+	 * entry lasts without heartbeats.
+	 */
 	private static final Duration AVOID_MISDIRECTED = Duration.ofSeconds(5);
 
 	private static final int MISDIRECTED = 421;
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/peer/LoadExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/peer/LoadExchange.java
@@ -68,7 +68,8 @@
 
 	private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
 
-	private final Map<String, Boolean> alive = new HashMap<>();
+	/** Whether each peer was heard in the last round, so that changes are logged once. */
+	private final Map<InetSocketAddress, Boolean> heardBefore = new HashMap<>();
 
 	private volatile Channel channel;
 
@@ -253,7 +254,7 @@
 		Map<Long, Integer> breaks = new HashMap<>();
 		for (Peer peer : this.peers.values()) {
 			Optional<LoadReport> report = peer.report(since);
-			watch(peer, report.isPresent());
+			logChange(peer, report.isPresent());
 			peer.newest()
 				.ifPresent((last) -> last.getSuspectsList()
 					.forEach((suspect) -> breaks.merge(suspect.getFingerprint(), suspect.getBreaks(), Integer::sum)));
@@ -270,11 +271,10 @@
 		}
 	}
 
-	private void watch(Peer peer, boolean heard) {
-		String name = peer.address().toString();
-		Boolean before = this.alive.put(name, heard);
+	private void logChange(Peer peer, boolean heard) {
+		Boolean before = this.heardBefore.put(peer.address(), heard);
 		if (before != null && before != heard) {
-			LOG.info(heard ? "peer_heard" : "peer_silent", "peer", name);
+			LOG.info(heard ? "peer_heard" : "peer_silent", "peer", peer.address());
 		}
 	}
 
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
@@ -17,7 +17,6 @@
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
 import io.vertx.core.internal.ContextInternal;
-import org.ragworthook.core.error.Failures;
 import org.ragworthook.core.fleet.Address;
 import org.ragworthook.core.log.EventLog;
 import org.ragworthook.core.store.ConditionalWriter;
@@ -229,7 +228,8 @@
 		this.loads.storeLost(() -> this.health.lostFor().compareTo(STORE_LOST) >= 0);
 		this.loads.onReport(jobRunner::giveWay);
 		follow(this.platform.jobs(), new JobListener(jobRunner));
-		follow(this.platform.retirements(), new RetirementListener());
+		follow(this.platform.retirements(), new Retirement(this.settings.instance(), this.loads, jobRunner,
+				this.platform::retired, this.timers, this.loop));
 		jobRunner.start();
 	}
 
@@ -343,49 +343,4 @@
 
 	}
 
-	/**
-	 * Empties this instance when the operator asks for it. Nothing is kept here that the
-	 * store does not have, so handing over the jobs is all there is to do.
-	 */
-	private final class RetirementListener implements FeedListener<Boolean> {
-
-		private boolean begun;
-
-		@Override
-		public void listed(List<Change<Boolean>> all) {
-			all.forEach(this::changed);
-		}
-
-		@Override
-		public void changed(Change<Boolean> change) {
-			GatewayProcess process = GatewayProcess.this;
-			if (this.begun || !change.name().equals(process.settings.instance()) || change.value().isEmpty()) {
-				return;
-			}
-			this.begun = true;
-			LOG.info("retiring", "instance", change.name());
-			process.loads.leave();
-			process.runner.ifPresent(JobRunner::stop);
-			report();
-		}
-
-		private void report() {
-			GatewayProcess process = GatewayProcess.this;
-			if (process.runner.map(JobRunner::unlisted).orElse(false)) {
-				process.timers.schedule(LOOK, this::report);
-				return;
-			}
-			process.platform.retired(process.settings.instance()).whenCompleteAsync((done, failure) -> {
-				if (failure == null) {
-					LOG.info("retired", "instance", process.settings.instance());
-				}
-				else {
-					LOG.warning("retirement_not_reported", "error", Failures.root(failure));
-					process.timers.schedule(Duration.ofMillis(300), this::report);
-				}
-			}, process.loop);
-		}
-
-	}
-
 }
