Hear of processes through peers, and take items out of engines' queues

Change: reports name the processes that run jobs and are heard (RunnerView), so that an entry that hears both sides keeps them known to each other. A process is settled once all peers are heard, at the latest after 1.5 s; until then it reads no job, where each of three read all.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
@@ -47,6 +47,12 @@
 
 	private static final Duration SUSPECT_PAUSE = Duration.ofSeconds(20);
 
+	/**
+	 * Doublings of the time that an item may wait in an engine's queue, up to some
+	 * seconds, so that slow engines are used at last.
+	 */
+	private static final int MOST_PATIENCE = 5;
+
 	private final Job job;
 
 	private final JobItem item;
@@ -64,6 +70,11 @@
 
 	private long startedAfter;
 
+	private long startedNanos;
+
+	/** How often in a row it was taken out of an engine's queue. */
+	private int queuedTimes;
+
 	private int status;
 
 	private Attempt attempt;
@@ -95,10 +106,32 @@
 		return this.attempt == null && (this.notBeforeNanos == Long.MIN_VALUE || this.notBeforeNanos - nowNanos <= 0);
 	}
 
+	/**
+	 * Tells whether the item waits in the queue of an engine.
+	 * @param nowNanos the ticker's reading
+	 * @param patience how long it may be without an answer when it is taken out the first
+	 * time
+	 * @return the upstream, or empty if it does not
+	 */
+	Optional<TrackedUpstream> queuedAt(long nowNanos, Duration patience) {
+		long most = patience.toNanos() << Math.min(this.queuedTimes, MOST_PATIENCE);
+		boolean queued = this.attempt != null && this.status == 0 && nowNanos - this.startedNanos >= most;
+		return queued ? Optional.of(this.attempt.upstream()) : Optional.empty();
+	}
+
+	/**
+	 * Takes the item out of the queue of an engine, which has not begun with it.
+	 */
+	void leaveQueue() {
+		this.queuedTimes++;
+		stop();
+	}
+
 	void start(TrackedUpstream upstream, ConnectionPool pool, HeaderNames names, ItemListener listener) {
 		LOG.info("item_placed", "job", this.job.id(), "item", this.item.id(), "upstream", upstream, "load",
 				upstream.load(), "from_event", this.lastEvent, "fruitless", this.fruitless);
 		this.status = 0;
+		this.startedNanos = listener.nanosAfter(Duration.ZERO);
 		this.startedAfter = this.lastEvent;
 		this.attempt = Attempt.start(upstream, WorkClass.BATCH, pool, names, () -> message(names), this.item.id(),
 				this.lastEvent, new Answer(listener));
@@ -139,6 +172,7 @@
 		@Override
 		public void head(HttpResponse head) {
 			ItemRun.this.status = head.status().code();
+			ItemRun.this.queuedTimes = 0;
 		}
 
 		@Override
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Executor;
+import java.util.function.BooleanSupplier;
 import java.util.function.DoubleSupplier;
 import java.util.function.Supplier;
 
@@ -47,14 +48,6 @@
 	 */
 	private static final Duration GATHER = Duration.ofMillis(1_500);
 
-	/**
-	 * How long after the start no item is run. When all processes start at once, none
-	 * knows what the others have begun: 177 items were started for 104 slots, and the
-	 * callers' requests of the next seconds waited behind them. Entries, on a third of
-	 * the processor, start 0.6 s later and report within 0.4 s.
-	 */
-	private static final Duration SETTLE = Duration.ofMillis(1_500);
-
 	/** The pause after the store did not take a call. */
 	private static final Duration STORE_PAUSE = Duration.ofMillis(300);
 
@@ -70,8 +63,6 @@
 
 	private boolean stopped;
 
-	private boolean settled;
-
 	private JobRunner(Parts parts) {
 		this.parts = parts;
 	}
@@ -89,17 +80,38 @@
 	 * Begins to run items.
 	 */
 	public void start() {
-		this.parts.timers().schedule(SETTLE, () -> this.settled = true);
 		round();
 	}
 
 	private void round() {
 		if (!this.stopped) {
+			leaveQueues();
 			pump();
 			this.parts.timers().schedule(ROUND, this::round);
 		}
 	}
 
+	/**
+	 * Takes items out of the queues of engines. An engine can be fuller than is known:
+	 * another process that runs jobs is cut off from this one, or somebody else uses it.
+	 * Items that wait there hold up every online request that comes after them; one
+	 * notices first events after half a second while two halves of the processes run jobs
+	 * without hearing each other.
+	 */
+	private void leaveQueues() {
+		long now = this.parts.ticker().nanos();
+		for (OwnedJob job : this.jobs.values()) {
+			for (ItemRun run : job.runs()) {
+				run.queuedAt(now, this.parts.queuePatience()).ifPresent((upstream) -> {
+					LOG.info("item_left_queue", "job", job.job().id(), "item", run.item().id(), "upstream", upstream,
+							"load", upstream.load());
+					run.leaveQueue();
+					upstream.yielded(now);
+				});
+			}
+		}
+	}
+
 	/**
 	 * Takes a job that the store has.
 	 * @param job the job
@@ -144,16 +156,13 @@
 	 * Does what can be done now.
 	 */
 	public void pump() {
-		if (this.stopped) {
+		if (this.stopped || !this.parts.settled().getAsBoolean()) {
 			return;
 		}
 		List<ItemRun> ready = new ArrayList<>();
 		for (OwnedJob job : this.jobs.values()) {
 			look(job, ready);
 		}
-		if (!this.settled) {
-			return;
-		}
 		ready.sort(Comparator.comparingLong((run) -> run.job().acceptedMillis()));
 		Map<String, Integer> starts = new HashMap<>();
 		BatchTurns turns = this.parts.turns().get();
@@ -389,6 +398,8 @@
 	 *
 	 * @param store the jobs
 	 * @param owners tells whose jobs they are
+	 * @param settled tells whether it is known which processes run jobs, and what they
+	 * have at upstreams
 	 * @param turns the processes that run jobs and their order at upstreams
 	 * @param configuration what the operator configured
 	 * @param upstreams the upstreams that take requests
@@ -401,11 +412,12 @@
 	 * @param draw draws numbers from 0 to below 1
 	 * @param loop the event loop
 	 * @param metrics counts what happens
+	 * @param queuePatience how long an item may be without an answer at an engine
 	 */
-	public record Parts(JobStore store, JobOwners owners, Supplier<BatchTurns> turns,
+	public record Parts(JobStore store, JobOwners owners, BooleanSupplier settled, Supplier<BatchTurns> turns,
 			ConfigurationInForce configuration, UpstreamRegistry upstreams, Placement placement,
 			ConnectionPool connections, HeaderNames headers, Ticker ticker, Supplier<Long> wallMillis, Timers timers,
-			DoubleSupplier draw, Executor loop, GatewayMetrics metrics) {
+			DoubleSupplier draw, Executor loop, GatewayMetrics metrics, Duration queuePatience) {
 	}
 
 }
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/peer/LoadExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/peer/LoadExchange.java
@@ -31,6 +31,7 @@
 import org.ragworthook.gateway.upstream.TrackedUpstream;
 import org.ragworthook.gateway.upstream.UpstreamRegistry;
 import org.ragworthook.gateway.upstream.WorkClass;
+import org.ragworthook.wire.load.HeardRunner;
 import org.ragworthook.wire.load.LoadReport;
 import org.ragworthook.wire.load.SuspectRequest;
 import org.ragworthook.wire.load.UpstreamLoad;
@@ -58,6 +59,13 @@
 	/** Silence after which a peer's counts no longer hold: several quiet reports lost. */
 	private static final Duration SILENCE = Duration.ofMillis(1_500);
 
+	/**
+	 * How long after its start a process waits to hear its peers. When all start at once,
+	 * entries come 0.6 s after the others, on a third of the processor, and report within
+	 * 0.4 s.
+	 */
+	private static final Duration SETTLE = Duration.ofMillis(1_500);
+
 	private final EventLoop loop;
 
 	private final Ticker ticker;
@@ -85,10 +93,16 @@
 
 	private boolean urging;
 
+	private boolean allIntroduced;
+
+	private boolean settled;
+
 	private BooleanSupplier storeLost = () -> false;
 
 	private BatchTurns turns;
 
+	private final long startedNanos;
+
 	private final SuspectRequests suspects;
 
 	private LoadExchange(EventLoop loop, Ticker ticker, UpstreamRegistry registry, SuspectRequests suspects,
@@ -99,6 +113,7 @@
 		this.registry = Objects.requireNonNull(registry, "registry is null");
 		this.self = Objects.requireNonNull(self, "self is null");
 		this.turns = BatchTurns.of(self.instance(), List.of());
+		this.startedNanos = ticker.nanos();
 	}
 
 	/**
@@ -182,24 +197,43 @@
 	 * @return their names
 	 */
 	public List<String> jobRunners() {
-		List<String> names = new ArrayList<>();
-		List<String> able = new ArrayList<>();
+		RunnerView view = RunnerView.of(fresh());
 		if (this.self.runsJobs() && !this.leaving) {
-			names.add(this.self.instance());
-			if (!this.storeLost.getAsBoolean()) {
-				able.add(this.self.instance());
-			}
+			view.add(this.self.instance(), this.storeLost.getAsBoolean());
 		}
+		return view.owners();
+	}
+
+	private List<LoadReport> fresh() {
 		long since = this.ticker.nanos() - SILENCE.toNanos();
-		for (Peer peer : this.peers.values()) {
-			peer.report(since).filter((heard) -> heard.getRunsJobs() && !heard.getLeaving()).ifPresent((heard) -> {
-				names.add(heard.getInstance());
-				if (!heard.getStoreLost()) {
-					able.add(heard.getInstance());
-				}
-			});
+		return this.peers.values().stream().flatMap((peer) -> peer.report(since).stream()).toList();
+	}
+
+	/**
+	 * Learns that all processes that the platform knows were introduced.
+	 */
+	public void introduced() {
+		this.loop.execute(() -> this.allIntroduced = true);
+	}
+
+	/**
+	 * Tells whether this process knows what its peers do. One that has just started hears
+	 * nobody yet. It would take itself for the only one that runs jobs, read all of them
+	 * and fill every slot: when three processes started at once they began 177 items in
+	 * 104 slots, and callers' requests of the next seconds waited behind these.
+	 * @return whether all peers were heard, or have had the time to be
+	 */
+	public boolean settled() {
+		if (!this.settled) {
+			long age = this.ticker.nanos() - this.startedNanos;
+			boolean heard = this.allIntroduced
+					&& this.peers.values().stream().allMatch((peer) -> peer.newest().isPresent());
+			this.settled = heard || age >= SETTLE.toNanos();
+			if (this.settled) {
+				LOG.info("peers_settled", "all_heard", heard, "peers", this.peers.size(), "ms", age / 1_000_000);
+			}
 		}
-		return able.isEmpty() ? names : able;
+		return this.settled;
 	}
 
 	/**
@@ -256,6 +290,10 @@
 		this.suspects.own()
 			.forEach((fingerprint, breaks) -> report
 				.addSuspects(SuspectRequest.newBuilder().setFingerprint(fingerprint).setBreaks(breaks)));
+		fresh().stream()
+			.filter((heard) -> heard.getRunsJobs() && !heard.getLeaving())
+			.forEach((heard) -> report.addHeardRunners(
+					HeardRunner.newBuilder().setInstance(heard.getInstance()).setStoreLost(heard.getStoreLost())));
 		return report.setInstance(this.self.instance())
 			.setStartedMillis(this.self.startedMillis())
 			.setSequence(this.sequence)
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/peer/PeerDirectory.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/peer/PeerDirectory.java
@@ -102,6 +102,7 @@
 			}
 			LOG.info("peers_listed", "peers", addresses.size());
 			addresses.forEach(this.exchange::introduce);
+			this.exchange.introduced();
 		});
 	}
 
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
@@ -221,9 +221,9 @@
 	private void runJobs(Placement placement, ConnectionPool connections) {
 		JobRunner jobRunner = JobRunner
 			.of(new JobRunner.Parts(this.jobs, RendezvousOwners.of(this.settings.instance(), this.loads::jobRunners),
-					this.loads::turns, this.configuration, this.upstreams, placement, connections,
+					this.loads::settled, this.loads::turns, this.configuration, this.upstreams, placement, connections,
 					this.platform.headers(), this.ticker, System::currentTimeMillis, this.timers,
-					ThreadLocalRandom.current()::nextDouble, this.loop, this.metrics));
+					ThreadLocalRandom.current()::nextDouble, this.loop, this.metrics, this.settings.queuePatience()));
 		this.runner = Optional.of(jobRunner);
 		this.loads.storeLost(() -> this.health.lostFor().compareTo(STORE_LOST) >= 0);
 		this.loads.onReport(jobRunner::giveWay);
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/peer/LoadExchangeTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/peer/LoadExchangeTests.java
@@ -2,6 +2,7 @@
 
 import java.net.DatagramSocket;
 import java.net.SocketException;
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -15,6 +16,7 @@
 import org.junit.jupiter.api.Test;
 import org.ragworthook.core.close.Closer;
 import org.ragworthook.core.fleet.Address;
+import org.ragworthook.core.time.ManualTime;
 import org.ragworthook.core.time.Ticker;
 import org.ragworthook.gateway.suspect.SuspectRequests;
 import org.ragworthook.gateway.upstream.TrackedUpstream;
@@ -127,4 +129,39 @@
 		until(() -> a.jobRunners().equals(List.of("a")));
 	}
 
+	/**
+	 * A process has just started and hears nobody yet. It must not take all jobs for its
+	 * own before its peers have had the time to show themselves.
+	 */
+	@Test
+	void shouldNotBeSettledBeforeItsPeersAreHeard() throws InterruptedException {
+		ManualTime time = ManualTime.of();
+		Address first = free();
+		Address second = free();
+		LoadExchange late = this.closer.add(LoadExchange.start(this.loop, time, registry(), SuspectRequests.none(time),
+				new PeerSettings("a", 1, first, true)));
+		assertThat(late.settled()).isFalse();
+		late.introduce(second);
+		late.introduced();
+		exchange("b", second, registry(), true).introduce(first);
+		until(late::settled);
+		assertThat(late.turns().runners()).containsExactly("a", "b");
+	}
+
+	/**
+	 * A peer that the platform still lists is gone for good, and will never be heard.
+	 */
+	@Test
+	void shouldBeSettledAfterAWhileThoughAPeerIsSilent() {
+		ManualTime time = ManualTime.of();
+		LoadExchange late = this.closer.add(LoadExchange.start(this.loop, time, registry(), SuspectRequests.none(time),
+				new PeerSettings("a", 1, free(), true)));
+		late.introduce(free());
+		late.introduced();
+		time.advance(Duration.ofMillis(1_400));
+		assertThat(late.settled()).isFalse();
+		time.advance(Duration.ofMillis(200));
+		assertThat(late.settled()).isTrue();
+	}
+
 }
--- a/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReport.java
+++ b/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReport.java
@@ -37,6 +37,7 @@
     host_ = "";
     loads_ = java.util.Collections.emptyList();
     suspects_ = java.util.Collections.emptyList();
+    heardRunners_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -303,6 +304,47 @@
     return storeLost_;
   }
 
+  public static final int HEARD_RUNNERS_FIELD_NUMBER = 11;
+  @SuppressWarnings("serial")
+  private java.util.List<org.ragworthook.wire.load.HeardRunner> heardRunners_;
+  /**
+   * <code>repeated .ragworthook.HeardRunner heard_runners = 11;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.ragworthook.wire.load.HeardRunner> getHeardRunnersList() {
+    return heardRunners_;
+  }
+  /**
+   * <code>repeated .ragworthook.HeardRunner heard_runners = 11;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.ragworthook.wire.load.HeardRunnerOrBuilder> 
+      getHeardRunnersOrBuilderList() {
+    return heardRunners_;
+  }
+  /**
+   * <code>repeated .ragworthook.HeardRunner heard_runners = 11;</code>
+   */
+  @java.lang.Override
+  public int getHeardRunnersCount() {
+    return heardRunners_.size();
+  }
+  /**
+   * <code>repeated .ragworthook.HeardRunner heard_runners = 11;</code>
+   */
+  @java.lang.Override
+  public org.ragworthook.wire.load.HeardRunner getHeardRunners(int index) {
+    return heardRunners_.get(index);
+  }
+  /**
+   * <code>repeated .ragworthook.HeardRunner heard_runners = 11;</code>
+   */
+  @java.lang.Override
+  public org.ragworthook.wire.load.HeardRunnerOrBuilder getHeardRunnersOrBuilder(
+      int index) {
+    return heardRunners_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -347,6 +389,9 @@
     for (int i = 0; i < suspects_.size(); i++) {
       output.writeMessage(10, suspects_.get(i));
     }
+    for (int i = 0; i < heardRunners_.size(); i++) {
+      output.writeMessage(11, heardRunners_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -399,6 +444,15 @@
           }
           size += 1 * count;
         }
+
+        {
+          final int count = heardRunners_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(heardRunners_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -443,6 +497,8 @@
         .equals(other.getSuspectsList())) return false;
     if (getStoreLost()
         != other.getStoreLost()) return false;
+    if (!getHeardRunnersList()
+        .equals(other.getHeardRunnersList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -483,6 +539,10 @@
     hash = (37 * hash) + STORE_LOST_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getStoreLost());
+    if (getHeardRunnersCount() > 0) {
+      hash = (37 * hash) + HEARD_RUNNERS_FIELD_NUMBER;
+      hash = (53 * hash) + getHeardRunnersList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -641,6 +701,13 @@
       }
       bitField0_ = (bitField0_ & ~0x00000100);
       storeLost_ = false;
+      if (heardRunnersBuilder_ == null) {
+        heardRunners_ = java.util.Collections.emptyList();
+      } else {
+        heardRunners_ = null;
+        heardRunnersBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000400);
       return this;
     }
 
@@ -692,6 +759,15 @@
       } else {
         result.suspects_ = suspectsBuilder_.build();
       }
+      if (heardRunnersBuilder_ == null) {
+        if (((bitField0_ & 0x00000400) != 0)) {
+          heardRunners_ = java.util.Collections.unmodifiableList(heardRunners_);
+          bitField0_ = (bitField0_ & ~0x00000400);
+        }
+        result.heardRunners_ = heardRunners_;
+      } else {
+        result.heardRunners_ = heardRunnersBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.ragworthook.wire.load.LoadReport result) {
@@ -814,6 +890,32 @@
       if (other.getStoreLost() != false) {
         setStoreLost(other.getStoreLost());
       }
+      if (heardRunnersBuilder_ == null) {
+        if (!other.heardRunners_.isEmpty()) {
+          if (heardRunners_.isEmpty()) {
+            heardRunners_ = other.heardRunners_;
+            bitField0_ = (bitField0_ & ~0x00000400);
+          } else {
+            ensureHeardRunnersIsMutable();
+            heardRunners_.addAll(other.heardRunners_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.heardRunners_.isEmpty()) {
+          if (heardRunnersBuilder_.isEmpty()) {
+            heardRunnersBuilder_.dispose();
+            heardRunnersBuilder_ = null;
+            heardRunners_ = other.heardRunners_;
+            bitField0_ = (bitField0_ & ~0x00000400);
+            heardRunnersBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetHeardRunnersFieldBuilder() : null;
+          } else {
+            heardRunnersBuilder_.addAllMessages(other.heardRunners_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -904,6 +1006,19 @@
               }
               break;
             } // case 82
+            case 90: {
+              org.ragworthook.wire.load.HeardRunner m =
+                  input.readMessage(
+                      org.ragworthook.wire.load.HeardRunner.parser(),
+                      extensionRegistry);
+              if (heardRunnersBuilder_ == null) {
+                ensureHeardRunnersIsMutable();
+                heardRunners_.add(m);
+              } else {
+                heardRunnersBuilder_.addMessage(m);
+              }
+              break;
+            } // case 90
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1781,6 +1896,240 @@
       return this;
     }
 
+    private java.util.List<org.ragworthook.wire.load.HeardRunner> heardRunners_ =
+      java.util.Collections.emptyList();
+    private void ensureHeardRunnersIsMutable() {
+      if (!((bitField0_ & 0x00000400) != 0)) {
+        heardRunners_ = new java.util.ArrayList<org.ragworthook.wire.load.HeardRunner>(heardRunners_);
+        bitField0_ |= 0x00000400;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.ragworthook.wire.load.HeardRunner, org.ragworthook.wire.load.HeardRunner.Builder, org.ragworthook.wire.load.HeardRunnerOrBuilder> heardRunnersBuilder_;
+
+    /**
+     * <code>repeated .ragworthook.HeardRunner heard_runners = 11;</code>
+     */
+    public java.util.List<org.ragworthook.wire.load.HeardRunner> getHeardRunnersList() {
+      if (heardRunnersBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(heardRunners_);
+      } else {
+        return heardRunnersBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .ragworthook.HeardRunner heard_runners = 11;</code>
+     */
+    public int getHeardRunnersCount() {
+      if (heardRunnersBuilder_ == null) {
+        return heardRunners_.size();
+      } else {
+        return heardRunnersBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .ragworthook.HeardRunner heard_runners = 11;</code>
+     */
+    public org.ragworthook.wire.load.HeardRunner getHeardRunners(int index) {
+      if (heardRunnersBuilder_ == null) {
+        return heardRunners_.get(index);
+      } else {
+        return heardRunnersBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .ragworthook.HeardRunner heard_runners = 11;</code>
+     */
+    public Builder setHeardRunners(
+        int index, org.ragworthook.wire.load.HeardRunner value) {
+      if (heardRunnersBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureHeardRunnersIsMutable();
+        heardRunners_.set(index, value);
+        onChanged();
+      } else {
+        heardRunnersBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragworthook.HeardRunner heard_runners = 11;</code>
+     */
+    public Builder setHeardRunners(
+        int index, org.ragworthook.wire.load.HeardRunner.Builder builderForValue) {
+      if (heardRunnersBuilder_ == null) {
+        ensureHeardRunnersIsMutable();
+        heardRunners_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        heardRunnersBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragworthook.HeardRunner heard_runners = 11;</code>
+     */
+    public Builder addHeardRunners(org.ragworthook.wire.load.HeardRunner value) {
+      if (heardRunnersBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureHeardRunnersIsMutable();
+        heardRunners_.add(value);
+        onChanged();
+      } else {
+        heardRunnersBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragworthook.HeardRunner heard_runners = 11;</code>
+     */
+    public Builder addHeardRunners(
+        int index, org.ragworthook.wire.load.HeardRunner value) {
+      if (heardRunnersBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureHeardRunnersIsMutable();
+        heardRunners_.add(index, value);
+        onChanged();
+      } else {
+        heardRunnersBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragworthook.HeardRunner heard_runners = 11;</code>
+     */
+    public Builder addHeardRunners(
+        org.ragworthook.wire.load.HeardRunner.Builder builderForValue) {
+      if (heardRunnersBuilder_ == null) {
+        ensureHeardRunnersIsMutable();
+        heardRunners_.add(builderForValue.build());
+        onChanged();
+      } else {
+        heardRunnersBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragworthook.HeardRunner heard_runners = 11;</code>
+     */
+    public Builder addHeardRunners(
+        int index, org.ragworthook.wire.load.HeardRunner.Builder builderForValue) {
+      if (heardRunnersBuilder_ == null) {
+        ensureHeardRunnersIsMutable();
+        heardRunners_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        heardRunnersBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragworthook.HeardRunner heard_runners = 11;</code>
+     */
+    public Builder addAllHeardRunners(
+        java.lang.Iterable<? extends org.ragworthook.wire.load.HeardRunner> values) {
+      if (heardRunnersBuilder_ == null) {
+        ensureHeardRunnersIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, heardRunners_);
+        onChanged();
+      } else {
+        heardRunnersBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragworthook.HeardRunner heard_runners = 11;</code>
+     */
+    public Builder clearHeardRunners() {
+      if (heardRunnersBuilder_ == null) {
+        heardRunners_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000400);
+        onChanged();
+      } else {
+        heardRunnersBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragworthook.HeardRunner heard_runners = 11;</code>
+     */
+    public Builder removeHeardRunners(int index) {
+      if (heardRunnersBuilder_ == null) {
+        ensureHeardRunnersIsMutable();
+        heardRunners_.remove(index);
+        onChanged();
+      } else {
+        heardRunnersBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragworthook.HeardRunner heard_runners = 11;</code>
+     */
+    public org.ragworthook.wire.load.HeardRunner.Builder getHeardRunnersBuilder(
+        int index) {
+      return internalGetHeardRunnersFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .ragworthook.HeardRunner heard_runners = 11;</code>
+     */
+    public org.ragworthook.wire.load.HeardRunnerOrBuilder getHeardRunnersOrBuilder(
+        int index) {
+      if (heardRunnersBuilder_ == null) {
+        return heardRunners_.get(index);  } else {
+        return heardRunnersBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .ragworthook.HeardRunner heard_runners = 11;</code>
+     */
+    public java.util.List<? extends org.ragworthook.wire.load.HeardRunnerOrBuilder> 
+         getHeardRunnersOrBuilderList() {
+      if (heardRunnersBuilder_ != null) {
+        return heardRunnersBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(heardRunners_);
+      }
+    }
+    /**
+     * <code>repeated .ragworthook.HeardRunner heard_runners = 11;</code>
+     */
+    public org.ragworthook.wire.load.HeardRunner.Builder addHeardRunnersBuilder() {
+      return internalGetHeardRunnersFieldBuilder().addBuilder(
+          org.ragworthook.wire.load.HeardRunner.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .ragworthook.HeardRunner heard_runners = 11;</code>
+     */
+    public org.ragworthook.wire.load.HeardRunner.Builder addHeardRunnersBuilder(
+        int index) {
+      return internalGetHeardRunnersFieldBuilder().addBuilder(
+          index, org.ragworthook.wire.load.HeardRunner.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .ragworthook.HeardRunner heard_runners = 11;</code>
+     */
+    public java.util.List<org.ragworthook.wire.load.HeardRunner.Builder> 
+         getHeardRunnersBuilderList() {
+      return internalGetHeardRunnersFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.ragworthook.wire.load.HeardRunner, org.ragworthook.wire.load.HeardRunner.Builder, org.ragworthook.wire.load.HeardRunnerOrBuilder> 
+        internalGetHeardRunnersFieldBuilder() {
+      if (heardRunnersBuilder_ == null) {
+        heardRunnersBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.ragworthook.wire.load.HeardRunner, org.ragworthook.wire.load.HeardRunner.Builder, org.ragworthook.wire.load.HeardRunnerOrBuilder>(
+                heardRunners_,
+                ((bitField0_ & 0x00000400) != 0),
+                getParentForChildren(),
+                isClean());
+        heardRunners_ = null;
+      }
+      return heardRunnersBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:ragworthook.LoadReport)
   }
 
--- a/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReportOrBuilder.java
+++ b/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReportOrBuilder.java
@@ -137,4 +137,28 @@
    * @return The storeLost.
    */
   boolean getStoreLost();
+
+  /**
+   * <code>repeated .ragworthook.HeardRunner heard_runners = 11;</code>
+   */
+  java.util.List<org.ragworthook.wire.load.HeardRunner> 
+      getHeardRunnersList();
+  /**
+   * <code>repeated .ragworthook.HeardRunner heard_runners = 11;</code>
+   */
+  org.ragworthook.wire.load.HeardRunner getHeardRunners(int index);
+  /**
+   * <code>repeated .ragworthook.HeardRunner heard_runners = 11;</code>
+   */
+  int getHeardRunnersCount();
+  /**
+   * <code>repeated .ragworthook.HeardRunner heard_runners = 11;</code>
+   */
+  java.util.List<? extends org.ragworthook.wire.load.HeardRunnerOrBuilder> 
+      getHeardRunnersOrBuilderList();
+  /**
+   * <code>repeated .ragworthook.HeardRunner heard_runners = 11;</code>
+   */
+  org.ragworthook.wire.load.HeardRunnerOrBuilder getHeardRunnersOrBuilder(
+      int index);
 }
