Deal slots out to processes with items waiting only; run first what can be in time

Change: reports say whether a process wants slots, and turns are among those. ItemOrder puts items that cannot be in time any longer behind the others, and in front again once they are late by as much again; items give way in the opposite order.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
@@ -72,6 +72,12 @@
 
 	private long startedNanos;
 
+	/** When it was started first, or {@link Long#MIN_VALUE}. */
+	private long firstStartedNanos = Long.MIN_VALUE;
+
+	/** When its result is due, Unix milliseconds. */
+	private long dueMillis = Long.MAX_VALUE;
+
 	/** How often in a row it was taken out of an engine's queue. */
 	private int queuedTimes;
 
@@ -94,6 +100,26 @@
 		return this.item;
 	}
 
+	long dueMillis() {
+		return this.dueMillis;
+	}
+
+	void dueMillis(long due) {
+		this.dueMillis = due;
+	}
+
+	long lastEvent() {
+		return this.lastEvent;
+	}
+
+	/**
+	 * Returns since when the item is worked on.
+	 * @return the ticker's reading of its first start
+	 */
+	long firstStartedNanos() {
+		return this.firstStartedNanos;
+	}
+
 	boolean running() {
 		return this.attempt != null;
 	}
@@ -132,6 +158,9 @@
 				upstream.load(), "from_event", this.lastEvent, "fruitless", this.fruitless);
 		this.status = 0;
 		this.startedNanos = listener.nanosAfter(Duration.ZERO);
+		if (this.firstStartedNanos == Long.MIN_VALUE) {
+			this.firstStartedNanos = this.startedNanos;
+		}
 		this.startedAfter = this.lastEvent;
 		this.attempt = Attempt.start(upstream, WorkClass.BATCH, pool, names, () -> message(names), this.item.id(),
 				this.lastEvent, new Answer(listener));
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
@@ -61,8 +61,12 @@
 
 	private final Map<String, OwnedJob> jobs = new LinkedHashMap<>();
 
+	private final ItemOrder order = new ItemOrder();
+
 	private boolean stopped;
 
+	private volatile boolean wanting;
+
 	private JobRunner(Parts parts) {
 		this.parts = parts;
 	}
@@ -115,11 +119,14 @@
 	/**
 	 * Takes a job that the store has.
 	 * @param job the job
+	 * @param justWritten whether this comes from the news of changes; if the job was not
+	 * known before, it has been accepted a moment ago
 	 */
-	public void put(Job job) {
+	public void put(Job job, boolean justWritten) {
 		OwnedJob known = this.jobs.get(job.id());
 		if (known == null) {
-			this.jobs.put(job.id(), new OwnedJob(job));
+			boolean unread = justWritten && this.parts.settled().getAsBoolean() && this.parts.owners().own(job.id());
+			this.jobs.put(job.id(), new OwnedJob(job, !unread));
 			LOG.info("job_known", "job", job.id(), "items", job.itemCount(), "ended", job.ended());
 		}
 		else if (job.ended() && !known.job().ended()) {
@@ -152,6 +159,14 @@
 		return this.jobs.values().stream().anyMatch((job) -> job.hasFinished() || job.writing());
 	}
 
+	/**
+	 * Tells whether items wait for a slot.
+	 * @return whether some did when it was last looked
+	 */
+	public boolean wanting() {
+		return this.wanting;
+	}
+
 	/**
 	 * Does what can be done now.
 	 */
@@ -163,17 +178,18 @@
 		for (OwnedJob job : this.jobs.values()) {
 			look(job, ready);
 		}
-		ready.sort(Comparator.comparingLong((run) -> run.job().acceptedMillis()));
+		this.order.arrange(ready, this.parts.wallMillis().get());
 		Map<String, Integer> starts = new HashMap<>();
 		BatchTurns turns = this.parts.turns().get();
 		for (ItemRun run : ready) {
 			place(run, starts, turns);
 		}
+		this.wanting = ready.stream().anyMatch((run) -> !run.running());
 	}
 
 	/**
-	 * Takes items away from upstreams whose slots online requests need. Items of the jobs
-	 * that were accepted last go first.
+	 * Takes items away from upstreams whose slots online requests need, those that come
+	 * last in the order of items first.
 	 */
 	public void giveWay() {
 		for (TrackedUpstream upstream : this.parts.upstreams().all()) {
@@ -193,7 +209,7 @@
 			.stream()
 			.flatMap((job) -> job.runs().stream())
 			.filter((run) -> run.at(upstream))
-			.sorted(Comparator.comparingLong((ItemRun run) -> run.job().acceptedMillis()).reversed())
+			.sorted(this.order.comparator(this.parts.wallMillis().get()).reversed())
 			.limit(count)
 			.forEach(ItemRun::stop);
 	}
@@ -237,7 +253,13 @@
 			if (!job.job().ended()) {
 				job.job(whole);
 			}
-			segments(job);
+			if (job.mayHaveResults()) {
+				segments(job);
+			}
+			else {
+				job.resultsKnown();
+				ready(job);
+			}
 		}, this.parts.loop()).exceptionally((failure) -> later(job, failure));
 	}
 
@@ -251,15 +273,19 @@
 				segments(job);
 				return;
 			}
-			job.open();
-			if (job.phase() == OwnedJob.Phase.READING) {
-				job.phase(OwnedJob.Phase.READY);
-			}
-			LOG.info("job_owned", "job", job.job().id(), "open_items", job.openCount(), "segments", job.segments());
-			pump();
+			ready(job);
 		}, this.parts.loop()).exceptionally((failure) -> later(job, failure));
 	}
 
+	private void ready(OwnedJob job) {
+		job.open();
+		if (job.phase() == OwnedJob.Phase.READING) {
+			job.phase(OwnedJob.Phase.READY);
+		}
+		LOG.info("job_owned", "job", job.job().id(), "open_items", job.openCount(), "segments", job.segments());
+		pump();
+	}
+
 	private Void later(OwnedJob job, Throwable failure) {
 		LOG.warning("job_not_read", "job", job.job().id(), "error", Failures.root(failure));
 		this.parts.timers().schedule(STORE_PAUSE, () -> {
@@ -283,7 +309,9 @@
 		}
 		Optional<Route> route = configuration.get().route(job.job().host(), job.job().path());
 		long age = this.parts.wallMillis().get() - job.job().acceptedMillis();
+		long due = job.job().acceptedMillis() + route.map(Route::completionGoal).orElse(Duration.ZERO).toMillis();
 		for (ItemRun run : job.runs()) {
+			run.dueMillis(due);
 			boolean over = route.isEmpty() || age > route.get().retention().toMillis()
 					|| run.serverErrors() >= route.get().maxAttempts();
 			if (over) {
@@ -369,6 +397,10 @@
 			OwnedJob job = JobRunner.this.jobs.get(run.job().id());
 			if (outcome.isPresent() && job != null) {
 				JobRunner.this.parts.metrics().itemEnded(outcome.get().completed());
+				if (outcome.get().completed()) {
+					long nanos = JobRunner.this.parts.ticker().nanos() - run.firstStartedNanos();
+					JobRunner.this.order.finished(nanos / 1_000_000, run.lastEvent());
+				}
 				job.finish(outcome.get(), JobRunner.this.parts.ticker().nanos());
 			}
 			JobRunner.this.parts.timers().schedule(Duration.ZERO, JobRunner.this::pump);
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/OwnedJob.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/OwnedJob.java
@@ -26,10 +26,37 @@
 
 	private boolean writing;
 
+	private boolean mayHaveResults;
+
 	private long oldestFinishedNanos;
 
-	OwnedJob(Job job) {
+	/**
+	 * Makes a job of which nothing was read.
+	 * @param job the job
+	 * @param mayHaveResults whether some process may have listed results of it
+	 */
+	OwnedJob(Job job, boolean mayHaveResults) {
 		this.job = job;
+		this.mayHaveResults = mayHaveResults;
+	}
+
+	/**
+	 * Tells whether results have to be looked for before items are run. A job that was
+	 * accepted a moment ago, and belongs to this process, has none; looking would be one
+	 * of four store calls of a usual job. Should another process have run it all the
+	 * same, the first writing of results meets a conflict, and they are read then.
+	 * @return whether to look
+	 */
+	boolean mayHaveResults() {
+		return this.mayHaveResults;
+	}
+
+	/**
+	 * Learns that this process goes by what it knows now; from here on others may list
+	 * results as well.
+	 */
+	void resultsKnown() {
+		this.mayHaveResults = true;
 	}
 
 	Job job() {
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/peer/LoadExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/peer/LoadExchange.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.bootstrap.Bootstrap;
@@ -99,6 +100,10 @@
 
 	private BooleanSupplier storeLost = () -> false;
 
+	private BooleanSupplier wantsSlots = () -> false;
+
+	private boolean lastWanting;
+
 	private BatchTurns turns;
 
 	private final long startedNanos;
@@ -237,11 +242,26 @@
 	}
 
 	/**
-	 * Returns the turns of the processes that run jobs.
-	 * @return the turns among those that are heard now
+	 * Sets what tells whether items of this process wait for a slot.
+	 * @param condition whether they do
+	 */
+	public void wantsSlots(BooleanSupplier condition) {
+		this.wantsSlots = Objects.requireNonNull(condition, "condition is null");
+	}
+
+	/**
+	 * Returns the turns of the processes that have items waiting. Dealt out to all that
+	 * run jobs, slots of processes without work stood empty: 26 of 104 while 91 items
+	 * waited.
+	 * @return the turns among this process and those that are heard now
 	 */
 	public BatchTurns turns() {
-		List<String> runners = jobRunners();
+		List<String> runners = Stream
+			.concat(Stream.of(this.self.instance()),
+					fresh().stream().filter(LoadReport::getWantsSlots).map(LoadReport::getInstance))
+			.distinct()
+			.sorted()
+			.toList();
 		if (!runners.equals(this.turns.runners())) {
 			this.turns = BatchTurns.of(this.self.instance(), runners);
 		}
@@ -250,7 +270,8 @@
 
 	private void round() {
 		List<UpstreamLoad> now = loads();
-		if (now.equals(this.lastSent) && ++this.quietRounds < QUIET_ROUNDS) {
+		boolean same = now.equals(this.lastSent) && this.lastWanting == this.wantsSlots.getAsBoolean();
+		if (same && ++this.quietRounds < QUIET_ROUNDS) {
 			return;
 		}
 		send(now);
@@ -275,6 +296,7 @@
 
 	private void send(List<UpstreamLoad> loads) {
 		this.lastSent = loads;
+		this.lastWanting = this.wantsSlots.getAsBoolean();
 		this.quietRounds = 0;
 		this.sequence++;
 		byte[] bytes = report(loads).toByteArray();
@@ -302,6 +324,7 @@
 			.setRunsJobs(this.self.runsJobs())
 			.setLeaving(this.leaving)
 			.setStoreLost(this.storeLost.getAsBoolean())
+			.setWantsSlots(this.wantsSlots.getAsBoolean())
 			.addAllLoads(loads)
 			.build();
 	}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
@@ -226,6 +226,7 @@
 					ThreadLocalRandom.current()::nextDouble, this.loop, this.metrics, this.settings.queuePatience()));
 		this.runner = Optional.of(jobRunner);
 		this.loads.storeLost(() -> this.health.lostFor().compareTo(STORE_LOST) >= 0);
+		this.loads.wantsSlots(jobRunner::wanting);
 		this.loads.onReport(jobRunner::giveWay);
 		follow(this.platform.jobs(), new JobListener(jobRunner));
 		follow(this.platform.retirements(), new Retirement(this.settings.instance(), this.loads, jobRunner,
@@ -333,12 +334,12 @@
 
 		@Override
 		public void listed(List<Change<Job>> all) {
-			all.forEach(this::changed);
+			all.forEach((change) -> change.value().ifPresent((job) -> this.runner.put(job, false)));
 		}
 
 		@Override
 		public void changed(Change<Job> change) {
-			change.value().ifPresent(this.runner::put);
+			change.value().ifPresent((job) -> this.runner.put(job, true));
 		}
 
 	}
--- /dev/null
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/job/ItemOrderTests.java
@@ -0,0 +1,102 @@
+package org.ragworthook.gateway.job;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Which items get slots while there are fewer slots than items.
+ */
+class ItemOrderTests {
+
+	private static final long GOAL = 18_000;
+
+	private static final long USUAL = 6_000;
+
+	private final ItemOrder order = new ItemOrder();
+
+	private static ItemRun item(String id, long acceptedMillis) {
+		JobItem item = new JobItem(id, "/p", Map.of(), "", 1);
+		ItemRun run = new ItemRun(new Job("job-" + id, "h", "/p", acceptedMillis, 1, 1, 0, false, List.of(item)), item);
+		run.dueMillis(acceptedMillis + GOAL);
+		return run;
+	}
+
+	private List<String> arranged(long nowMillis, ItemRun... runs) {
+		List<ItemRun> list = new ArrayList<>(List.of(runs));
+		this.order.arrange(list, nowMillis);
+		return list.stream().map((run) -> run.item().id()).toList();
+	}
+
+	@Test
+	void shouldGoByDueTimeWhileNothingIsKnown() {
+		assertThat(arranged(1_000, item("late", 500), item("early", 0))).containsExactly("early", "late").inOrder();
+	}
+
+	@Test
+	void shouldPutLastWhatCannotBeInTime() {
+		this.order.finished(USUAL, 188);
+		assertThat(arranged(12_000, item("over", 0), item("fresh", 11_000), item("due", 3_000)))
+			.containsExactly("due", "fresh", "over")
+			.inOrder();
+	}
+
+	@Test
+	void shouldNotLetWaitForEverWhatIsLate() {
+		this.order.finished(USUAL, 188);
+		assertThat(arranged(2 * GOAL + 1, item("fresh", 30_000), item("old", 0))).containsExactly("old", "fresh")
+			.inOrder();
+	}
+
+	/**
+	 * Nothing ran for ten seconds, since every process was killed, and items came all the
+	 * while; from then on one slot serves the items that come and those that wait. By
+	 * age, each item is worked on when its time is nearly over, and a backlog stays for
+	 * good: 50 of 100 were in time; with what is late put last, 80 are.
+	 */
+	@Test
+	void shouldServeMoreInTimeAfterAnOutage() {
+		int byAge = play(Comparator.comparingLong(ItemRun::dueMillis));
+		this.order.finished(1_000, 188);
+		int byOrder = playOrder();
+		assertThat(List.of(byAge, byOrder)).isEqualTo(List.of(50, 80));
+	}
+
+	private int playOrder() {
+		return play(null);
+	}
+
+	/**
+	 * Plays one slot and items of a second each.
+	 * @param comparator which item is taken, or {@code null} for the order under test
+	 * @return how many end in time
+	 */
+	private int play(Comparator<ItemRun> comparator) {
+		List<ItemRun> waiting = new ArrayList<>();
+		int inTime = 0;
+		int arrived = 0;
+		for (long now = 0; arrived < 100 || !waiting.isEmpty(); now += 1_000) {
+			for (int n = 0; n < ((now < 20_000) ? 2 : 1) && arrived < 100; n++) {
+				waiting.add(item("i" + arrived++, now));
+			}
+			if (now < 10_000 || waiting.isEmpty()) {
+				continue;
+			}
+			if (comparator != null) {
+				waiting.sort(comparator);
+			}
+			else {
+				this.order.arrange(waiting, now);
+			}
+			ItemRun run = waiting.remove(0);
+			inTime += (now + 1_000 <= run.dueMillis()) ? 1 : 0;
+		}
+		return inTime;
+	}
+
+}
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/peer/LoadExchangeTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/peer/LoadExchangeTests.java
@@ -145,7 +145,7 @@
 		late.introduced();
 		exchange("b", second, registry(), true).introduce(first);
 		until(late::settled);
-		assertThat(late.turns().runners()).containsExactly("a", "b");
+		assertThat(late.jobRunners()).containsExactly("a", "b");
 	}
 
 	/**
--- a/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReport.java
+++ b/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReport.java
@@ -345,6 +345,21 @@
     return heardRunners_.get(index);
   }
 
+  public static final int WANTS_SLOTS_FIELD_NUMBER = 12;
+  private boolean wantsSlots_ = false;
+  /**
+   * <pre>
+   * has items of jobs that wait for a slot
+   * </pre>
+   *
+   * <code>bool wants_slots = 12;</code>
+   * @return The wantsSlots.
+   */
+  @java.lang.Override
+  public boolean getWantsSlots() {
+    return wantsSlots_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -392,6 +407,9 @@
     for (int i = 0; i < heardRunners_.size(); i++) {
       output.writeMessage(11, heardRunners_.get(i));
     }
+    if (wantsSlots_ != false) {
+      output.writeBool(12, wantsSlots_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -453,6 +471,10 @@
           }
           size += 1 * count;
         }
+    if (wantsSlots_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(12, wantsSlots_);
+    }
     return size;
   }
   @java.lang.Override
@@ -499,6 +521,8 @@
         != other.getStoreLost()) return false;
     if (!getHeardRunnersList()
         .equals(other.getHeardRunnersList())) return false;
+    if (getWantsSlots()
+        != other.getWantsSlots()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -543,6 +567,9 @@
       hash = (37 * hash) + HEARD_RUNNERS_FIELD_NUMBER;
       hash = (53 * hash) + getHeardRunnersList().hashCode();
     }
+    hash = (37 * hash) + WANTS_SLOTS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getWantsSlots());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -708,6 +735,7 @@
         heardRunnersBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000400);
+      wantsSlots_ = false;
       return this;
     }
 
@@ -796,6 +824,9 @@
       if (((from_bitField0_ & 0x00000200) != 0)) {
         result.storeLost_ = storeLost_;
       }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.wantsSlots_ = wantsSlots_;
+      }
     }
 
     @java.lang.Override
@@ -916,6 +947,9 @@
           }
         }
       }
+      if (other.getWantsSlots() != false) {
+        setWantsSlots(other.getWantsSlots());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1019,6 +1053,11 @@
               }
               break;
             } // case 90
+            case 96: {
+              wantsSlots_ = input.readBool();
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 96
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2130,6 +2169,50 @@
       return heardRunnersBuilder_;
     }
 
+    private boolean wantsSlots_ ;
+    /**
+     * <pre>
+     * has items of jobs that wait for a slot
+     * </pre>
+     *
+     * <code>bool wants_slots = 12;</code>
+     * @return The wantsSlots.
+     */
+    @java.lang.Override
+    public boolean getWantsSlots() {
+      return wantsSlots_;
+    }
+    /**
+     * <pre>
+     * has items of jobs that wait for a slot
+     * </pre>
+     *
+     * <code>bool wants_slots = 12;</code>
+     * @param value The wantsSlots to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWantsSlots(boolean value) {
+
+      wantsSlots_ = value;
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * has items of jobs that wait for a slot
+     * </pre>
+     *
+     * <code>bool wants_slots = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWantsSlots() {
+      bitField0_ = (bitField0_ & ~0x00000800);
+      wantsSlots_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:ragworthook.LoadReport)
   }
 
--- a/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReportOrBuilder.java
+++ b/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReportOrBuilder.java
@@ -161,4 +161,14 @@
    */
   org.ragworthook.wire.load.HeardRunnerOrBuilder getHeardRunnersOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * has items of jobs that wait for a slot
+   * </pre>
+   *
+   * <code>bool wants_slots = 12;</code>
+   * @return The wantsSlots.
+   */
+  boolean getWantsSlots();
 }
