Go back to an upstream that stood still; split what grew

Its log: a stream was moved off an upstream that paused, the new one said that it was another program (421), and the stream was broken off although the first one lived, since nothing that was tried is tried again. The test met it because its calls shared the common pool, where one began three seconds late. Change: TriedUpstreams keeps away from one that stood still only while there is another; test first (shouldGoBackToTheUpstreamThatStoodStill, broken off before).

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
@@ -2,14 +2,11 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.function.BooleanSupplier;
 import java.util.function.DoubleSupplier;
@@ -27,7 +24,6 @@
 import org.ragworthook.gateway.route.Route;
 import org.ragworthook.gateway.upstream.BatchTurns;
 import org.ragworthook.gateway.upstream.Placement;
-import org.ragworthook.gateway.upstream.SlotSharing;
 import org.ragworthook.gateway.upstream.TrackedUpstream;
 import org.ragworthook.gateway.upstream.UpstreamRegistry;
 
@@ -63,12 +59,15 @@
 
 	private final ItemOrder order = new ItemOrder();
 
+	private final ItemPlacing placing;
+
 	private boolean stopped;
 
 	private volatile boolean wanting;
 
 	private JobRunner(Parts parts) {
 		this.parts = parts;
+		this.placing = new ItemPlacing(parts, this.order, new Runs());
 	}
 
 	/**
@@ -89,33 +88,12 @@
 
 	private void round() {
 		if (!this.stopped) {
-			leaveQueues();
+			this.placing.leaveQueues(openRuns());
 			pump();
 			this.parts.timers().schedule(ROUND, this::round);
 		}
 	}
 
-	/**
-	 * Takes items out of the queues of engines. An engine can be fuller than is known:
-	 * another process that runs jobs is cut off from this one, or somebody else uses it.
-	 * Items that wait there hold up every online request that comes after them; one
-	 * notices first events after half a second while two halves of the processes run jobs
-	 * without hearing each other.
-	 */
-	private void leaveQueues() {
-		long now = this.parts.ticker().nanos();
-		for (OwnedJob job : this.jobs.values()) {
-			for (ItemRun run : job.runs()) {
-				run.queuedAt(now, this.parts.queuePatience()).ifPresent((upstream) -> {
-					LOG.info("item_left_queue", "job", job.job().id(), "item", run.item().id(), "upstream", upstream,
-							"load", upstream.load());
-					run.leaveQueue();
-					upstream.yielded(now);
-				});
-			}
-		}
-	}
-
 	/**
 	 * Takes a job that the store has.
 	 * @param job the job
@@ -178,40 +156,18 @@
 		for (OwnedJob job : this.jobs.values()) {
 			look(job, ready);
 		}
-		this.order.arrange(ready, this.parts.wallMillis().get());
-		Map<String, Integer> starts = new HashMap<>();
-		BatchTurns turns = this.parts.turns().get();
-		for (ItemRun run : ready) {
-			place(run, starts, turns);
-		}
-		this.wanting = ready.stream().anyMatch((run) -> !run.running());
+		this.wanting = this.placing.place(ready);
 	}
 
 	/**
-	 * Takes items away from upstreams whose slots online requests need, those that come
-	 * last in the order of items first.
+	 * Gives slots that online requests need back to them.
 	 */
 	public void giveWay() {
-		for (TrackedUpstream upstream : this.parts.upstreams().all()) {
-			int count = SlotSharing.toYield(upstream);
-			if (count > 0) {
-				giveWay(upstream, count);
-			}
-		}
+		this.placing.giveWay(this::openRuns);
 	}
 
-	private void giveWay(TrackedUpstream upstream, int count) {
-		this.parts.metrics().yielded(count);
-		upstream.yielded(this.parts.ticker().nanos());
-		LOG.info("batch_yields", "upstream", upstream, "items", count, "online", upstream.onlineLoad(), "batch",
-				upstream.batchLoad());
-		this.jobs.values()
-			.stream()
-			.flatMap((job) -> job.runs().stream())
-			.filter((run) -> run.at(upstream))
-			.sorted(this.order.comparator(this.parts.wallMillis().get()).reversed())
-			.limit(count)
-			.forEach(ItemRun::stop);
+	private List<ItemRun> openRuns() {
+		return this.jobs.values().stream().flatMap((job) -> job.runs().stream()).toList();
 	}
 
 	private void look(OwnedJob job, List<ItemRun> ready) {
@@ -230,6 +186,7 @@
 				job.stopRuns();
 				job.phase(OwnedJob.Phase.KNOWN);
 			}
+			job.resultsKnown();
 			if (job.hasFinished()) {
 				flush(job);
 			}
@@ -367,26 +324,6 @@
 		});
 	}
 
-	private void place(ItemRun run, Map<String, Integer> starts, BatchTurns turns) {
-		Optional<Configuration> configuration = this.parts.configuration().present();
-		Optional<Route> route = configuration.flatMap((present) -> present.route(run.job().host(), run.job().path()));
-		if (route.isEmpty()) {
-			return;
-		}
-		String service = route.get().service(this.parts.draw().getAsDouble());
-		List<TrackedUpstream> fleet = this.parts.upstreams().serving(service);
-		int left = starts.computeIfAbsent(service, (name) -> SlotSharing.batchStarts(fleet, turns.runners().size()));
-		if (left <= 0) {
-			return;
-		}
-		long now = this.parts.ticker().nanos();
-		Optional<TrackedUpstream> choice = this.parts.placement()
-			.choose(fleet, Set.of(), (candidate) -> SlotSharing.batchRoom(candidate, turns, now));
-		starts.put(service, choice.isPresent() ? left - 1 : 0);
-		choice.ifPresent((upstream) -> upstream.batchStarted(now));
-		choice.ifPresent((upstream) -> run.start(upstream, this.parts.connections(), this.parts.headers(), new Runs()));
-	}
-
 	/**
 	 * Acts on what becomes of runs.
 	 */
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
@@ -1,10 +1,9 @@
 package org.ragworthook.gateway.online;
 
 import java.time.Duration;
-import java.util.HashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
-import java.util.Set;
 
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -60,7 +59,7 @@
 
 	private final long fingerprint;
 
-	private final Set<TrackedUpstream> tried = new HashSet<>();
+	private final TriedUpstreams tried = new TriedUpstreams();
 
 	private int sends;
 
@@ -137,7 +136,8 @@
 	}
 
 	private Optional<TrackedUpstream> choice(Placement.Room room) {
-		return this.context.placement().choose(this.context.upstreams().serving(this.service), this.tried, room);
+		List<TrackedUpstream> serving = this.context.upstreams().serving(this.service);
+		return this.context.placement().choose(serving, this.tried.except(serving), room);
 	}
 
 	private void send(TrackedUpstream upstream) {
@@ -198,14 +198,13 @@
 	 * @param silent where it is
 	 */
 	private void move(TrackedUpstream silent) {
-		this.tried.add(silent);
 		long now = this.context.ticker().nanos();
 		Optional<TrackedUpstream> other = choice(
-				(candidate) -> SlotSharing.slotFree(candidate) && !candidate.avoided(now));
+				(candidate) -> candidate != silent && SlotSharing.slotFree(candidate) && !candidate.avoided(now));
 		if (other.isEmpty()) {
-			this.tried.remove(silent);
 			return;
 		}
+		this.tried.stoodStill(silent);
 		LOG.info("moves", "request", this.request.id(), "from", silent, "to", other.get(), "last_event",
 				this.lastEvent);
 		this.context.metrics().attemptFailed("silent");
@@ -351,7 +350,7 @@
 				exchange.sends++;
 			}
 			TrackedUpstream refusing = attemptEnded();
-			exchange.tried.add(refusing);
+			exchange.tried.ended(refusing);
 			LOG.info("not_run", "request", exchange.request.id(), "upstream", refusing, "status", status, "sends",
 					exchange.sends);
 			exchange.context.metrics().attemptFailed("not_run");
@@ -364,7 +363,7 @@
 		public void failed(SendFailure failure) {
 			OnlineExchange exchange = OnlineExchange.this;
 			TrackedUpstream failing = attemptEnded();
-			exchange.tried.add(failing);
+			exchange.tried.ended(failing);
 			if (failure != SendFailure.NOT_SENT) {
 				exchange.sends++;
 				exchange.mayHaveRun = true;
