--- a/modules/gateway/src/test/java/org/ragworthook/gateway/job/ItemOrderTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/job/ItemOrderTests.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiConsumer;
 
 import org.junit.jupiter.api.Test;
 
@@ -61,23 +62,17 @@
 	 */
 	@Test
 	void shouldServeMoreInTimeAfterAnOutage() {
-		int byAge = play(Comparator.comparingLong(ItemRun::dueMillis));
+		assertThat(inTime((waiting, now) -> waiting.sort(Comparator.comparingLong(ItemRun::dueMillis)))).isEqualTo(15);
 		this.order.finished(1_000, 188);
-		int byOrder = playOrder();
-		assertThat(byAge).isEqualTo(15);
-		assertThat(byOrder).isEqualTo(46);
-	}
-
-	private int playOrder() {
-		return play(null);
+		assertThat(inTime(this.order::arrange)).isEqualTo(46);
 	}
 
 	/**
 	 * Plays one slot and items of a second each.
-	 * @param comparator which item is taken, or {@code null} for the order under test
-	 * @return how many end in time
+	 * @param policy puts the items that wait in order
+	 * @return how many of 100 end in time
 	 */
-	private int play(Comparator<ItemRun> comparator) {
+	private static int inTime(BiConsumer<List<ItemRun>, Long> policy) {
 		List<ItemRun> waiting = new ArrayList<>();
 		int inTime = 0;
 		int arrived = 0;
@@ -88,12 +83,7 @@
 			if (now < 10_000 || waiting.isEmpty()) {
 				continue;
 			}
-			if (comparator != null) {
-				waiting.sort(comparator);
-			}
-			else {
-				this.order.arrange(waiting, now);
-			}
+			policy.accept(waiting, now);
 			ItemRun run = waiting.remove(0);
 			inTime += (now + 1_000 <= run.dueMillis()) ? 1 : 0;
 		}
