--- a/modules/gateway/src/main/java/org/ragworthook/gateway/peer/LoadExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/peer/LoadExchange.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -57,16 +56,6 @@
 	/** Rounds after which counts are sent though they have not changed. */
 	private static final int QUIET_ROUNDS = 4;
 
-	/** Silence after which a peer's counts no longer hold: several quiet reports lost. */
-	private static final Duration SILENCE = Duration.ofMillis(1_500);
-
-	/**
-	 * How long after its start a process waits to hear its peers. When all start at once,
-	 * entries come 0.6 s after the others, on a third of the processor, and report within
-	 * 0.4 s.
-	 */
-	private static final Duration SETTLE = Duration.ofMillis(1_500);
-
 	private final EventLoop loop;
 
 	private final Ticker ticker;
@@ -75,13 +64,10 @@
 
 	private final PeerSettings self;
 
-	private final Map<InetSocketAddress, Peer> peers = new HashMap<>();
+	private final PeerTable peers;
 
 	private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
 
-	/** Whether each peer was heard in the last round, so that changes are logged once. */
-	private final Map<InetSocketAddress, Boolean> heardBefore = new HashMap<>();
-
 	private volatile Channel channel;
 
 	private List<UpstreamLoad> lastSent = List.of();
@@ -94,10 +80,6 @@
 
 	private boolean urging;
 
-	private boolean allIntroduced;
-
-	private boolean settled;
-
 	private BooleanSupplier storeLost = () -> false;
 
 	private BooleanSupplier wantsSlots = () -> false;
@@ -106,7 +88,10 @@
 
 	private BatchTurns turns;
 
-	private final long startedNanos;
+	/** The owners of jobs as they were put together last; empty to do so anew. */
+	private List<String> runners = List.of();
+
+	private long runnersNanos;
 
 	private final SuspectRequests suspects;
 
@@ -118,7 +103,7 @@
 		this.registry = Objects.requireNonNull(registry, "registry is null");
 		this.self = Objects.requireNonNull(self, "self is null");
 		this.turns = BatchTurns.of(self.instance(), List.of());
-		this.startedNanos = ticker.nanos();
+		this.peers = new PeerTable(ticker);
 	}
 
 	/**
@@ -157,8 +142,7 @@
 	 */
 	public void introduce(Address address) {
 		if (!address.equals(this.self.address())) {
-			this.loop.execute(
-					() -> this.peers.computeIfAbsent(new InetSocketAddress(address.host(), address.port()), Peer::new));
+			this.loop.execute(() -> this.peers.introduce(new InetSocketAddress(address.host(), address.port())));
 		}
 	}
 
@@ -177,6 +161,7 @@
 	public void leave() {
 		this.loop.execute(() -> {
 			this.leaving = true;
+			this.runners = List.of();
 			send(loads());
 		});
 	}
@@ -198,47 +183,37 @@
 	/**
 	 * Returns the processes that run jobs and are heard, this one included if it does.
 	 * Those that have lost the store are left out, unless all have: then each goes on
-	 * with what it has.
+	 * with what it has. Asked for each job many times a second, they are put together
+	 * anew once a round, and when a report comes.
 	 * @return their names
 	 */
 	public List<String> jobRunners() {
-		RunnerView view = RunnerView.of(fresh());
-		if (this.self.runsJobs() && !this.leaving) {
-			view.add(this.self.instance(), this.storeLost.getAsBoolean());
+		long now = this.ticker.nanos();
+		if (this.runners.isEmpty() || now - this.runnersNanos >= ROUND.toNanos()) {
+			RunnerView view = RunnerView.of(this.peers.fresh());
+			if (this.self.runsJobs() && !this.leaving) {
+				view.add(this.self.instance(), this.storeLost.getAsBoolean());
+			}
+			this.runners = view.owners();
+			this.runnersNanos = now;
 		}
-		return view.owners();
-	}
-
-	private List<LoadReport> fresh() {
-		long since = this.ticker.nanos() - SILENCE.toNanos();
-		return this.peers.values().stream().flatMap((peer) -> peer.report(since).stream()).toList();
+		return this.runners;
 	}
 
 	/**
 	 * Learns that all processes that the platform knows were introduced.
 	 */
 	public void introduced() {
-		this.loop.execute(() -> this.allIntroduced = true);
+		this.loop.execute(this.peers::introduced);
 	}
 
 	/**
-	 * Tells whether this process knows what its peers do. One that has just started hears
-	 * nobody yet. It would take itself for the only one that runs jobs, read all of them
-	 * and fill every slot: when three processes started at once they began 177 items in
-	 * 104 slots, and callers' requests of the next seconds waited behind these.
+	 * Tells whether this process knows what its peers do; until then it leaves jobs
+	 * alone.
 	 * @return whether all peers were heard, or have had the time to be
 	 */
 	public boolean settled() {
-		if (!this.settled) {
-			long age = this.ticker.nanos() - this.startedNanos;
-			boolean heard = this.allIntroduced
-					&& this.peers.values().stream().allMatch((peer) -> peer.newest().isPresent());
-			this.settled = heard || age >= SETTLE.toNanos();
-			if (this.settled) {
-				LOG.info("peers_settled", "all_heard", heard, "peers", this.peers.size(), "ms", age / 1_000_000);
-			}
-		}
-		return this.settled;
+		return this.peers.settled();
 	}
 
 	/**
@@ -258,7 +233,7 @@
 	public BatchTurns turns() {
 		List<String> runners = Stream
 			.concat(Stream.of(this.self.instance()),
-					fresh().stream().filter(LoadReport::getWantsSlots).map(LoadReport::getInstance))
+					this.peers.fresh().stream().filter(LoadReport::getWantsSlots).map(LoadReport::getInstance))
 			.distinct()
 			.sorted()
 			.toList();
@@ -300,7 +275,7 @@
 		this.quietRounds = 0;
 		this.sequence++;
 		byte[] bytes = report(loads).toByteArray();
-		for (Peer peer : this.peers.values()) {
+		for (Peer peer : this.peers.all()) {
 			this.channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), peer.address()),
 					this.channel.voidPromise());
 		}
@@ -312,7 +287,8 @@
 		this.suspects.own()
 			.forEach((fingerprint, breaks) -> report
 				.addSuspects(SuspectRequest.newBuilder().setFingerprint(fingerprint).setBreaks(breaks)));
-		fresh().stream()
+		this.peers.fresh()
+			.stream()
 			.filter((heard) -> heard.getRunsJobs() && !heard.getLeaving())
 			.forEach((heard) -> report.addHeardRunners(
 					HeardRunner.newBuilder().setInstance(heard.getInstance()).setStoreLost(heard.getStoreLost())));
@@ -330,17 +306,17 @@
 	}
 
 	private void sum() {
-		long since = this.ticker.nanos() - SILENCE.toNanos();
+		this.peers.logChanges();
 		Map<Integer, PeerLoad> sums = new HashMap<>();
 		Map<Long, Integer> breaks = new HashMap<>();
-		for (Peer peer : this.peers.values()) {
-			Optional<LoadReport> report = peer.report(since);
-			logChange(peer, report.isPresent());
+		for (Peer peer : this.peers.all()) {
 			peer.newest()
 				.ifPresent((last) -> last.getSuspectsList()
 					.forEach((suspect) -> breaks.merge(suspect.getFingerprint(), suspect.getBreaks(), Integer::sum)));
-			report.ifPresent((present) -> present.getLoadsList()
-				.forEach((load) -> sums.merge(load.getUpstream(), load(present.getInstance(), load), PeerLoad::plus)));
+			this.peers.fresh(peer)
+				.ifPresent((present) -> present.getLoadsList()
+					.forEach((load) -> sums.merge(load.getUpstream(), load(present.getInstance(), load),
+							PeerLoad::plus)));
 		}
 		this.suspects.peers(breaks);
 		for (TrackedUpstream upstream : this.registry.all()) {
@@ -353,13 +329,6 @@
 		return new PeerLoad(load.getOnline(), load.getBatch(), givesFirst ? load.getBatch() : 0);
 	}
 
-	private void logChange(Peer peer, boolean heard) {
-		Boolean before = this.heardBefore.put(peer.address(), heard);
-		if (before != null && before != heard) {
-			LOG.info(heard ? "peer_heard" : "peer_silent", "peer", peer.address());
-		}
-	}
-
 	@Override
 	public void close() {
 		this.channel.close();
@@ -372,8 +341,8 @@
 			LoadExchange exchange = LoadExchange.this;
 			try {
 				LoadReport report = LoadReport.parseFrom(ByteBufUtil.getBytes(packet.content()));
-				InetSocketAddress from = new InetSocketAddress(report.getHost(), report.getPort());
-				if (exchange.peers.computeIfAbsent(from, Peer::new).take(report, exchange.ticker.nanos())) {
+				if (exchange.peers.take(report)) {
+					exchange.runners = List.of();
 					sum();
 					exchange.listeners.forEach(Runnable::run);
 				}
