Split the connections of callers from the front end

CallerConnections counts what is in progress on each and closes the idle ones; same answers, tests unchanged.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/Frontend.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/Frontend.java
@@ -1,15 +1,12 @@
 package org.ragworthook.gateway.online;
 
 import java.time.Duration;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
@@ -58,7 +55,7 @@
 
 	private final Vertx vertx;
 
-	private final Map<HttpConnection, Usage> connections = new HashMap<>();
+	private final CallerConnections connections;
 
 	private boolean leaving;
 
@@ -69,6 +66,7 @@
 	private Frontend(Vertx vertx, OnlineContext context, JobDesk jobs, EarlyRequests early) {
 		this.vertx = vertx;
 		this.context = context;
+		this.connections = new CallerConnections(context.ticker());
 		this.queues = new OnlineQueues(context);
 		this.jobs = jobs;
 		this.early = early;
@@ -101,7 +99,7 @@
 				.setTcpNoDelay(true)
 				.setTcpKeepAlive(true)
 				.setAcceptBacklog(BACKLOG))
-			.connectionHandler(this::connected)
+			.connectionHandler(this.connections::opened)
 			.requestHandler(this::handle)
 			.invalidRequestHandler(this::invalid);
 		return listener.listen(address.port(), address.host())
@@ -140,17 +138,9 @@
 	public void refuseMore() {
 		if (!this.refusing) {
 			this.refusing = true;
-			LOG.info("refusing_more", "open", this.open, "connections", this.connections.size());
+			LOG.info("refusing_more", "open", this.open, "connections", this.connections.count());
 		}
-		closeIdle();
-	}
-
-	private void closeIdle() {
-		Map.copyOf(this.connections).forEach((connection, usage) -> {
-			if (usage.requests == 0) {
-				connection.close();
-			}
-		});
+		this.connections.closeIdle();
 	}
 
 	/**
@@ -161,24 +151,13 @@
 		return this.open;
 	}
 
-	private void connected(HttpConnection connection) {
-		Usage usage = new Usage();
-		usage.sinceNanos = this.context.ticker().nanos();
-		this.connections.put(connection, usage);
-		connection.closeHandler((closed) -> this.connections.remove(connection));
-	}
-
 	private void sweep() {
 		CallerLimits limits = this.context.configuration()
 			.present()
 			.map(Configuration::limits)
 			.orElse(CallerLimits.DEFAULT);
 		long before = this.context.ticker().nanos() - limits.idleTimeout().plus(IDLE_MARGIN).toNanos();
-		Map.copyOf(this.connections).forEach((connection, usage) -> {
-			if (usage.requests == 0 && usage.sinceNanos - before < 0) {
-				connection.close();
-			}
-		});
+		this.connections.closeIdleSince(before);
 		this.context.connections().sweep();
 		this.context.timers().schedule(SWEEP, this::sweep);
 	}
@@ -192,10 +171,8 @@
 	}
 
 	private void handle(HttpServerRequest request) {
-		Usage usage = this.connections.computeIfAbsent(request.connection(), (connection) -> new Usage());
-		usage.requests++;
 		this.open++;
-		Ending ending = new Ending(usage);
+		Ending ending = new Ending(this.connections.begin(request.connection()));
 		request.response().endHandler((ended) -> ending.run());
 		request.response().closeHandler((closed) -> ending.run());
 		request.response().exceptionHandler((failure) -> ending.run());
@@ -354,29 +331,18 @@
 
 	}
 
-	/**
-	 * What a connection is used for.
-	 */
-	private static final class Usage {
-
-		private int requests;
-
-		private long sinceNanos;
-
-	}
-
 	/**
 	 * Counts a request out when its answer has ended or its connection has closed.
 	 */
 	private final class Ending {
 
-		private final Usage usage;
+		private final CallerConnections.Usage usage;
 
 		private OnlineExchange exchange;
 
 		private boolean over;
 
-		Ending(Usage usage) {
+		Ending(CallerConnections.Usage usage) {
 			this.usage = usage;
 		}
 
@@ -385,8 +351,7 @@
 				return;
 			}
 			this.over = true;
-			this.usage.requests--;
-			this.usage.sinceNanos = Frontend.this.context.ticker().nanos();
+			Frontend.this.connections.end(this.usage);
 			Frontend.this.open--;
 			if (this.exchange != null) {
 				this.exchange.callerLeft();
