Say of the slots only what was counted

The share of all slots that stood empty was counted against 13 engines, of which one may have been away; what was in use was counted itself: 78 before, 94 after.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/peer/LoadExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/peer/LoadExchange.java
@@ -226,8 +226,8 @@
 
 	/**
 	 * Returns the turns of the processes that have items waiting. Dealt out to all that
-	 * run jobs, slots of processes without work stood empty: 26 of 104 while 91 items
-	 * waited.
+	 * run jobs, slots of processes without work stood empty: 78 were in use while 91
+	 * items waited, and 94 with turns among those that want some.
 	 * @return the turns among this process and those that are heard now
 	 */
 	public BatchTurns turns() {
