--- a/modules/gateway/src/main/java/org/ragworthook/gateway/upstream/BatchTurns.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/upstream/BatchTurns.java
@@ -12,9 +12,9 @@
  * Each process learns what the others have there up to 0.1 s late. Without an order,
  * three of them saw the same free slot and all took it, and when one slot was needed all
  * three gave one: in a day with 305 items there were 819 cuts, one in twelve at upstreams
- * without any online request; with the order there were 446, none there. The order
- * differs from upstream to upstream, so that each process is first at its share of them.
- * Used on one thread.
+ * without any online request; with the order there were 446. The order differs from
+ * upstream to upstream, so that each process is first at its share of them. Used on one
+ * thread.
  */
 public final class BatchTurns {
 
