Listen in one place for the two small servers

MetricsServer and ReadinessServer each held the Vert.x instance and the same four lines to listen. They are handlers now, and GatewayProcess.listen does it for both. A constant of PeerTable that only it uses is private.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/peer/PeerTable.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/peer/PeerTable.java
@@ -21,7 +21,7 @@
 	private static final EventLog LOG = EventLog.of(PeerTable.class);
 
 	/** Silence after which a peer's counts no longer hold: several quiet reports lost. */
-	static final Duration SILENCE = Duration.ofMillis(1_500);
+	private static final Duration SILENCE = Duration.ofMillis(1_500);
 
 	/**
 	 * How long after its start a process waits to hear its peers. When all start at once,
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
@@ -13,9 +13,11 @@
 
 import io.netty.channel.EventLoop;
 import io.vertx.core.Future;
+import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
+import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.internal.ContextInternal;
 import org.ragworthook.core.fleet.Address;
 import org.ragworthook.core.log.EventLog;
@@ -170,9 +172,7 @@
 		this.metrics.gauge("configuration.version", this.configuration,
 				(present) -> present.present().map(Configuration::version).orElse(0L));
 		this.metrics.gauge("store.up", this.health, (present) -> present.up() ? 1 : 0);
-		MetricsServer server = new MetricsServer(this.vertx, this.metrics);
-		Address address = this.settings.metrics();
-		listen("metrics", () -> server.listen(address));
+		listen("metrics", this.settings.metrics(), new MetricsServer(this.metrics));
 	}
 
 	private <T> void follow(Feed<T> feed, FeedListener<T> listener) {
@@ -189,10 +189,15 @@
 		this.loads.onReport(front::roomChanged);
 		Address address = this.settings.front().orElseThrow();
 		listen("callers", () -> front.listen(address));
-		this.settings.readiness().ifPresent((place) -> {
-			ReadinessServer readiness = new ReadinessServer(this.vertx, this::ready);
-			listen("readiness", () -> readiness.listen(place));
-		});
+		this.settings.readiness().ifPresent((place) -> listen("readiness", place, new ReadinessServer(this::ready)));
+	}
+
+	private void listen(String what, Address address, Handler<HttpServerRequest> handler) {
+		listen(what,
+				() -> this.vertx.createHttpServer()
+					.requestHandler(handler)
+					.listen(address.port(), address.host())
+					.mapEmpty());
 	}
 
 	/**
