Save how far items are, and go on there after a kill or a stop

Cause: an item's output so far was in its owner's memory alone. Ruled out: the processes' disks (lost with the machine or at a wipe, and of no use to another owner); deltas by job (ten times the calls). Change: each process that runs jobs replaces one object with the output of its open items, once a second at most and less often the more processes there are; who takes jobs over lists these objects once and goes on after the furthest event. A stop saves before its peers hear that the process leaves.

--- a/modules/core/src/main/java/org/ragworthook/core/store/Kind.java
+++ b/modules/core/src/main/java/org/ragworthook/core/store/Kind.java
@@ -21,6 +21,9 @@
 	/** The outcomes of a chunk's items. */
 	RESULT("results"),
 
+	/** How far items are that have not ended, one object a process. */
+	PROGRESS("progress"),
+
 	/** Uploaded files: their header and how many chunks they have. */
 	FILE("files"),
 
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
@@ -186,6 +186,29 @@
 		}
 	}
 
+	/**
+	 * Returns how far the item is.
+	 * @return its output up to the last whole event, or empty if it has none
+	 */
+	Optional<ItemProgress> progress() {
+		return (this.lastEvent > 0)
+				? Optional.of(new ItemProgress(this.job.id(), this.item.id(), this.lastEvent, this.output.toString()))
+				: Optional.empty();
+	}
+
+	/**
+	 * Takes over what an earlier owner has of the output, if that is more than is there.
+	 * @param saved how far the item was
+	 */
+	void goOnAfter(ItemProgress saved) {
+		if (this.attempt == null && saved.lastEvent() > this.lastEvent) {
+			this.lastEvent = saved.lastEvent();
+			this.hasOutput = true;
+			this.output.setLength(0);
+			this.output.append(saved.output());
+		}
+	}
+
 	int serverErrors() {
 		return this.serverErrors;
 	}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobDocuments.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobDocuments.java
@@ -73,6 +73,27 @@
 		return outcomes;
 	}
 
+	static String writeProgress(List<ItemProgress> items) {
+		ArrayNode array = MAPPER.createArrayNode();
+		for (ItemProgress item : items) {
+			ObjectNode node = array.addObject();
+			node.put("job", item.jobId());
+			node.put("item", item.itemId());
+			node.put("lastEvent", item.lastEvent());
+			node.put("output", item.output());
+		}
+		return text(array);
+	}
+
+	static List<ItemProgress> readProgress(String text) {
+		List<ItemProgress> items = new ArrayList<>();
+		for (JsonNode node : parse(text)) {
+			items.add(new ItemProgress(node.path("job").asText(), node.path("item").asText(),
+					node.path("lastEvent").asLong(), node.path("output").asText()));
+		}
+		return items;
+	}
+
 	private static ArrayNode items(List<JobItem> items) {
 		ArrayNode array = MAPPER.createArrayNode();
 		for (JobItem item : items) {
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobOwners.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobOwners.java
@@ -6,7 +6,6 @@
  * The answer may differ between processes for a while. That costs runs twice and harms
  * nothing: positions are decided by the store.
  */
-@FunctionalInterface
 public interface JobOwners {
 
 	/**
@@ -16,4 +15,10 @@
 	 */
 	boolean own(String jobId);
 
+	/**
+	 * Returns how many processes run jobs.
+	 * @return this one and those that it knows of
+	 */
+	int count();
+
 }
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.function.BooleanSupplier;
 import java.util.function.DoubleSupplier;
@@ -61,6 +62,8 @@
 
 	private final ItemPlacing placing;
 
+	private final ProgressKeeper progress;
+
 	private boolean stopped;
 
 	private volatile boolean wanting;
@@ -68,6 +71,7 @@
 	private JobRunner(Parts parts) {
 		this.parts = parts;
 		this.placing = new ItemPlacing(parts, this.order, new Runs());
+		this.progress = new ProgressKeeper(parts.progress(), parts.ticker(), parts.loop());
 	}
 
 	/**
@@ -90,6 +94,7 @@
 		if (!this.stopped) {
 			this.placing.leaveQueues(openRuns());
 			pump();
+			this.progress.round(ownRuns(), this.parts.owners().count());
 			this.parts.timers().schedule(ROUND, this::round);
 		}
 	}
@@ -117,16 +122,20 @@
 	}
 
 	/**
-	 * Stops all runs; what is finished is still listed.
+	 * Stops all runs; what is finished is still listed, and how far the others are is
+	 * saved.
+	 * @return completes when another process may go on with the items
 	 */
-	public void stop() {
+	public CompletableFuture<Void> stop() {
 		this.stopped = true;
+		CompletableFuture<Void> saved = this.progress.save(ownRuns());
 		this.jobs.values().forEach((job) -> {
 			job.stopRuns();
 			if (job.hasFinished()) {
 				flush(job);
 			}
 		});
+		return saved;
 	}
 
 	/**
@@ -166,6 +175,14 @@
 		this.placing.giveWay(this::openRuns);
 	}
 
+	private List<ItemRun> ownRuns() {
+		return this.jobs.values()
+			.stream()
+			.filter((job) -> job.phase() == OwnedJob.Phase.READY)
+			.flatMap((job) -> job.runs().stream())
+			.toList();
+	}
+
 	private List<ItemRun> openRuns() {
 		return this.jobs.values().stream().flatMap((job) -> job.runs().stream()).toList();
 	}
@@ -230,6 +247,26 @@
 				segments(job);
 				return;
 			}
+			goOn(job);
+		}, this.parts.loop()).exceptionally((failure) -> later(job, failure));
+	}
+
+	/**
+	 * Takes over how far the items are that another process, or this one before it was
+	 * started again, has worked on.
+	 * @param job the job, its results read
+	 */
+	private void goOn(OwnedJob job) {
+		this.progress.saved().thenAcceptAsync((saved) -> {
+			job.open();
+			int taken = 0;
+			for (ItemRun run : job.runs()) {
+				Optional<ItemProgress> found = saved.of(run);
+				found.ifPresent(run::goOnAfter);
+				taken += found.isPresent() ? 1 : 0;
+			}
+			LOG.info("progress_taken_over", "job", job.job().id(), "open_items", job.openCount(), "with_progress",
+					taken);
 			ready(job);
 		}, this.parts.loop()).exceptionally((failure) -> later(job, failure));
 	}
@@ -366,6 +403,7 @@
 	 * What a runner uses.
 	 *
 	 * @param store the jobs
+	 * @param progress how far their items are
 	 * @param owners tells whose jobs they are
 	 * @param settled tells whether it is known which processes run jobs, and what they
 	 * have at upstreams
@@ -383,10 +421,11 @@
 	 * @param metrics counts what happens
 	 * @param queuePatience how long an item may be without an answer at an engine
 	 */
-	public record Parts(JobStore store, JobOwners owners, BooleanSupplier settled, Supplier<BatchTurns> turns,
-			ConfigurationInForce configuration, UpstreamRegistry upstreams, Placement placement,
-			ConnectionPool connections, HeaderNames headers, Ticker ticker, Supplier<Long> wallMillis, Timers timers,
-			DoubleSupplier draw, Executor loop, GatewayMetrics metrics, Duration queuePatience) {
+	public record Parts(JobStore store, ProgressStore progress, JobOwners owners, BooleanSupplier settled,
+			Supplier<BatchTurns> turns, ConfigurationInForce configuration, UpstreamRegistry upstreams,
+			Placement placement, ConnectionPool connections, HeaderNames headers, Ticker ticker,
+			Supplier<Long> wallMillis, Timers timers, DoubleSupplier draw, Executor loop, GatewayMetrics metrics,
+			Duration queuePatience) {
 	}
 
 }
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/peer/RendezvousOwners.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/peer/RendezvousOwners.java
@@ -46,4 +46,9 @@
 		return this.self.equals(best);
 	}
 
+	@Override
+	public int count() {
+		return this.runners.get().size();
+	}
+
 }
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
@@ -36,6 +36,7 @@
 import org.ragworthook.gateway.job.JobReader;
 import org.ragworthook.gateway.job.JobRunner;
 import org.ragworthook.gateway.job.JobStore;
+import org.ragworthook.gateway.job.ProgressStore;
 import org.ragworthook.gateway.metrics.GatewayMetrics;
 import org.ragworthook.gateway.online.Frontend;
 import org.ragworthook.gateway.online.OnlineContext;
@@ -224,11 +225,13 @@
 	}
 
 	private void runJobs(Placement placement, ConnectionPool connections) {
-		JobRunner jobRunner = JobRunner
-			.of(new JobRunner.Parts(this.jobs, RendezvousOwners.of(this.settings.instance(), this.loads::jobRunners),
-					this.loads::settled, this.loads::turns, this.configuration, this.upstreams, placement, connections,
-					this.platform.headers(), this.ticker, System::currentTimeMillis, this.timers,
-					ThreadLocalRandom.current()::nextDouble, this.loop, this.metrics, this.settings.queuePatience()));
+		ProgressStore progress = ProgressStore.of(this.platform.store(), this.writer, this.platform.progress(),
+				this.settings.instance());
+		JobRunner jobRunner = JobRunner.of(new JobRunner.Parts(this.jobs, progress,
+				RendezvousOwners.of(this.settings.instance(), this.loads::jobRunners), this.loads::settled,
+				this.loads::turns, this.configuration, this.upstreams, placement, connections, this.platform.headers(),
+				this.ticker, System::currentTimeMillis, this.timers, ThreadLocalRandom.current()::nextDouble, this.loop,
+				this.metrics, this.settings.queuePatience()));
 		this.runner = Optional.of(jobRunner);
 		this.loads.storeLost(() -> this.health.lostFor().compareTo(STORE_LOST) >= 0);
 		this.loads.wantsSlots(jobRunner::wanting);
@@ -258,10 +261,11 @@
 		LOG.info("stopping", "instance", this.settings.instance());
 		long begun = this.ticker.nanos();
 		this.leaving = true;
-		this.loads.leave();
 		this.loop.execute(() -> {
 			this.frontend.ifPresent(Frontend::leave);
-			this.runner.ifPresent(JobRunner::stop);
+			this.runner.map(JobRunner::stop)
+				.orElse(CompletableFuture.completedFuture(null))
+				.whenComplete((saved, failure) -> this.loads.leave());
 		});
 		Duration most = this.settings.grace().minus(MARGIN);
 		Duration least = this.frontend.isPresent() ? STAY : Duration.ZERO;
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/Platform.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/Platform.java
@@ -1,11 +1,13 @@
 package org.ragworthook.gateway.process;
 
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 
 import org.ragworthook.core.store.RecordStore;
 import org.ragworthook.gateway.dialect.HeaderNames;
 import org.ragworthook.gateway.dialect.JobFormat;
 import org.ragworthook.gateway.feed.Feed;
+import org.ragworthook.gateway.job.ItemProgress;
 import org.ragworthook.gateway.job.Job;
 import org.ragworthook.gateway.peer.PeerDirectory;
 import org.ragworthook.gateway.route.Configuration;
@@ -52,6 +54,12 @@
 	 */
 	Feed<Job> jobs();
 
+	/**
+	 * Returns how far the items are that processes have saved.
+	 * @return the feed
+	 */
+	Feed<List<ItemProgress>> progress();
+
 	/**
 	 * Returns the instances that the operator wants emptied, by name.
 	 * @return the feed
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/Retirement.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/Retirement.java
@@ -65,9 +65,10 @@
 		}
 		this.begun = true;
 		LOG.info("retiring", "instance", this.instance);
-		this.loads.leave();
-		this.runner.stop();
-		report();
+		this.runner.stop().whenCompleteAsync((saved, failure) -> {
+			this.loads.leave();
+			report();
+		}, this.loop);
 	}
 
 	private void report() {
