Keep the operator's limit of waiting tokens over all entries

Cause: a batch route can limit how many tokens of unfinished items may wait, over all entries; the limit was not decoded. Ruled out: a counter in the store (a conditional write for each job and each result); a share of the limit for each entry (refuses most jobs that fit, as a job is a third of the limit). Change: owners tell the tokens of their open items in their reports, entries those of the jobs they accepted a moment ago. Near the limit an entry reserves the room, waits until its peers have heard, and looks again. Where not all owners are heard, the store's list of jobs gives an upper bound. What does not fit gets 429, unless it was accepted before.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/Job.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/Job.java
@@ -13,11 +13,12 @@
  * @param configurationVersion the configuration by which it was accepted
  * @param itemCount how many items it has
  * @param chunks in how many further objects its items are, or 0 if they are in this one
+ * @param tokens tokens of all its items, prompts and the most that may be generated
  * @param ended whether its caller has ended it
  * @param items its items, empty if they are in further objects or the job has ended
  */
 public record Job(String id, String host, String path, long acceptedMillis, long configurationVersion, int itemCount,
-		int chunks, boolean ended, List<JobItem> items) {
+		int chunks, long tokens, boolean ended, List<JobItem> items) {
 
 	/**
 	 * Copies the items.
@@ -36,7 +37,7 @@
 	 */
 	public Job withItems(List<JobItem> all) {
 		return new Job(this.id, this.host, this.path, this.acceptedMillis, this.configurationVersion, this.itemCount,
-				this.chunks, this.ended, all);
+				this.chunks, this.tokens, this.ended, all);
 	}
 
 	/**
@@ -45,7 +46,7 @@
 	 */
 	public Job end() {
 		return new Job(this.id, this.host, this.path, this.acceptedMillis, this.configurationVersion, this.itemCount, 0,
-				true, List.of());
+				this.tokens, true, List.of());
 	}
 
 }
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobDocuments.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobDocuments.java
@@ -32,6 +32,7 @@
 		node.put("configurationVersion", job.configurationVersion());
 		node.put("itemCount", job.itemCount());
 		node.put("chunks", job.chunks());
+		node.put("tokens", job.tokens());
 		node.put("ended", job.ended());
 		node.set("items", items(job.items()));
 		return text(node);
@@ -41,8 +42,8 @@
 		JsonNode node = parse(text);
 		return new Job(node.path("id").asText(), node.path("host").asText(), node.path("path").asText(),
 				node.path("acceptedMillis").asLong(), node.path("configurationVersion").asLong(),
-				node.path("itemCount").asInt(), node.path("chunks").asInt(), node.path("ended").asBoolean(),
-				items(node.path("items")));
+				node.path("itemCount").asInt(), node.path("chunks").asInt(), node.path("tokens").asLong(),
+				node.path("ended").asBoolean(), items(node.path("items")));
 	}
 
 	static String writeItems(List<JobItem> items) {
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -68,6 +69,8 @@
 
 	private volatile boolean wanting;
 
+	private boolean listed;
+
 	private JobRunner(Parts parts) {
 		this.parts = parts;
 		this.placing = new ItemPlacing(parts, this.order, new Runs());
@@ -146,6 +149,36 @@
 		return this.jobs.values().stream().anyMatch((job) -> job.hasFinished() || job.writing());
 	}
 
+	/**
+	 * Learns that all jobs that the store has were put.
+	 */
+	public void listed() {
+		this.listed = true;
+	}
+
+	/**
+	 * Returns the tokens of the items of this process's jobs that no upstream has
+	 * finished. Of a job that is not read yet all items count.
+	 * @return tokens by the key of the route, or empty while it is not known which jobs
+	 * this process has
+	 */
+	public Optional<Map<Integer, Long>> backlog() {
+		Optional<Configuration> configuration = this.parts.configuration().present();
+		if (!this.listed || configuration.isEmpty() || !this.parts.settled().getAsBoolean()) {
+			return Optional.empty();
+		}
+		Map<Integer, Long> tokens = new HashMap<>();
+		for (OwnedJob job : this.jobs.values()) {
+			if (job.phase() != OwnedJob.Phase.DONE && this.parts.owners().own(job.job().id())) {
+				configuration.get()
+					.route(job.job().host(), job.job().path())
+					.filter((route) -> route.mostWaitingTokens() > 0)
+					.ifPresent((route) -> tokens.merge(route.key(), job.openTokens(), Long::sum));
+			}
+		}
+		return Optional.of(tokens);
+	}
+
 	/**
 	 * Tells whether items wait for a slot.
 	 * @return whether some did when it was last looked
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobStore.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobStore.java
@@ -73,7 +73,7 @@
 			written.add(created(partKey(Kind.CHUNK, job.id(), n), JobDocuments.writeItems(chunks.get(n))));
 		}
 		Job head = new Job(job.id(), job.host(), job.path(), job.acceptedMillis(), job.configurationVersion(),
-				job.itemCount(), chunks.size(), false, List.of());
+				job.itemCount(), chunks.size(), job.tokens(), false, List.of());
 		return CompletableFuture.allOf(written.toArray(CompletableFuture[]::new))
 			.thenCompose((done) -> created(key(Kind.JOB, job.id()), JobDocuments.write(head)));
 	}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/OwnedJob.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/OwnedJob.java
@@ -118,6 +118,15 @@
 		return this.open.size();
 	}
 
+	/**
+	 * Returns the tokens of the items that have not ended.
+	 * @return those of all items while the job is not read
+	 */
+	long openTokens() {
+		return (this.phase == Phase.READY) ? this.open.values().stream().mapToLong((run) -> run.item().tokens()).sum()
+				: this.job.tokens();
+	}
+
 	/**
 	 * Takes the outcome of an item.
 	 * @param outcome how it ended
--- /dev/null
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/Backlog.java
@@ -0,0 +1,42 @@
+package org.ragworthook.gateway.online;
+
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+
+import org.ragworthook.gateway.peer.WaitingTokens;
+import org.ragworthook.gateway.route.Route;
+
+/**
+ * What all processes have accepted and not finished of batch jobs, for the decision
+ * whether another one fits.
+ */
+public interface Backlog {
+
+	/**
+	 * Returns what the other processes have told.
+	 * @param route the route of the jobs
+	 * @return tokens that wait
+	 */
+	WaitingTokens reported(Route route);
+
+	/**
+	 * Reads from the store what can wait at most, finished items included. For when the
+	 * processes that run jobs cannot be heard.
+	 * @param route the route of the jobs
+	 * @return tokens; fails if the store does not answer
+	 */
+	CompletableFuture<Long> atMost(Route route);
+
+	/**
+	 * Sets what shows the others the jobs that this process has accepted a moment ago.
+	 * @param accepted gives tokens by the key of the route
+	 */
+	void show(Supplier<Map<Integer, Long>> accepted);
+
+	/**
+	 * Shows them now.
+	 */
+	void tell();
+
+}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlinePart.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlinePart.java
@@ -25,13 +25,16 @@
 	 * @param format the format of the calls about them
 	 * @param loop the event loop
 	 * @param storeAnswers tells whether the platform's store answers
+	 * @param backlog tells what waits of batch jobs
 	 * @return the front end
 	 */
 	public static Frontend of(Vertx vertx, OnlineContext context, JobStore store, JobReader reader, JobFormat format,
-			Executor loop, BooleanSupplier storeAnswers) {
-		return Frontend.of(vertx, context,
-				new JobDesk(store, reader, format, context.timers(), loop, System::currentTimeMillis),
-				new EarlyRequests(context.timers(), storeAnswers));
+			Executor loop, BooleanSupplier storeAnswers, Backlog backlog) {
+		return Frontend
+			.of(vertx, context,
+					new JobDesk(store, reader, format, context.timers(), loop, System::currentTimeMillis,
+							new JobQuota(context.ticker()), backlog),
+					new EarlyRequests(context.timers(), storeAnswers));
 	}
 
 }
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/peer/LoadExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/peer/LoadExchange.java
@@ -7,9 +7,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import java.util.stream.Stream;
 
 import com.google.protobuf.InvalidProtocolBufferException;
@@ -86,6 +88,8 @@
 
 	private boolean lastWanting;
 
+	private final BacklogReports backlogs = new BacklogReports();
+
 	private BatchTurns turns;
 
 	/** The owners of jobs as they were put together last; empty to do so anew. */
@@ -224,6 +228,32 @@
 		this.wantsSlots = Objects.requireNonNull(condition, "condition is null");
 	}
 
+	/**
+	 * Sets what tells which items wait, as far as this process knows.
+	 * @param backlog gives tokens by the key of the route, or empty while not known
+	 */
+	public void backlog(Supplier<Optional<Map<Integer, Long>>> backlog) {
+		this.backlogs.own(backlog);
+	}
+
+	/**
+	 * Sets what tells which jobs this process has accepted a moment ago.
+	 * @param accepted gives tokens by the key of the route
+	 */
+	public void accepted(Supplier<Map<Integer, Long>> accepted) {
+		this.backlogs.accepted(accepted);
+	}
+
+	/**
+	 * Returns what the peers, and the jobs of this process, tell of the items that wait
+	 * on a route.
+	 * @param routeKey the route's key
+	 * @return tokens and whether they are all
+	 */
+	public WaitingTokens waiting(int routeKey) {
+		return this.backlogs.sum(this.peers.lately(), routeKey);
+	}
+
 	/**
 	 * Returns the turns of the processes that have items waiting. Dealt out to all that
 	 * run jobs, slots of processes without work stood empty: 78 were in use while 91
@@ -245,7 +275,8 @@
 
 	private void round() {
 		List<UpstreamLoad> now = loads();
-		boolean same = now.equals(this.lastSent) && this.lastWanting == this.wantsSlots.getAsBoolean();
+		boolean same = now.equals(this.lastSent) && this.lastWanting == this.wantsSlots.getAsBoolean()
+				&& !this.backlogs.changed();
 		if (same && ++this.quietRounds < QUIET_ROUNDS) {
 			return;
 		}
@@ -292,6 +323,7 @@
 			.filter((heard) -> heard.getRunsJobs() && !heard.getLeaving())
 			.forEach((heard) -> report.addHeardRunners(
 					HeardRunner.newBuilder().setInstance(heard.getInstance()).setStoreLost(heard.getStoreLost())));
+		this.backlogs.write(report);
 		return report.setInstance(this.self.instance())
 			.setStartedMillis(this.self.startedMillis())
 			.setSequence(this.sequence)
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/peer/PeerTable.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/peer/PeerTable.java
@@ -23,6 +23,9 @@
 	/** Silence after which a peer's counts no longer hold: several quiet reports lost. */
 	private static final Duration SILENCE = Duration.ofMillis(1_500);
 
+	/** Twice the time until the next owner of a silent peer's jobs has read them. */
+	private static final Duration LATELY = Duration.ofMillis(5_000);
+
 	/**
 	 * How long after its start a process waits to hear its peers. When all start at once,
 	 * entries come 0.6 s after the others, on a third of the processor, and report within
@@ -81,6 +84,17 @@
 		return this.peers.values().stream().flatMap((peer) -> fresh(peer).stream()).toList();
 	}
 
+	/**
+	 * Returns what the peers have told that were heard lately, silent ones included. The
+	 * jobs of one that has fallen silent are counted here until their next owner counts
+	 * them.
+	 * @return the newest report of each
+	 */
+	List<LoadReport> lately() {
+		long since = this.ticker.nanos() - LATELY.toNanos();
+		return this.peers.values().stream().flatMap((peer) -> peer.report(since).stream()).toList();
+	}
+
 	/**
 	 * Returns what a peer has told, if it is heard.
 	 * @param peer the peer
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -38,6 +39,7 @@
 import org.ragworthook.gateway.job.JobStore;
 import org.ragworthook.gateway.job.ProgressStore;
 import org.ragworthook.gateway.metrics.GatewayMetrics;
+import org.ragworthook.gateway.online.Backlog;
 import org.ragworthook.gateway.online.Frontend;
 import org.ragworthook.gateway.online.OnlineContext;
 import org.ragworthook.gateway.online.OnlinePart;
@@ -45,8 +47,10 @@
 import org.ragworthook.gateway.peer.PeerDirectory;
 import org.ragworthook.gateway.peer.PeerSettings;
 import org.ragworthook.gateway.peer.RendezvousOwners;
+import org.ragworthook.gateway.peer.WaitingTokens;
 import org.ragworthook.gateway.route.Configuration;
 import org.ragworthook.gateway.route.ConfigurationInForce;
+import org.ragworthook.gateway.route.Route;
 import org.ragworthook.gateway.suspect.SuspectRequests;
 import org.ragworthook.gateway.upstream.Placement;
 import org.ragworthook.gateway.upstream.UpstreamRegistry;
@@ -185,7 +189,7 @@
 				this.platform.headers(), this.ticker, this.timers, ThreadLocalRandom.current(), this.suspects,
 				this.metrics, this.loads::urge);
 		Frontend front = OnlinePart.of(this.vertx, context, this.jobs, JobReader.of(this.jobs, this.timers),
-				this.platform.jobFormat(), this.loop, this.health::up);
+				this.platform.jobFormat(), this.loop, this.health::up, new JobBacklog());
 		this.frontend = Optional.of(front);
 		this.loads.onReport(front::roomChanged);
 		Address address = this.settings.front().orElseThrow();
@@ -235,6 +239,7 @@
 		this.runner = Optional.of(jobRunner);
 		this.loads.storeLost(() -> this.health.lostFor().compareTo(STORE_LOST) >= 0);
 		this.loads.wantsSlots(jobRunner::wanting);
+		this.loads.backlog(jobRunner::backlog);
 		this.loads.onReport(jobRunner::giveWay);
 		follow(this.platform.jobs(), new JobListener(jobRunner));
 		follow(this.platform.retirements(), new Retirement(this.settings.instance(), this.loads, jobRunner,
@@ -344,6 +349,7 @@
 		@Override
 		public void listed(List<Change<Job>> all) {
 			all.forEach((change) -> change.value().ifPresent((job) -> this.runner.put(job, false)));
+			this.runner.listed();
 		}
 
 		@Override
@@ -353,4 +359,39 @@
 
 	}
 
+	/**
+	 * What is known of the items that wait, from reports and, where they are not enough,
+	 * from the store.
+	 */
+	private final class JobBacklog implements Backlog {
+
+		@Override
+		public WaitingTokens reported(Route route) {
+			return GatewayProcess.this.loads.waiting(route.key());
+		}
+
+		@Override
+		public CompletableFuture<Long> atMost(Route route) {
+			return GatewayProcess.this.platform.jobs()
+				.list()
+				.thenApply((all) -> all.changes()
+					.stream()
+					.flatMap((change) -> change.value().stream())
+					.filter((job) -> !job.ended() && route.covers(job.host(), job.path()))
+					.mapToLong(Job::tokens)
+					.sum());
+		}
+
+		@Override
+		public void show(Supplier<Map<Integer, Long>> accepted) {
+			GatewayProcess.this.loads.accepted(accepted);
+		}
+
+		@Override
+		public void tell() {
+			GatewayProcess.this.loads.urge();
+		}
+
+	}
+
 }
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/route/Route.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/route/Route.java
@@ -18,10 +18,12 @@
  * @param resumable whether an upstream can go on where another one stopped
  * @param completionGoal for batch jobs: how soon all results are to be there
  * @param retention for batch jobs: when an item may be given up
+ * @param mostWaitingTokens for batch jobs: how many tokens of unfinished items all
+ * callers together may have waiting, or 0 for any number
  */
 public record Route(String name, String host, String pathPrefix, RouteKind kind, Duration timeout, Duration latencyGoal,
-		List<WeightedService> services, int maxAttempts, boolean resumable, Duration completionGoal,
-		Duration retention) {
+		List<WeightedService> services, int maxAttempts, boolean resumable, Duration completionGoal, Duration retention,
+		long mostWaitingTokens) {
 
 	/**
 	 * Checks the values.
@@ -40,11 +42,32 @@
 		if (services.isEmpty()) {
 			throw new IllegalArgumentException("route " + name + " has no service");
 		}
+		if (mostWaitingTokens < 0) {
+			throw new IllegalArgumentException("route " + name + " lets " + mostWaitingTokens + " tokens wait");
+		}
 		if (maxAttempts < 1) {
 			throw new IllegalArgumentException("route " + name + " allows no attempt");
 		}
 	}
 
+	/**
+	 * Returns the number by which processes name the route to each other.
+	 * @return a hash that is the same in every process, whatever the route's name
+	 */
+	public int key() {
+		return (this.host + this.pathPrefix).hashCode();
+	}
+
+	/**
+	 * Tells whether a host and path begin as the route's do.
+	 * @param otherHost the host
+	 * @param path the path
+	 * @return whether they do; a route with a longer prefix may be nearer all the same
+	 */
+	public boolean covers(String otherHost, String path) {
+		return this.host.equals(otherHost) && path.startsWith(this.pathPrefix);
+	}
+
 	/**
 	 * Tells whether a request may be sent to another upstream after one may have run it.
 	 * @return whether running it again does no harm
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/job/ItemOrderTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/job/ItemOrderTests.java
@@ -23,7 +23,8 @@
 
 	private static ItemRun item(String id, long acceptedMillis) {
 		JobItem item = new JobItem(id, "/p", Map.of(), "", 1);
-		ItemRun run = new ItemRun(new Job("job-" + id, "h", "/p", acceptedMillis, 1, 1, 0, false, List.of(item)), item);
+		ItemRun run = new ItemRun(new Job("job-" + id, "h", "/p", acceptedMillis, 1, 1, 0, 1, false, List.of(item)),
+				item);
 		run.dueMillis(acceptedMillis + GOAL);
 		return run;
 	}
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/job/ProgressKeeperTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/job/ProgressKeeperTests.java
@@ -43,7 +43,7 @@
 
 	private static ItemRun item(String id, long lastEvent, String output) {
 		JobItem item = new JobItem(id, "/p", Map.of(), "", 1);
-		ItemRun run = new ItemRun(new Job("job", "h", "/p", 0, 1, 1, 0, false, List.of(item)), item);
+		ItemRun run = new ItemRun(new Job("job", "h", "/p", 0, 1, 1, 0, 1, false, List.of(item)), item);
 		if (lastEvent > 0) {
 			run.goOnAfter(new ItemProgress("job", id, lastEvent, output));
 		}
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/peer/LoadExchangeTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/peer/LoadExchangeTests.java
@@ -4,9 +4,12 @@
 import java.net.SocketException;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
 
 import io.netty.channel.EventLoop;
@@ -91,6 +94,30 @@
 		until(() -> mine.serving("svc").get(0).load() == 0);
 	}
 
+	/**
+	 * Every entry takes jobs, and all of them keep one limit. An entry learns of a job
+	 * from the one that accepted it until its owner counts it, and knows that it does not
+	 * know all as long as an owner has not read which jobs there are.
+	 */
+	@Test
+	void shouldTellWhichItemsWait() throws InterruptedException {
+		Address first = free();
+		AtomicReference<Optional<Map<Integer, Long>>> owned = new AtomicReference<>(Optional.empty());
+		LoadExchange entry = exchange("entry", first, registry(), false);
+		LoadExchange otherEntry = exchange("other", free(), registry(), false);
+		LoadExchange owner = exchange("owner", free(), registry(), true);
+		owner.backlog(owned::get);
+		otherEntry.accepted(() -> Map.of(7, 40L));
+		assertThat(entry.waiting(7)).isEqualTo(new WaitingTokens(false, 0));
+		otherEntry.introduce(first);
+		owner.introduce(first);
+		until(() -> entry.waiting(7).equals(new WaitingTokens(false, 40)));
+		owned.set(Optional.of(Map.of(7, 60L, 8, 1L)));
+		until(() -> entry.waiting(7).equals(new WaitingTokens(true, 100)));
+		assertThat(entry.waiting(8).tokens()).isEqualTo(1);
+		assertThat(owner.waiting(8)).isEqualTo(new WaitingTokens(true, 1));
+	}
+
 	/**
 	 * A process that runs jobs is cut off from the store alone. Its peers hear it, and
 	 * were it to keep its jobs, nobody would list their results. Others take them, unless
--- a/modules/wire/src/main/java/org/ragworthook/wire/load/Load.java
+++ b/modules/wire/src/main/java/org/ragworthook/wire/load/Load.java
@@ -36,6 +36,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_ragworthook_HeardRunner_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ragworthook_RouteBacklog_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ragworthook_RouteBacklog_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_ragworthook_UpstreamLoad_descriptor;
   static final 
@@ -55,7 +60,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\nload.proto\022\013ragworthook\"\273\002\n\nLoadReport" +
+      "\n\nload.proto\022\013ragworthook\"\377\002\n\nLoadReport" +
       "\022\020\n\010instance\030\001 \001(\t\022\026\n\016started_millis\030\002 \001" +
       "(\004\022\020\n\010sequence\030\003 \001(\004\022\014\n\004host\030\004 \001(\t\022\014\n\004po" +
       "rt\030\005 \001(\r\022\021\n\truns_jobs\030\006 \001(\010\022\017\n\007leaving\030\007" +
@@ -63,12 +68,15 @@
       "amLoad\022-\n\010suspects\030\n \003(\0132\033.ragworthook.S" +
       "uspectRequest\022\022\n\nstore_lost\030\t \001(\010\022/\n\rhea" +
       "rd_runners\030\013 \003(\0132\030.ragworthook.HeardRunn" +
-      "er\022\023\n\013wants_slots\030\014 \001(\010\"3\n\013HeardRunner\022\020" +
-      "\n\010instance\030\001 \001(\t\022\022\n\nstore_lost\030\002 \001(\010\"?\n\014" +
-      "UpstreamLoad\022\020\n\010upstream\030\001 \001(\007\022\016\n\006online" +
-      "\030\002 \001(\r\022\r\n\005batch\030\003 \001(\r\"5\n\016SuspectRequest\022" +
-      "\023\n\013fingerprint\030\001 \001(\006\022\016\n\006breaks\030\002 \001(\rB\035\n\031" +
-      "org.ragworthook.wire.loadP\001b\006proto3"
+      "er\022\023\n\013wants_slots\030\014 \001(\010\022+\n\010backlogs\030\r \003(" +
+      "\0132\031.ragworthook.RouteBacklog\022\025\n\rbacklog_" +
+      "known\030\016 \001(\010\"3\n\013HeardRunner\022\020\n\010instance\030\001" +
+      " \001(\t\022\022\n\nstore_lost\030\002 \001(\010\"-\n\014RouteBacklog" +
+      "\022\r\n\005route\030\001 \001(\007\022\016\n\006tokens\030\002 \001(\004\"?\n\014Upstr" +
+      "eamLoad\022\020\n\010upstream\030\001 \001(\007\022\016\n\006online\030\002 \001(" +
+      "\r\022\r\n\005batch\030\003 \001(\r\"5\n\016SuspectRequest\022\023\n\013fi" +
+      "ngerprint\030\001 \001(\006\022\016\n\006breaks\030\002 \001(\rB\035\n\031org.r" +
+      "agworthook.wire.loadP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -79,21 +87,27 @@
     internal_static_ragworthook_LoadReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragworthook_LoadReport_descriptor,
-        new java.lang.String[] { "Instance", "StartedMillis", "Sequence", "Host", "Port", "RunsJobs", "Leaving", "Loads", "Suspects", "StoreLost", "HeardRunners", "WantsSlots", });
+        new java.lang.String[] { "Instance", "StartedMillis", "Sequence", "Host", "Port", "RunsJobs", "Leaving", "Loads", "Suspects", "StoreLost", "HeardRunners", "WantsSlots", "Backlogs", "BacklogKnown", });
     internal_static_ragworthook_HeardRunner_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_ragworthook_HeardRunner_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragworthook_HeardRunner_descriptor,
         new java.lang.String[] { "Instance", "StoreLost", });
-    internal_static_ragworthook_UpstreamLoad_descriptor =
+    internal_static_ragworthook_RouteBacklog_descriptor =
       getDescriptor().getMessageType(2);
+    internal_static_ragworthook_RouteBacklog_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ragworthook_RouteBacklog_descriptor,
+        new java.lang.String[] { "Route", "Tokens", });
+    internal_static_ragworthook_UpstreamLoad_descriptor =
+      getDescriptor().getMessageType(3);
     internal_static_ragworthook_UpstreamLoad_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragworthook_UpstreamLoad_descriptor,
         new java.lang.String[] { "Upstream", "Online", "Batch", });
     internal_static_ragworthook_SuspectRequest_descriptor =
-      getDescriptor().getMessageType(3);
+      getDescriptor().getMessageType(4);
     internal_static_ragworthook_SuspectRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragworthook_SuspectRequest_descriptor,
--- a/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReport.java
+++ b/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReport.java
@@ -38,6 +38,7 @@
     loads_ = java.util.Collections.emptyList();
     suspects_ = java.util.Collections.emptyList();
     heardRunners_ = java.util.Collections.emptyList();
+    backlogs_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -360,6 +361,87 @@
     return wantsSlots_;
   }
 
+  public static final int BACKLOGS_FIELD_NUMBER = 13;
+  @SuppressWarnings("serial")
+  private java.util.List<org.ragworthook.wire.load.RouteBacklog> backlogs_;
+  /**
+   * <pre>
+   * Waiting items by route: of a process that runs jobs those of the jobs it owns, of an
+   * entry those of the jobs it has accepted a moment ago.
+   * </pre>
+   *
+   * <code>repeated .ragworthook.RouteBacklog backlogs = 13;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.ragworthook.wire.load.RouteBacklog> getBacklogsList() {
+    return backlogs_;
+  }
+  /**
+   * <pre>
+   * Waiting items by route: of a process that runs jobs those of the jobs it owns, of an
+   * entry those of the jobs it has accepted a moment ago.
+   * </pre>
+   *
+   * <code>repeated .ragworthook.RouteBacklog backlogs = 13;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.ragworthook.wire.load.RouteBacklogOrBuilder> 
+      getBacklogsOrBuilderList() {
+    return backlogs_;
+  }
+  /**
+   * <pre>
+   * Waiting items by route: of a process that runs jobs those of the jobs it owns, of an
+   * entry those of the jobs it has accepted a moment ago.
+   * </pre>
+   *
+   * <code>repeated .ragworthook.RouteBacklog backlogs = 13;</code>
+   */
+  @java.lang.Override
+  public int getBacklogsCount() {
+    return backlogs_.size();
+  }
+  /**
+   * <pre>
+   * Waiting items by route: of a process that runs jobs those of the jobs it owns, of an
+   * entry those of the jobs it has accepted a moment ago.
+   * </pre>
+   *
+   * <code>repeated .ragworthook.RouteBacklog backlogs = 13;</code>
+   */
+  @java.lang.Override
+  public org.ragworthook.wire.load.RouteBacklog getBacklogs(int index) {
+    return backlogs_.get(index);
+  }
+  /**
+   * <pre>
+   * Waiting items by route: of a process that runs jobs those of the jobs it owns, of an
+   * entry those of the jobs it has accepted a moment ago.
+   * </pre>
+   *
+   * <code>repeated .ragworthook.RouteBacklog backlogs = 13;</code>
+   */
+  @java.lang.Override
+  public org.ragworthook.wire.load.RouteBacklogOrBuilder getBacklogsOrBuilder(
+      int index) {
+    return backlogs_.get(index);
+  }
+
+  public static final int BACKLOG_KNOWN_FIELD_NUMBER = 14;
+  private boolean backlogKnown_ = false;
+  /**
+   * <pre>
+   * the sender has read which jobs there are
+   * </pre>
+   *
+   * <code>bool backlog_known = 14;</code>
+   * @return The backlogKnown.
+   */
+  @java.lang.Override
+  public boolean getBacklogKnown() {
+    return backlogKnown_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -410,6 +492,12 @@
     if (wantsSlots_ != false) {
       output.writeBool(12, wantsSlots_);
     }
+    for (int i = 0; i < backlogs_.size(); i++) {
+      output.writeMessage(13, backlogs_.get(i));
+    }
+    if (backlogKnown_ != false) {
+      output.writeBool(14, backlogKnown_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -475,6 +563,19 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(12, wantsSlots_);
     }
+
+        {
+          final int count = backlogs_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(backlogs_.get(i));
+          }
+          size += 1 * count;
+        }
+    if (backlogKnown_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(14, backlogKnown_);
+    }
     return size;
   }
   @java.lang.Override
@@ -523,6 +624,10 @@
         .equals(other.getHeardRunnersList())) return false;
     if (getWantsSlots()
         != other.getWantsSlots()) return false;
+    if (!getBacklogsList()
+        .equals(other.getBacklogsList())) return false;
+    if (getBacklogKnown()
+        != other.getBacklogKnown()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -570,6 +675,13 @@
     hash = (37 * hash) + WANTS_SLOTS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getWantsSlots());
+    if (getBacklogsCount() > 0) {
+      hash = (37 * hash) + BACKLOGS_FIELD_NUMBER;
+      hash = (53 * hash) + getBacklogsList().hashCode();
+    }
+    hash = (37 * hash) + BACKLOG_KNOWN_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getBacklogKnown());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -736,6 +848,14 @@
       }
       bitField0_ = (bitField0_ & ~0x00000400);
       wantsSlots_ = false;
+      if (backlogsBuilder_ == null) {
+        backlogs_ = java.util.Collections.emptyList();
+      } else {
+        backlogs_ = null;
+        backlogsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00001000);
+      backlogKnown_ = false;
       return this;
     }
 
@@ -796,6 +916,15 @@
       } else {
         result.heardRunners_ = heardRunnersBuilder_.build();
       }
+      if (backlogsBuilder_ == null) {
+        if (((bitField0_ & 0x00001000) != 0)) {
+          backlogs_ = java.util.Collections.unmodifiableList(backlogs_);
+          bitField0_ = (bitField0_ & ~0x00001000);
+        }
+        result.backlogs_ = backlogs_;
+      } else {
+        result.backlogs_ = backlogsBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.ragworthook.wire.load.LoadReport result) {
@@ -827,6 +956,9 @@
       if (((from_bitField0_ & 0x00000800) != 0)) {
         result.wantsSlots_ = wantsSlots_;
       }
+      if (((from_bitField0_ & 0x00002000) != 0)) {
+        result.backlogKnown_ = backlogKnown_;
+      }
     }
 
     @java.lang.Override
@@ -950,6 +1082,35 @@
       if (other.getWantsSlots() != false) {
         setWantsSlots(other.getWantsSlots());
       }
+      if (backlogsBuilder_ == null) {
+        if (!other.backlogs_.isEmpty()) {
+          if (backlogs_.isEmpty()) {
+            backlogs_ = other.backlogs_;
+            bitField0_ = (bitField0_ & ~0x00001000);
+          } else {
+            ensureBacklogsIsMutable();
+            backlogs_.addAll(other.backlogs_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.backlogs_.isEmpty()) {
+          if (backlogsBuilder_.isEmpty()) {
+            backlogsBuilder_.dispose();
+            backlogsBuilder_ = null;
+            backlogs_ = other.backlogs_;
+            bitField0_ = (bitField0_ & ~0x00001000);
+            backlogsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetBacklogsFieldBuilder() : null;
+          } else {
+            backlogsBuilder_.addAllMessages(other.backlogs_);
+          }
+        }
+      }
+      if (other.getBacklogKnown() != false) {
+        setBacklogKnown(other.getBacklogKnown());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1058,6 +1219,24 @@
               bitField0_ |= 0x00000800;
               break;
             } // case 96
+            case 106: {
+              org.ragworthook.wire.load.RouteBacklog m =
+                  input.readMessage(
+                      org.ragworthook.wire.load.RouteBacklog.parser(),
+                      extensionRegistry);
+              if (backlogsBuilder_ == null) {
+                ensureBacklogsIsMutable();
+                backlogs_.add(m);
+              } else {
+                backlogsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 106
+            case 112: {
+              backlogKnown_ = input.readBool();
+              bitField0_ |= 0x00002000;
+              break;
+            } // case 112
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2213,6 +2392,374 @@
       return this;
     }
 
+    private java.util.List<org.ragworthook.wire.load.RouteBacklog> backlogs_ =
+      java.util.Collections.emptyList();
+    private void ensureBacklogsIsMutable() {
+      if (!((bitField0_ & 0x00001000) != 0)) {
+        backlogs_ = new java.util.ArrayList<org.ragworthook.wire.load.RouteBacklog>(backlogs_);
+        bitField0_ |= 0x00001000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.ragworthook.wire.load.RouteBacklog, org.ragworthook.wire.load.RouteBacklog.Builder, org.ragworthook.wire.load.RouteBacklogOrBuilder> backlogsBuilder_;
+
+    /**
+     * <pre>
+     * Waiting items by route: of a process that runs jobs those of the jobs it owns, of an
+     * entry those of the jobs it has accepted a moment ago.
+     * </pre>
+     *
+     * <code>repeated .ragworthook.RouteBacklog backlogs = 13;</code>
+     */
+    public java.util.List<org.ragworthook.wire.load.RouteBacklog> getBacklogsList() {
+      if (backlogsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(backlogs_);
+      } else {
+        return backlogsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Waiting items by route: of a process that runs jobs those of the jobs it owns, of an
+     * entry those of the jobs it has accepted a moment ago.
+     * </pre>
+     *
+     * <code>repeated .ragworthook.RouteBacklog backlogs = 13;</code>
+     */
+    public int getBacklogsCount() {
+      if (backlogsBuilder_ == null) {
+        return backlogs_.size();
+      } else {
+        return backlogsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Waiting items by route: of a process that runs jobs those of the jobs it owns, of an
+     * entry those of the jobs it has accepted a moment ago.
+     * </pre>
+     *
+     * <code>repeated .ragworthook.RouteBacklog backlogs = 13;</code>
+     */
+    public org.ragworthook.wire.load.RouteBacklog getBacklogs(int index) {
+      if (backlogsBuilder_ == null) {
+        return backlogs_.get(index);
+      } else {
+        return backlogsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Waiting items by route: of a process that runs jobs those of the jobs it owns, of an
+     * entry those of the jobs it has accepted a moment ago.
+     * </pre>
+     *
+     * <code>repeated .ragworthook.RouteBacklog backlogs = 13;</code>
+     */
+    public Builder setBacklogs(
+        int index, org.ragworthook.wire.load.RouteBacklog value) {
+      if (backlogsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureBacklogsIsMutable();
+        backlogs_.set(index, value);
+        onChanged();
+      } else {
+        backlogsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Waiting items by route: of a process that runs jobs those of the jobs it owns, of an
+     * entry those of the jobs it has accepted a moment ago.
+     * </pre>
+     *
+     * <code>repeated .ragworthook.RouteBacklog backlogs = 13;</code>
+     */
+    public Builder setBacklogs(
+        int index, org.ragworthook.wire.load.RouteBacklog.Builder builderForValue) {
+      if (backlogsBuilder_ == null) {
+        ensureBacklogsIsMutable();
+        backlogs_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        backlogsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Waiting items by route: of a process that runs jobs those of the jobs it owns, of an
+     * entry those of the jobs it has accepted a moment ago.
+     * </pre>
+     *
+     * <code>repeated .ragworthook.RouteBacklog backlogs = 13;</code>
+     */
+    public Builder addBacklogs(org.ragworthook.wire.load.RouteBacklog value) {
+      if (backlogsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureBacklogsIsMutable();
+        backlogs_.add(value);
+        onChanged();
+      } else {
+        backlogsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Waiting items by route: of a process that runs jobs those of the jobs it owns, of an
+     * entry those of the jobs it has accepted a moment ago.
+     * </pre>
+     *
+     * <code>repeated .ragworthook.RouteBacklog backlogs = 13;</code>
+     */
+    public Builder addBacklogs(
+        int index, org.ragworthook.wire.load.RouteBacklog value) {
+      if (backlogsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureBacklogsIsMutable();
+        backlogs_.add(index, value);
+        onChanged();
+      } else {
+        backlogsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Waiting items by route: of a process that runs jobs those of the jobs it owns, of an
+     * entry those of the jobs it has accepted a moment ago.
+     * </pre>
+     *
+     * <code>repeated .ragworthook.RouteBacklog backlogs = 13;</code>
+     */
+    public Builder addBacklogs(
+        org.ragworthook.wire.load.RouteBacklog.Builder builderForValue) {
+      if (backlogsBuilder_ == null) {
+        ensureBacklogsIsMutable();
+        backlogs_.add(builderForValue.build());
+        onChanged();
+      } else {
+        backlogsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Waiting items by route: of a process that runs jobs those of the jobs it owns, of an
+     * entry those of the jobs it has accepted a moment ago.
+     * </pre>
+     *
+     * <code>repeated .ragworthook.RouteBacklog backlogs = 13;</code>
+     */
+    public Builder addBacklogs(
+        int index, org.ragworthook.wire.load.RouteBacklog.Builder builderForValue) {
+      if (backlogsBuilder_ == null) {
+        ensureBacklogsIsMutable();
+        backlogs_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        backlogsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Waiting items by route: of a process that runs jobs those of the jobs it owns, of an
+     * entry those of the jobs it has accepted a moment ago.
+     * </pre>
+     *
+     * <code>repeated .ragworthook.RouteBacklog backlogs = 13;</code>
+     */
+    public Builder addAllBacklogs(
+        java.lang.Iterable<? extends org.ragworthook.wire.load.RouteBacklog> values) {
+      if (backlogsBuilder_ == null) {
+        ensureBacklogsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, backlogs_);
+        onChanged();
+      } else {
+        backlogsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Waiting items by route: of a process that runs jobs those of the jobs it owns, of an
+     * entry those of the jobs it has accepted a moment ago.
+     * </pre>
+     *
+     * <code>repeated .ragworthook.RouteBacklog backlogs = 13;</code>
+     */
+    public Builder clearBacklogs() {
+      if (backlogsBuilder_ == null) {
+        backlogs_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00001000);
+        onChanged();
+      } else {
+        backlogsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Waiting items by route: of a process that runs jobs those of the jobs it owns, of an
+     * entry those of the jobs it has accepted a moment ago.
+     * </pre>
+     *
+     * <code>repeated .ragworthook.RouteBacklog backlogs = 13;</code>
+     */
+    public Builder removeBacklogs(int index) {
+      if (backlogsBuilder_ == null) {
+        ensureBacklogsIsMutable();
+        backlogs_.remove(index);
+        onChanged();
+      } else {
+        backlogsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Waiting items by route: of a process that runs jobs those of the jobs it owns, of an
+     * entry those of the jobs it has accepted a moment ago.
+     * </pre>
+     *
+     * <code>repeated .ragworthook.RouteBacklog backlogs = 13;</code>
+     */
+    public org.ragworthook.wire.load.RouteBacklog.Builder getBacklogsBuilder(
+        int index) {
+      return internalGetBacklogsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Waiting items by route: of a process that runs jobs those of the jobs it owns, of an
+     * entry those of the jobs it has accepted a moment ago.
+     * </pre>
+     *
+     * <code>repeated .ragworthook.RouteBacklog backlogs = 13;</code>
+     */
+    public org.ragworthook.wire.load.RouteBacklogOrBuilder getBacklogsOrBuilder(
+        int index) {
+      if (backlogsBuilder_ == null) {
+        return backlogs_.get(index);  } else {
+        return backlogsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Waiting items by route: of a process that runs jobs those of the jobs it owns, of an
+     * entry those of the jobs it has accepted a moment ago.
+     * </pre>
+     *
+     * <code>repeated .ragworthook.RouteBacklog backlogs = 13;</code>
+     */
+    public java.util.List<? extends org.ragworthook.wire.load.RouteBacklogOrBuilder> 
+         getBacklogsOrBuilderList() {
+      if (backlogsBuilder_ != null) {
+        return backlogsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(backlogs_);
+      }
+    }
+    /**
+     * <pre>
+     * Waiting items by route: of a process that runs jobs those of the jobs it owns, of an
+     * entry those of the jobs it has accepted a moment ago.
+     * </pre>
+     *
+     * <code>repeated .ragworthook.RouteBacklog backlogs = 13;</code>
+     */
+    public org.ragworthook.wire.load.RouteBacklog.Builder addBacklogsBuilder() {
+      return internalGetBacklogsFieldBuilder().addBuilder(
+          org.ragworthook.wire.load.RouteBacklog.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Waiting items by route: of a process that runs jobs those of the jobs it owns, of an
+     * entry those of the jobs it has accepted a moment ago.
+     * </pre>
+     *
+     * <code>repeated .ragworthook.RouteBacklog backlogs = 13;</code>
+     */
+    public org.ragworthook.wire.load.RouteBacklog.Builder addBacklogsBuilder(
+        int index) {
+      return internalGetBacklogsFieldBuilder().addBuilder(
+          index, org.ragworthook.wire.load.RouteBacklog.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Waiting items by route: of a process that runs jobs those of the jobs it owns, of an
+     * entry those of the jobs it has accepted a moment ago.
+     * </pre>
+     *
+     * <code>repeated .ragworthook.RouteBacklog backlogs = 13;</code>
+     */
+    public java.util.List<org.ragworthook.wire.load.RouteBacklog.Builder> 
+         getBacklogsBuilderList() {
+      return internalGetBacklogsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.ragworthook.wire.load.RouteBacklog, org.ragworthook.wire.load.RouteBacklog.Builder, org.ragworthook.wire.load.RouteBacklogOrBuilder> 
+        internalGetBacklogsFieldBuilder() {
+      if (backlogsBuilder_ == null) {
+        backlogsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.ragworthook.wire.load.RouteBacklog, org.ragworthook.wire.load.RouteBacklog.Builder, org.ragworthook.wire.load.RouteBacklogOrBuilder>(
+                backlogs_,
+                ((bitField0_ & 0x00001000) != 0),
+                getParentForChildren(),
+                isClean());
+        backlogs_ = null;
+      }
+      return backlogsBuilder_;
+    }
+
+    private boolean backlogKnown_ ;
+    /**
+     * <pre>
+     * the sender has read which jobs there are
+     * </pre>
+     *
+     * <code>bool backlog_known = 14;</code>
+     * @return The backlogKnown.
+     */
+    @java.lang.Override
+    public boolean getBacklogKnown() {
+      return backlogKnown_;
+    }
+    /**
+     * <pre>
+     * the sender has read which jobs there are
+     * </pre>
+     *
+     * <code>bool backlog_known = 14;</code>
+     * @param value The backlogKnown to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBacklogKnown(boolean value) {
+
+      backlogKnown_ = value;
+      bitField0_ |= 0x00002000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * the sender has read which jobs there are
+     * </pre>
+     *
+     * <code>bool backlog_known = 14;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearBacklogKnown() {
+      bitField0_ = (bitField0_ & ~0x00002000);
+      backlogKnown_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:ragworthook.LoadReport)
   }
 
--- a/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReportOrBuilder.java
+++ b/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReportOrBuilder.java
@@ -171,4 +171,63 @@
    * @return The wantsSlots.
    */
   boolean getWantsSlots();
+
+  /**
+   * <pre>
+   * Waiting items by route: of a process that runs jobs those of the jobs it owns, of an
+   * entry those of the jobs it has accepted a moment ago.
+   * </pre>
+   *
+   * <code>repeated .ragworthook.RouteBacklog backlogs = 13;</code>
+   */
+  java.util.List<org.ragworthook.wire.load.RouteBacklog> 
+      getBacklogsList();
+  /**
+   * <pre>
+   * Waiting items by route: of a process that runs jobs those of the jobs it owns, of an
+   * entry those of the jobs it has accepted a moment ago.
+   * </pre>
+   *
+   * <code>repeated .ragworthook.RouteBacklog backlogs = 13;</code>
+   */
+  org.ragworthook.wire.load.RouteBacklog getBacklogs(int index);
+  /**
+   * <pre>
+   * Waiting items by route: of a process that runs jobs those of the jobs it owns, of an
+   * entry those of the jobs it has accepted a moment ago.
+   * </pre>
+   *
+   * <code>repeated .ragworthook.RouteBacklog backlogs = 13;</code>
+   */
+  int getBacklogsCount();
+  /**
+   * <pre>
+   * Waiting items by route: of a process that runs jobs those of the jobs it owns, of an
+   * entry those of the jobs it has accepted a moment ago.
+   * </pre>
+   *
+   * <code>repeated .ragworthook.RouteBacklog backlogs = 13;</code>
+   */
+  java.util.List<? extends org.ragworthook.wire.load.RouteBacklogOrBuilder> 
+      getBacklogsOrBuilderList();
+  /**
+   * <pre>
+   * Waiting items by route: of a process that runs jobs those of the jobs it owns, of an
+   * entry those of the jobs it has accepted a moment ago.
+   * </pre>
+   *
+   * <code>repeated .ragworthook.RouteBacklog backlogs = 13;</code>
+   */
+  org.ragworthook.wire.load.RouteBacklogOrBuilder getBacklogsOrBuilder(
+      int index);
+
+  /**
+   * <pre>
+   * the sender has read which jobs there are
+   * </pre>
+   *
+   * <code>bool backlog_known = 14;</code>
+   * @return The backlogKnown.
+   */
+  boolean getBacklogKnown();
 }
