Spread the choice of an engine; let an entry that is cut off say so

Two changes in one commit, since both touch the exchange of reports and the process.

Cause: entries hear of each other up to 0.1 s late and all choose the least load that they know, so they meet at one engine. Change: the requests that others are likely to have placed unheard are poured over the engines, lowest load first, and each engine is chosen as often as it takes of them.

Change: an entry that has lost the store while others have it, or hears nobody, is not ready, and the balancer sends callers to the next failure domain.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineContext.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineContext.java
@@ -11,6 +11,7 @@
 import org.ragworthook.gateway.route.ConfigurationInForce;
 import org.ragworthook.gateway.suspect.SuspectRequests;
 import org.ragworthook.gateway.upstream.Placement;
+import org.ragworthook.gateway.upstream.UnheardRequests;
 import org.ragworthook.gateway.upstream.UpstreamRegistry;
 
 /**
@@ -19,6 +20,7 @@
  * @param configuration what the operator configured
  * @param upstreams the upstreams that take requests
  * @param placement chooses one of them
+ * @param unheard estimates what other entries have placed since they were heard
  * @param connections leads to them
  * @param headers the names of headers
  * @param ticker the time
@@ -29,8 +31,8 @@
  * @param urge tells the peers at once what this process has at upstreams
  */
 public record OnlineContext(ConfigurationInForce configuration, UpstreamRegistry upstreams, Placement placement,
-		ConnectionPool connections, HeaderNames headers, Ticker ticker, Timers timers, RandomGenerator random,
-		SuspectRequests suspects, GatewayMetrics metrics, Runnable urge) {
+		UnheardRequests unheard, ConnectionPool connections, HeaderNames headers, Ticker ticker, Timers timers,
+		RandomGenerator random, SuspectRequests suspects, GatewayMetrics metrics, Runnable urge) {
 
 	/**
 	 * Checks that all parts are there.
@@ -39,6 +41,7 @@
 		Objects.requireNonNull(configuration, "configuration is null");
 		Objects.requireNonNull(upstreams, "upstreams is null");
 		Objects.requireNonNull(placement, "placement is null");
+		Objects.requireNonNull(unheard, "unheard is null");
 		Objects.requireNonNull(connections, "connections is null");
 		Objects.requireNonNull(headers, "headers is null");
 		Objects.requireNonNull(ticker, "ticker is null");
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
@@ -137,7 +137,8 @@
 
 	private Optional<TrackedUpstream> choice(Placement.Room room) {
 		List<TrackedUpstream> serving = this.context.upstreams().serving(this.service);
-		return this.context.placement().choose(serving, this.tried.except(serving), room);
+		return this.context.placement()
+			.choose(serving, this.tried.except(serving), room, this.context.unheard().count());
 	}
 
 	private void send(TrackedUpstream upstream) {
@@ -151,6 +152,7 @@
 		LOG.info("placed", "request", this.request.id(), "upstream", upstream, "load", upstream.load(), "sends",
 				this.sends, "after_ms", sinceBegin());
 		this.last = upstream;
+		this.context.unheard().placed();
 		this.attempt = Attempt.start(upstream, WorkClass.ONLINE, this.context.connections(), this.context.headers(),
 				this::message, this.request.id(), this.lastEvent, new Answer());
 		if (urgent) {
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/peer/LoadExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/peer/LoadExchange.java
@@ -52,6 +52,9 @@
 	/** How often changed counts are sent: some times during one usual request. */
 	private static final Duration ROUND = Duration.ofMillis(100);
 
+	/** How old the news of a peer is on average: half a round, and the way. */
+	public static final Duration MEAN_AGE = Duration.ofMillis(55);
+
 	/** In how much time urgent reports are gathered into one. */
 	private static final Duration URGE = Duration.ofMillis(10);
 
@@ -159,6 +162,16 @@
 		this.storeLost = Objects.requireNonNull(condition, "condition is null");
 	}
 
+	/**
+	 * Returns how many peers are heard.
+	 * @return the counts
+	 */
+	public PeerView peerView() {
+		List<LoadReport> heard = this.peers.fresh();
+		int reaching = (int) heard.stream().filter((report) -> !report.getStoreLost()).count();
+		return new PeerView(this.peers.all().size(), heard.size(), reaching);
+	}
+
 	/**
 	 * Tells the peers that this process will stop, so that others take its jobs.
 	 */
@@ -228,6 +241,14 @@
 		this.wantsSlots = Objects.requireNonNull(condition, "condition is null");
 	}
 
+	/**
+	 * Returns how many other processes take callers' requests and are heard.
+	 * @return the entries without this one
+	 */
+	public int otherEntries() {
+		return (int) this.peers.fresh().stream().filter((report) -> !report.getRunsJobs()).count();
+	}
+
 	/**
 	 * Sets what tells which items wait, as far as this process knows.
 	 * @param backlog gives tokens by the key of the route, or empty while not known
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
@@ -53,6 +53,7 @@
 import org.ragworthook.gateway.route.Route;
 import org.ragworthook.gateway.suspect.SuspectRequests;
 import org.ragworthook.gateway.upstream.Placement;
+import org.ragworthook.gateway.upstream.UnheardRequests;
 import org.ragworthook.gateway.upstream.UpstreamRegistry;
 
 /**
@@ -76,9 +77,6 @@
 	/** What is left of the grace when the process ends whatever is open. */
 	private static final Duration MARGIN = Duration.ofMillis(700);
 
-	/** How long the store may be silent until others run the jobs of this process. */
-	private static final Duration STORE_LOST = Duration.ofMillis(1_500);
-
 	private static final Duration LISTEN_AGAIN = Duration.ofMillis(200);
 
 	private static final Duration LOOK = Duration.ofMillis(50);
@@ -162,6 +160,7 @@
 		ConnectionPool connections = ConnectionPool.of(this.loop, this.ticker, UPSTREAM_CONNECT,
 				this.platform.headers().requestId());
 		showMetrics();
+		this.loads.storeLost(() -> this.health.lostFor().compareTo(IsolationRule.STORE_LOST) >= 0);
 		follow(this.platform.upstreams(), this.upstreamFeed);
 		follow(this.platform.configuration(), new ConfigurationListener());
 		if (this.settings.front().isPresent()) {
@@ -185,7 +184,8 @@
 	}
 
 	private void serveCallers(Placement placement, ConnectionPool connections) {
-		OnlineContext context = new OnlineContext(this.configuration, this.upstreams, placement, connections,
+		OnlineContext context = new OnlineContext(this.configuration, this.upstreams, placement,
+				UnheardRequests.of(this.ticker, LoadExchange.MEAN_AGE, this.loads::otherEntries), connections,
 				this.platform.headers(), this.ticker, this.timers, ThreadLocalRandom.current(), this.suspects,
 				this.metrics, this.loads::urge);
 		Frontend front = OnlinePart.of(this.vertx, context, this.jobs, JobReader.of(this.jobs, this.timers),
@@ -225,7 +225,8 @@
 	}
 
 	private boolean ready() {
-		return !this.leaving && this.configuration.present().isPresent() && this.upstreamFeed.listed();
+		return !this.leaving && this.configuration.present().isPresent() && this.upstreamFeed.listed()
+				&& !IsolationRule.isolated(this.health.lostFor(), this.loads.peerView());
 	}
 
 	private void runJobs(Placement placement, ConnectionPool connections) {
@@ -237,7 +238,6 @@
 				this.ticker, System::currentTimeMillis, this.timers, ThreadLocalRandom.current()::nextDouble, this.loop,
 				this.metrics, this.settings.queuePatience()));
 		this.runner = Optional.of(jobRunner);
-		this.loads.storeLost(() -> this.health.lostFor().compareTo(STORE_LOST) >= 0);
 		this.loads.wantsSlots(jobRunner::wanting);
 		this.loads.backlog(jobRunner::backlog);
 		this.loads.onReport(jobRunner::giveWay);
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/upstream/Placement.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/upstream/Placement.java
@@ -1,5 +1,6 @@
 package org.ragworthook.gateway.upstream;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Objects;
@@ -15,6 +16,13 @@
  * Engines admit in order of arrival, so a request that is sent to a full one waits there
  * behind others although a slot may be free elsewhere. Counting only what one process
  * sent itself, four entries left the busiest engine at 1.7 times the mean.
+ * <p>
+ * What the others have there is known up to a tenth of a second late. Where many entries
+ * all choose the least load that they know, they choose the same engine until they hear
+ * of each other. So the choice is spread: the requests that the others are likely to have
+ * placed since they were heard are poured over the engines, lowest first, and each engine
+ * is chosen as often as it takes of them. With one entry, or hardly any requests, that is
+ * the least load again.
  */
 public final class Placement {
 
@@ -25,6 +33,9 @@
 
 	private static final int AVOIDED_COST = 1_000;
 
+	/** Less than any difference in cost, so that only the least is chosen. */
+	private static final double LEAST_AMOUNT = 0.01;
+
 	private final String failureDomain;
 
 	private final Ticker ticker;
@@ -49,7 +60,7 @@
 	}
 
 	/**
-	 * Chooses an upstream.
+	 * Chooses the upstream with the least load.
 	 * @param candidates the upstreams of the service
 	 * @param except upstreams that are not to be chosen
 	 * @param room which upstreams have room for the request
@@ -57,25 +68,61 @@
 	 */
 	public Optional<TrackedUpstream> choose(List<TrackedUpstream> candidates, Collection<TrackedUpstream> except,
 			Room room) {
+		return choose(candidates, except, room, 0);
+	}
+
+	/**
+	 * Chooses an upstream.
+	 * @param candidates the upstreams of the service
+	 * @param except upstreams that are not to be chosen
+	 * @param room which upstreams have room for the request
+	 * @param unheard requests that other processes are likely to have placed since they
+	 * were heard, at least 0
+	 * @return the choice, or empty if none has room
+	 */
+	public Optional<TrackedUpstream> choose(List<TrackedUpstream> candidates, Collection<TrackedUpstream> except,
+			Room room, double unheard) {
 		long now = this.ticker.nanos();
-		TrackedUpstream best = null;
-		int bestCost = Integer.MAX_VALUE;
-		int equals = 0;
+		List<Choice> choices = new ArrayList<>();
 		for (TrackedUpstream candidate : candidates) {
-			if (!room.has(candidate) || except.contains(candidate)) {
-				continue;
-			}
-			int cost = cost(candidate, now);
-			if (cost < bestCost) {
-				best = candidate;
-				bestCost = cost;
-				equals = 1;
+			if (room.has(candidate) && !except.contains(candidate)) {
+				choices.add(new Choice(candidate, cost(candidate, now)));
 			}
-			else if (cost == bestCost && this.random.nextInt(++equals) == 0) {
-				best = candidate;
+		}
+		if (choices.isEmpty()) {
+			return Optional.empty();
+		}
+		double level = level(choices, unheard * REQUEST_COST);
+		double draw = this.random.nextDouble() * choices.stream().mapToDouble((choice) -> choice.below(level)).sum();
+		Choice chosen = choices.get(0);
+		for (Choice choice : choices) {
+			if (choice.below(level) > 0) {
+				chosen = choice;
+				draw -= choice.below(level);
+				if (draw < 0) {
+					break;
+				}
 			}
 		}
-		return Optional.ofNullable(best);
+		return Optional.of(chosen.upstream());
+	}
+
+	/**
+	 * Returns up to which cost the upstreams are filled by requests that are poured over
+	 * them.
+	 * @param choices the upstreams
+	 * @param amount the cost of the requests
+	 * @return the level, above the least cost
+	 */
+	private static double level(List<Choice> choices, double amount) {
+		int[] costs = choices.stream().mapToInt(Choice::cost).sorted().toArray();
+		double left = Math.max(amount, LEAST_AMOUNT);
+		int filled = 1;
+		while (filled < costs.length && left > (double) filled * (costs[filled] - costs[filled - 1])) {
+			left -= (double) filled * (costs[filled] - costs[filled - 1]);
+			filled++;
+		}
+		return costs[filled - 1] + left / filled;
 	}
 
 	private int cost(TrackedUpstream candidate, long now) {
@@ -88,6 +135,20 @@
 		return candidate.avoided(now) ? cost + AVOIDED_COST : cost;
 	}
 
+	/**
+	 * An upstream that can be chosen.
+	 *
+	 * @param upstream the upstream
+	 * @param cost what speaks against it
+	 */
+	private record Choice(TrackedUpstream upstream, int cost) {
+
+		double below(double level) {
+			return Math.max(0, level - this.cost);
+		}
+
+	}
+
 	/**
 	 * Tells which upstreams have room.
 	 */
--- /dev/null
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/process/IsolationRuleTests.java
@@ -0,0 +1,35 @@
+package org.ragworthook.gateway.process;
+
+import java.time.Duration;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.ragworthook.gateway.peer.PeerView;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * When an entry asks the balancer to send callers elsewhere.
+ */
+class IsolationRuleTests {
+
+	/**
+	 * A machine is cut off, or the store turns it away alone, and callers of its failure
+	 * domain have no other entry. As long as it calls itself ready their jobs are refused
+	 * at each try. When the store is away from everybody, or there is no other process,
+	 * leaving callers to others helps nobody.
+	 * @param lostMillis for how long the store has not answered
+	 * @param known processes that are known
+	 * @param heard those that are heard
+	 * @param reaching those that reach the store
+	 * @param isolated whether the entry is cut off
+	 */
+	@ParameterizedTest
+	@CsvSource({ "0, 8, 8, 8, false", "0, 8, 0, 0, false", "1, 8, 0, 0, true", "1499, 8, 8, 8, false",
+			"1500, 8, 8, 8, true", "1500, 8, 8, 1, true", "9000, 8, 8, 0, false", "9000, 0, 0, 0, false" })
+	void shouldLeaveCallersToOthersWhoServeThem(long lostMillis, int known, int heard, int reaching, boolean isolated) {
+		assertThat(IsolationRule.isolated(Duration.ofMillis(lostMillis), new PeerView(known, heard, reaching)))
+			.isEqualTo(isolated);
+	}
+
+}
--- /dev/null
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/upstream/UnheardRequestsTests.java
@@ -0,0 +1,45 @@
+package org.ragworthook.gateway.upstream;
+
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * How many requests other entries are thought to have placed.
+ */
+class UnheardRequestsTests {
+
+	private static final Duration AGE = Duration.ofMillis(60);
+
+	private final AtomicLong nanos = new AtomicLong();
+
+	private void place(UnheardRequests unheard, int perSecond, int seconds) {
+		for (int i = 0; i < perSecond * seconds; i++) {
+			this.nanos.addAndGet(Duration.ofSeconds(1).toNanos() / perSecond);
+			unheard.placed();
+		}
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "10, 0, 0.0", "10, 4, 2.4", "15, 16, 14.4", "0, 16, 0.0" })
+	void shouldGoByTheRateOfThisEntry(int perSecond, int others, double expected) {
+		UnheardRequests unheard = UnheardRequests.of(this.nanos::get, AGE, () -> others);
+		place(unheard, perSecond, 10);
+		assertThat(unheard.count()).isWithin(expected * 0.1 + 0.01).of(expected);
+	}
+
+	@Test
+	void shouldForgetABurst() {
+		UnheardRequests unheard = UnheardRequests.of(this.nanos::get, AGE, () -> 4);
+		place(unheard, 20, 3);
+		assertThat(unheard.count()).isGreaterThan(4.0);
+		this.nanos.addAndGet(Duration.ofSeconds(5).toNanos());
+		assertThat(unheard.count()).isLessThan(0.1);
+	}
+
+}
