Split loading, listing and admission of jobs off

Reading a job and its results is now JobLoading, listing ResultLister, and accepting or refusing JobAdmission; behaviour and tests are as before.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
@@ -14,7 +14,6 @@
 import java.util.function.DoubleSupplier;
 import java.util.function.Supplier;
 
-import org.ragworthook.core.error.Failures;
 import org.ragworthook.core.log.EventLog;
 import org.ragworthook.core.time.Ticker;
 import org.ragworthook.core.time.Timers;
@@ -40,9 +39,6 @@
 	/** How often all jobs are looked through, for what no event brings about. */
 	private static final Duration ROUND = Duration.ofMillis(100);
 
-	/** The pause after the store did not take a call. */
-	private static final Duration STORE_PAUSE = Duration.ofMillis(300);
-
 	/** How long an upstream that broke off twice in a row is avoided. */
 	private static final Duration AVOID = Duration.ofMillis(1_500);
 
@@ -59,6 +55,10 @@
 
 	private final ProgressKeeper progress;
 
+	private final JobLoading loading;
+
+	private final ResultLister lister;
+
 	private boolean stopped;
 
 	private volatile boolean wanting;
@@ -69,6 +69,8 @@
 		this.parts = parts;
 		this.placing = new ItemPlacing(parts, this.order, new Runs());
 		this.progress = new ProgressKeeper(parts.progress(), parts.ticker(), parts.loop());
+		this.loading = new JobLoading(parts, this.progress, this::pump);
+		this.lister = new ResultLister(parts, this::pump);
 	}
 
 	/**
@@ -129,7 +131,7 @@
 		this.jobs.values().forEach((job) -> {
 			job.stopRuns();
 			if (job.hasFinished()) {
-				flush(job);
+				this.lister.flush(job);
 			}
 		});
 		return saved;
@@ -232,91 +234,22 @@
 			}
 			job.resultsKnown();
 			if (job.hasFinished()) {
-				flush(job);
+				this.lister.flush(job);
 			}
 			return;
 		}
 		if (job.phase() == OwnedJob.Phase.KNOWN) {
-			read(job);
+			this.loading.load(job);
 			return;
 		}
 		if (job.phase() == OwnedJob.Phase.READY) {
 			giveUp(job);
-			list(job);
+			this.lister.list(job);
 			long now = this.parts.ticker().nanos();
 			job.runs().stream().filter((run) -> run.mayStart(now)).forEach(ready::add);
 		}
 	}
 
-	private void read(OwnedJob job) {
-		job.phase(OwnedJob.Phase.READING);
-		this.parts.store().withItems(job.job()).thenAcceptAsync((whole) -> {
-			if (!job.job().ended()) {
-				job.job(whole);
-			}
-			if (job.mayHaveResults()) {
-				segments(job);
-			}
-			else {
-				job.resultsKnown();
-				ready(job);
-			}
-		}, this.parts.loop()).exceptionally((failure) -> later(job, failure));
-	}
-
-	private void segments(OwnedJob job) {
-		int number = job.segments();
-		this.parts.store().segment(job.job().id(), number).thenAcceptAsync((segment) -> {
-			if (segment.isPresent()) {
-				if (job.segments() == number) {
-					job.listed(segment.get());
-				}
-				segments(job);
-				return;
-			}
-			goOn(job);
-		}, this.parts.loop()).exceptionally((failure) -> later(job, failure));
-	}
-
-	/**
-	 * Takes over how far the items are that another process, or this one before it was
-	 * started again, has worked on.
-	 * @param job the job, its results read
-	 */
-	private void goOn(OwnedJob job) {
-		this.progress.saved().thenAcceptAsync((saved) -> {
-			job.open();
-			int taken = 0;
-			for (ItemRun run : job.runs()) {
-				Optional<ItemProgress> found = saved.of(run);
-				found.ifPresent(run::goOnAfter);
-				taken += found.isPresent() ? 1 : 0;
-			}
-			LOG.info("progress_taken_over", "job", job.job().id(), "open_items", job.openCount(), "with_progress",
-					taken);
-			ready(job);
-		}, this.parts.loop()).exceptionally((failure) -> later(job, failure));
-	}
-
-	private void ready(OwnedJob job) {
-		job.open();
-		if (job.phase() == OwnedJob.Phase.READING) {
-			job.phase(OwnedJob.Phase.READY);
-		}
-		LOG.info("job_owned", "job", job.job().id(), "open_items", job.openCount(), "segments", job.segments());
-		pump();
-	}
-
-	private Void later(OwnedJob job, Throwable failure) {
-		LOG.warning("job_not_read", "job", job.job().id(), "error", Failures.root(failure));
-		this.parts.timers().schedule(STORE_PAUSE, () -> {
-			if (job.phase() == OwnedJob.Phase.READING) {
-				job.phase(OwnedJob.Phase.KNOWN);
-			}
-		});
-		return null;
-	}
-
 	/**
 	 * Gives up items that have used up their time or their attempts, or whose route is
 	 * gone. A process that has not seen the configuration by which the job was accepted
@@ -346,50 +279,6 @@
 		}
 	}
 
-	private void list(OwnedJob job) {
-		if (!job.hasFinished() || job.writing()) {
-			return;
-		}
-		Duration waited = Duration.ofNanos(this.parts.ticker().nanos() - job.oldestFinishedNanos());
-		Duration untilDue = Duration.ofMillis(job.dueMillis() - this.parts.wallMillis().get());
-		if (job.openCount() == 0 || ListingRule.due(waited, untilDue)) {
-			flush(job);
-		}
-	}
-
-	private void flush(OwnedJob job) {
-		if (job.writing()) {
-			return;
-		}
-		job.writing(true);
-		int number = job.segments();
-		List<ItemOutcome> outcomes = job.unlisted();
-		this.parts.store().append(job.job().id(), number, outcomes).thenAcceptAsync((written) -> {
-			job.writing(false);
-			LOG.info("results_listed", "job", job.job().id(), "segment", number, "results", outcomes.size(), "written",
-					written, "open_items", job.openCount());
-			if (written) {
-				job.listed(outcomes);
-				pump();
-			}
-			else {
-				job.stopRuns();
-				job.phase(OwnedJob.Phase.KNOWN);
-			}
-		}, this.parts.loop()).exceptionally((failure) -> {
-			LOG.warning("results_not_listed", "job", job.job().id(), "segment", number, "error",
-					Failures.root(failure));
-			this.parts.timers().schedule(STORE_PAUSE, () -> {
-				job.writing(false);
-				if (job.phase() == OwnedJob.Phase.READY) {
-					job.stopRuns();
-					job.phase(OwnedJob.Phase.KNOWN);
-				}
-			});
-			return null;
-		});
-	}
-
 	/**
 	 * Acts on what becomes of runs.
 	 */
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/JobDesk.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/JobDesk.java
@@ -14,17 +14,12 @@
 import org.ragworthook.core.error.Failures;
 import org.ragworthook.core.error.JobException;
 import org.ragworthook.core.log.EventLog;
-import org.ragworthook.core.retry.Deadline;
-import org.ragworthook.core.store.ConditionalWriter;
-import org.ragworthook.core.time.Ticker;
-import org.ragworthook.core.time.Timers;
 import org.ragworthook.gateway.dialect.JobCall;
 import org.ragworthook.gateway.dialect.JobFormat;
 import org.ragworthook.gateway.job.Job;
 import org.ragworthook.gateway.job.JobItem;
 import org.ragworthook.gateway.job.JobReader;
 import org.ragworthook.gateway.job.JobStore;
-import org.ragworthook.gateway.peer.WaitingTokens;
 import org.ragworthook.gateway.route.Route;
 
 /**
@@ -41,54 +36,26 @@
 
 	private static final Duration COME_AGAIN = Duration.ofMillis(500);
 
-	/**
-	 * When a caller may come again whose job does not fit: a usual item ends by then at
-	 * each slot of two or three.
-	 */
-	private static final Duration ROOM = Duration.ofMillis(2_000);
-
-	/**
-	 * Until the peers have heard of a reservation: a report that is sent at once and,
-	 * where that is lost, the next one.
-	 */
-	private static final Duration HEARD = Duration.ofMillis(130);
-
-	/** The pause between two tries to write a job that the store did not take. */
-	private static final Duration TRY_AGAIN = Duration.ofMillis(150);
-
-	/**
-	 * How long a submission is tried again while the store does not take it: a third of
-	 * what callers usually wait, so that they have time to come again.
-	 */
-	private static final Duration TRY_FOR = Duration.ofMillis(1_200);
-
 	private final JobStore store;
 
 	private final JobReader reader;
 
 	private final JobFormat format;
 
-	private final Timers timers;
+	private final JobAdmission admission;
 
 	private final Executor loop;
 
 	private final Supplier<Long> wallMillis;
 
-	private final JobQuota quota;
-
-	private final Backlog backlog;
-
-	JobDesk(JobStore store, JobReader reader, JobFormat format, Timers timers, Executor loop, Supplier<Long> wallMillis,
-			JobQuota quota, Backlog backlog) {
+	JobDesk(JobStore store, JobReader reader, JobFormat format, JobAdmission admission, Executor loop,
+			Supplier<Long> wallMillis) {
 		this.store = Objects.requireNonNull(store, "store is null");
 		this.reader = Objects.requireNonNull(reader, "reader is null");
 		this.format = Objects.requireNonNull(format, "format is null");
-		this.timers = Objects.requireNonNull(timers, "timers is null");
+		this.admission = Objects.requireNonNull(admission, "admission is null");
 		this.loop = Objects.requireNonNull(loop, "loop is null");
 		this.wallMillis = Objects.requireNonNull(wallMillis, "wallMillis is null");
-		this.quota = Objects.requireNonNull(quota, "quota is null");
-		this.backlog = Objects.requireNonNull(backlog, "backlog is null");
-		backlog.show(quota::backlog);
 	}
 
 	JobFormat format() {
@@ -118,85 +85,7 @@
 		}
 		long tokens = items.stream().mapToLong(JobItem::tokens).sum();
 		Job job = new Job(jobId, host, path, this.wallMillis.get(), version, items.size(), 0, tokens, false, items);
-		Duration limit = (route.timeout().compareTo(TRY_FOR) < 0) ? route.timeout() : TRY_FOR;
-		Deadline deadline = Deadline.after(Ticker.system(), limit);
-		decide(new Submission(job, route, deadline, reply), this.backlog.reported(route));
-	}
-
-	private void decide(Submission submission, WaitingTokens others) {
-		switch (this.quota.decide(submission.route, submission.job.tokens(), others)) {
-			case FITS -> {
-				if (submission.route.mostWaitingTokens() > 0) {
-					reserve(submission);
-				}
-				create(submission.job, submission.deadline, submission.reply, false);
-			}
-			case NEAR_LIMIT -> {
-				JobQuota.Reservation reservation = reserve(submission);
-				this.timers.schedule(HEARD, () -> lookAgain(submission, reservation, others));
-			}
-			case TOO_MUCH -> tooMuch(submission, others);
-			case UNSURE -> lookInStore(submission);
-		}
-	}
-
-	private JobQuota.Reservation reserve(Submission submission) {
-		JobQuota.Reservation reservation = this.quota.reserve(submission.route, submission.job.tokens());
-		this.backlog.tell();
-		return reservation;
-	}
-
-	private void lookAgain(Submission submission, JobQuota.Reservation reservation, WaitingTokens before) {
-		WaitingTokens now = this.backlog.reported(submission.route);
-		WaitingTokens others = now.known() ? now : new WaitingTokens(false, Math.max(now.tokens(), before.tokens()));
-		if (this.quota.holds(submission.route, others)) {
-			create(submission.job, submission.deadline, submission.reply, false);
-			return;
-		}
-		this.quota.withdraw(reservation);
-		tooMuch(submission, others);
-	}
-
-	/**
-	 * Decides by what the store has, since the processes that run jobs are not all heard:
-	 * they start, or are cut off from this entry.
-	 * @param submission the job
-	 */
-	private void lookInStore(Submission submission) {
-		this.backlog.atMost(submission.route).whenCompleteAsync((tokens, failure) -> {
-			if (failure == null) {
-				decide(submission, new WaitingTokens(true, tokens));
-				return;
-			}
-			LOG.warning("job_not_accepted", "job", submission.job.id(), "unknown", false, "error",
-					Failures.root(failure));
-			submission.reply.status(503, "not accepted: the store does not answer", Optional.of(COME_AGAIN));
-		}, this.loop);
-	}
-
-	/**
-	 * Refuses a job that does not fit, unless it is one that was accepted before and
-	 * whose answer its caller did not get.
-	 * @param submission the job
-	 * @param waiting what waits
-	 */
-	private void tooMuch(Submission submission, WaitingTokens waiting) {
-		Job job = submission.job;
-		this.store.read(job.id()).whenCompleteAsync((found, failure) -> {
-			if (failure != null) {
-				unsure(job.id(), "SUBMIT", failure, submission.reply);
-				return;
-			}
-			LOG.info(found.isPresent() ? "job_accepted_before" : "job_over_limit", "job", job.id(), "tokens",
-					job.tokens(), "waiting", waiting.tokens(), "all_known", waiting.known(), "limit",
-					submission.route.mostWaitingTokens());
-			if (found.isPresent()) {
-				submission.reply.status(202, "", Optional.empty());
-			}
-			else {
-				submission.reply.status(429, "not accepted: too much waits on this route", Optional.of(ROOM));
-			}
-		}, this.loop);
+		this.admission.submit(job, route, reply);
 	}
 
 	private static void check(String jobId, List<JobItem> items) {
@@ -214,38 +103,6 @@
 		}
 	}
 
-	/**
-	 * Writes the job, and tries again where the store says that it has not taken it. Once
-	 * the outcome of a write is unknown, no answer may promise that the job never runs.
-	 * @param job the job
-	 * @param deadline until when to try
-	 * @param reply takes the answer
-	 * @param doubtful whether the outcome of an earlier write is unknown
-	 */
-	private void create(Job job, Deadline deadline, JobReply reply, boolean doubtful) {
-		this.store.create(job).whenCompleteAsync((fresh, failure) -> {
-			if (failure == null) {
-				LOG.info("job_accepted", "job", job.id(), "items", job.itemCount(), "fresh", fresh);
-				reply.status(202, "", Optional.empty());
-				return;
-			}
-			boolean unknown = doubtful || ConditionalWriter.codeOf(failure)
-				.filter((code) -> code == ErrorCode.STORE_UNAVAILABLE || code == ErrorCode.STORE_RATE_LIMITED)
-				.isEmpty();
-			if (!deadline.within(TRY_AGAIN)) {
-				this.timers.schedule(TRY_AGAIN, () -> create(job, deadline, reply, unknown));
-				return;
-			}
-			LOG.warning("job_not_accepted", "job", job.id(), "unknown", unknown, "error", Failures.root(failure));
-			if (unknown) {
-				reply.status(500, "the job may have been accepted; send it again", Optional.of(COME_AGAIN));
-			}
-			else {
-				reply.status(503, "not accepted: the store does not answer", Optional.of(COME_AGAIN));
-			}
-		}, this.loop);
-	}
-
 	/**
 	 * Answers a call about a job.
 	 * @param call the call
@@ -264,7 +121,7 @@
 	private void results(JobCall call, Duration wait, JobReply reply) {
 		this.reader.results(call.jobId(), call.position(), wait).whenCompleteAsync((page, failure) -> {
 			if (failure != null) {
-				unsure(call.jobId(), call.action(), failure, reply);
+				unsure(call, failure, reply);
 			}
 			else if (page.isEmpty()) {
 				absent(call, reply);
@@ -279,7 +136,7 @@
 	private void body(JobCall call, JobReply reply) {
 		this.reader.body(call.jobId(), call.itemId()).whenCompleteAsync((body, failure) -> {
 			if (failure != null) {
-				unsure(call.jobId(), call.action(), failure, reply);
+				unsure(call, failure, reply);
 			}
 			else if (body.isEmpty()) {
 				absent(call, reply);
@@ -293,7 +150,7 @@
 	private void end(JobCall call, JobReply reply) {
 		this.store.end(call.jobId()).whenCompleteAsync((found, failure) -> {
 			if (failure != null) {
-				unsure(call.jobId(), call.action(), failure, reply);
+				unsure(call, failure, reply);
 			}
 			else if (found) {
 				LOG.info("job_end_accepted", "job", call.jobId());
@@ -310,22 +167,11 @@
 		reply.status(404, "there is no such job or item", Optional.empty());
 	}
 
-	private static void unsure(String jobId, Object action, Throwable failure, JobReply reply) {
-		LOG.warning("job_call_failed", "job", jobId, "action", action, "error", Failures.root(failure));
+	private static void unsure(JobCall call, Throwable failure, JobReply reply) {
+		LOG.warning("job_call_failed", "job", call.jobId(), "action", call.action(), "error", Failures.root(failure));
 		reply.status(503, "the store does not answer", Optional.of(COME_AGAIN));
 	}
 
-	/**
-	 * A job that a caller brings.
-	 *
-	 * @param job the job
-	 * @param route its route
-	 * @param deadline until when to try to write it
-	 * @param reply takes the answer
-	 */
-	private record Submission(Job job, Route route, Deadline deadline, JobReply reply) {
-	}
-
 	/**
 	 * Takes the answer to a call.
 	 */
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlinePart.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlinePart.java
@@ -30,11 +30,10 @@
 	 */
 	public static Frontend of(Vertx vertx, OnlineContext context, JobStore store, JobReader reader, JobFormat format,
 			Executor loop, BooleanSupplier storeAnswers, Backlog backlog) {
-		return Frontend
-			.of(vertx, context,
-					new JobDesk(store, reader, format, context.timers(), loop, System::currentTimeMillis,
-							new JobQuota(context.ticker()), backlog),
-					new EarlyRequests(context.timers(), storeAnswers));
+		JobAdmission admission = new JobAdmission(store, new JobQuota(context.ticker()), backlog, context.ticker(),
+				context.timers(), loop);
+		JobDesk desk = new JobDesk(store, reader, format, admission, loop, System::currentTimeMillis);
+		return Frontend.of(vertx, context, desk, new EarlyRequests(context.timers(), storeAnswers));
 	}
 
 }
