Do not run an item again whose result is waiting to be listed

The item is neither listed nor open, so it was opened again. It went on from its saved progress, ended before the first result was listed, and both were listed. The fault is older than saved progress, which made it likely: before, the second run took seconds. Ruled out: two owners (segments are created only if absent, and who writes one has read all before it); a late write of the store (it meets the segment that is there). Change: finished items are not opened again, an item has one result, and a segment that is read while its writing is answered late counts once (a second fault on the same path).

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobLoading.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobLoading.java
@@ -60,9 +60,7 @@
 		int number = job.segments();
 		this.parts.store().segment(job.job().id(), number).thenAcceptAsync((segment) -> {
 			if (segment.isPresent()) {
-				if (job.segments() == number) {
-					job.listed(segment.get());
-				}
+				job.listed(number, segment.get());
 				segments(job);
 				return;
 			}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/OwnedJob.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/OwnedJob.java
@@ -83,10 +83,15 @@
 	}
 
 	/**
-	 * Takes in a segment of results that the store has.
+	 * Takes in a segment of results that the store has. One can be seen twice: its
+	 * writing is answered late, and it is read meanwhile.
+	 * @param number the segment's number; only the next one is taken
 	 * @param outcomes the results
 	 */
-	void listed(List<ItemOutcome> outcomes) {
+	void listed(int number, List<ItemOutcome> outcomes) {
+		if (number != this.segments) {
+			return;
+		}
 		this.segments++;
 		for (ItemOutcome outcome : outcomes) {
 			this.listed.add(outcome.itemId());
@@ -99,16 +104,24 @@
 	}
 
 	/**
-	 * Begins with the items that are not listed.
+	 * Begins with the items that are neither listed nor finished. A finished one whose
+	 * result the store has not taken yet must not run again: going on from its saved
+	 * progress it ends soon, and a caller reads it at two positions, as happened on one
+	 * of 40 days.
 	 */
 	void open() {
 		for (JobItem item : this.job.items()) {
-			if (!this.listed.contains(item.id()) && !this.open.containsKey(item.id())) {
+			if (!ended(item.id()) && !this.open.containsKey(item.id())) {
 				this.open.put(item.id(), new ItemRun(this.job, item));
 			}
 		}
 	}
 
+	private boolean ended(String itemId) {
+		return this.listed.contains(itemId)
+				|| this.finished.stream().anyMatch((outcome) -> outcome.itemId().equals(itemId));
+	}
+
 	/**
 	 * Returns the items that are neither finished nor listed.
 	 * @return the items, in the order of the job
@@ -131,12 +144,15 @@
 	}
 
 	/**
-	 * Takes the outcome of an item.
+	 * Takes the outcome of an item, unless it has one.
 	 * @param outcome how it ended
 	 * @param nowNanos the ticker's reading
 	 */
 	void finish(ItemOutcome outcome, long nowNanos) {
 		this.open.remove(outcome.itemId());
+		if (ended(outcome.itemId())) {
+			return;
+		}
 		if (this.finished.isEmpty()) {
 			this.oldestFinishedNanos = nowNanos;
 		}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ResultLister.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ResultLister.java
@@ -63,7 +63,7 @@
 			LOG.info("results_listed", "job", job.job().id(), "segment", number, "results", outcomes.size(), "written",
 					written, "open_items", job.openCount());
 			if (written) {
-				job.listed(outcomes);
+				job.listed(number, outcomes);
 				this.listed.run();
 			}
 			else {
