Save results that wait to be listed as well

Cause: a finished item waits up to 1.5 s to be listed with others. It was no longer open, so the next saving of progress left it out, and a kill in that time took the whole item: some four of 80 at a common kill, by the rate of results. Change: what is finished and not listed is saved with its whole text, and the next owner lists it without a run.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobLoading.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobLoading.java
@@ -79,7 +79,7 @@
 			int taken = 0;
 			for (ItemRun run : job.runs()) {
 				Optional<ItemProgress> found = saved.of(run);
-				found.ifPresent(run::goOnAfter);
+				found.ifPresent((progress) -> job.goOnAfter(progress, this.parts.ticker().nanos()));
 				taken += found.isPresent() ? 1 : 0;
 			}
 			LOG.info("progress_taken_over", "job", job.job().id(), "open_items", job.openCount(), "with_progress",
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/OwnedJob.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/OwnedJob.java
@@ -159,6 +159,48 @@
 		this.finished.add(outcome);
 	}
 
+	/**
+	 * Returns a number that changes as items advance.
+	 * @return events of open items, and how many items wait to be listed
+	 */
+	long advance() {
+		return this.open.values().stream().mapToLong(ItemRun::lastEvent).sum() + this.finished.size();
+	}
+
+	/**
+	 * Returns how far the items are that are not listed.
+	 * @return the progress of those that have some
+	 */
+	List<ItemProgress> progress() {
+		List<ItemProgress> items = new ArrayList<>();
+		this.finished.stream()
+			.filter(ItemOutcome::completed)
+			.forEach((outcome) -> items.add(ItemProgress.whole(this.job.id(), outcome)));
+		this.open.values().forEach((run) -> run.progress().ifPresent(items::add));
+		return items;
+	}
+
+	/**
+	 * Takes over how far an open item is.
+	 * @param saved its progress as an earlier owner has saved it
+	 * @param nowNanos the ticker's reading
+	 */
+	void goOnAfter(ItemProgress saved, long nowNanos) {
+		if (saved.whole()) {
+			stopRun(saved.itemId());
+			finish(new ItemOutcome(saved.itemId(), true, saved.output()), nowNanos);
+		}
+		else if (this.open.containsKey(saved.itemId())) {
+			this.open.get(saved.itemId()).goOnAfter(saved);
+		}
+	}
+
+	private void stopRun(String itemId) {
+		if (this.open.containsKey(itemId)) {
+			this.open.get(itemId).stop();
+		}
+	}
+
 	/**
 	 * Returns the outcomes that are not in the store, as many as one segment takes.
 	 * @return the outcomes, oldest first
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ProgressKeeper.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ProgressKeeper.java
@@ -64,8 +64,8 @@
 
 	private long writtenNanos;
 
-	/** The sum of all last events when it was last saved. */
-	private long savedEvents;
+	/** How far all items were when that was last saved. */
+	private long savedAdvance;
 
 	private Optional<CompletableFuture<Saved>> listing = Optional.empty();
 
@@ -80,43 +80,44 @@
 
 	/**
 	 * Saves if it is time and there is something new.
-	 * @param runs the open items of this process
+	 * @param jobs the jobs of this process
 	 * @param processes how many processes run jobs
 	 */
-	void round(List<ItemRun> runs, int processes) {
+	void round(List<OwnedJob> jobs, int processes) {
 		Duration pause = PAUSE_PER_PROCESS.multipliedBy(processes);
 		long wait = Math.max(LEAST_PAUSE.toNanos(), pause.toNanos());
-		boolean changed = events(runs) > 0 && events(runs) != this.savedEvents;
+		long advance = advance(jobs);
+		boolean changed = advance > 0 && advance != this.savedAdvance;
 		if (changed && this.writing.isDone() && this.ticker.nanos() - this.writtenNanos >= wait) {
-			write(runs);
+			write(jobs);
 		}
 	}
 
 	/**
 	 * Saves now.
-	 * @param runs the open items of this process
+	 * @param jobs the jobs of this process
 	 * @return completes when it is saved or cannot be
 	 */
-	CompletableFuture<Void> save(List<ItemRun> runs) {
-		if (events(runs) == 0) {
+	CompletableFuture<Void> save(List<OwnedJob> jobs) {
+		if (advance(jobs) == 0) {
 			return CompletableFuture.completedFuture(null);
 		}
-		return this.writing.thenCompose((done) -> write(runs))
+		return this.writing.thenCompose((done) -> write(jobs))
 			.completeOnTimeout(null, STOP.toMillis(), TimeUnit.MILLISECONDS);
 	}
 
-	private static long events(List<ItemRun> runs) {
-		return runs.stream().mapToLong(ItemRun::lastEvent).sum();
+	private static long advance(List<OwnedJob> jobs) {
+		return jobs.stream().mapToLong(OwnedJob::advance).sum();
 	}
 
-	private CompletableFuture<Void> write(List<ItemRun> runs) {
-		long events = events(runs);
-		List<ItemProgress> items = most(runs);
+	private CompletableFuture<Void> write(List<OwnedJob> jobs) {
+		long advance = advance(jobs);
+		List<ItemProgress> items = most(jobs);
 		this.writtenNanos = this.ticker.nanos();
 		this.writing = this.store.write(items).handleAsync((done, failure) -> {
 			if (failure == null) {
-				this.savedEvents = events;
-				LOG.debug("progress_saved", "items", items.size(), "events", events);
+				this.savedAdvance = advance;
+				LOG.debug("progress_saved", "items", items.size());
 			}
 			else {
 				LOG.warning("progress_not_saved", "items", items.size(), "error", Failures.root(failure));
@@ -128,19 +129,21 @@
 
 	/**
 	 * Returns what is worth saving first.
-	 * @param runs the open items of this process
-	 * @return how far they are, the furthest first, as much as one object takes
+	 * @param jobs the jobs of this process
+	 * @return how far their items are, the furthest first, as much as one object takes
 	 */
-	private static List<ItemProgress> most(List<ItemRun> runs) {
+	private static List<ItemProgress> most(List<OwnedJob> jobs) {
 		List<ItemProgress> items = new ArrayList<>();
 		int chars = 0;
-		for (ItemRun run : runs.stream().sorted(Comparator.comparingLong(ItemRun::lastEvent).reversed()).toList()) {
-			Optional<ItemProgress> progress = run.progress();
-			chars += progress.map((present) -> present.output().length()).orElse(0);
+		for (ItemProgress item : jobs.stream()
+			.flatMap((job) -> job.progress().stream())
+			.sorted(Comparator.comparingLong(ItemProgress::lastEvent).reversed())
+			.toList()) {
+			chars += item.output().length();
 			if (chars > MOST_CHARS) {
 				break;
 			}
-			progress.ifPresent(items::add);
+			items.add(item);
 		}
 		return items;
 	}
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/job/ProgressKeeperTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/job/ProgressKeeperTests.java
@@ -41,13 +41,26 @@
 		return new ProgressKeeper(progress, this.nanos::get, Runnable::run);
 	}
 
-	private static ItemRun item(String id, long lastEvent, String output) {
+	private static ItemRun item(String id) {
 		JobItem item = new JobItem(id, "/p", Map.of(), "", 1);
-		ItemRun run = new ItemRun(new Job("job", "h", "/p", 0, 1, 1, 0, 1, false, List.of(item)), item);
-		if (lastEvent > 0) {
-			run.goOnAfter(new ItemProgress("job", id, lastEvent, output));
-		}
-		return run;
+		return new ItemRun(new Job("job", "h", "/p", 0, 1, 1, 0, 1, false, List.of(item)), item);
+	}
+
+	/**
+	 * Makes a job whose items have progress.
+	 * @param progress the items; one without events is given as 0
+	 * @return the job
+	 */
+	private static List<OwnedJob> job(Map<String, Long> progress) {
+		List<JobItem> items = progress.keySet().stream().map((id) -> new JobItem(id, "/p", Map.of(), "", 1)).toList();
+		OwnedJob job = new OwnedJob(new Job("job", "h", "/p", 0, 1, items.size(), 0, 1, false, items), true);
+		job.open();
+		progress.forEach((id, last) -> {
+			if (last > 0) {
+				job.goOnAfter(new ItemProgress("job", id, last, "text of " + id + last), 1);
+			}
+		});
+		return List.of(job);
 	}
 
 	private void after(Duration time) {
@@ -63,26 +76,26 @@
 	@CsvSource({ "1, 1000", "4, 1000", "10, 1000", "40, 4000", "320, 32000" })
 	void shouldWriteSeldomerTheMoreProcessesThereAre(int processes, long pauseMillis) {
 		ProgressKeeper keeper = keeper("one");
-		List<ItemRun> runs = List.of(item("a", 3, "x"));
+		List<OwnedJob> jobs = job(Map.of("a", 3L));
 		after(Duration.ofMillis(pauseMillis - 1));
-		keeper.round(runs, processes);
+		keeper.round(jobs, processes);
 		assertThat(this.store.writes).isEqualTo(0);
 		after(Duration.ofMillis(1));
-		keeper.round(runs, processes);
+		keeper.round(jobs, processes);
 		assertThat(this.store.writes).isEqualTo(1);
 	}
 
 	@Test
 	void shouldNotWriteWhatIsNotNew() {
 		ProgressKeeper keeper = keeper("one");
-		List<ItemRun> runs = List.of(item("a", 3, "x"), item("b", 0, ""));
+		List<OwnedJob> jobs = job(Map.of("a", 3L, "b", 0L));
 		for (int round = 0; round < 5; round++) {
 			after(ProgressKeeper.LEAST_PAUSE);
-			keeper.round(runs, 1);
+			keeper.round(jobs, 1);
 		}
 		assertThat(this.store.writes).isEqualTo(1);
 		after(ProgressKeeper.LEAST_PAUSE);
-		keeper.round(List.of(item("b", 0, "")), 1);
+		keeper.round(job(Map.of("b", 0L)), 1);
 		assertThat(this.store.writes).isEqualTo(1);
 	}
 
@@ -92,12 +105,29 @@
 	 */
 	@Test
 	void shouldGoOnFromTheFurthestProgress() {
-		keeper("one").save(List.of(item("a", 5, "five"), item("b", 2, "two"))).join();
-		keeper("two").save(List.of(item("a", 4, "four"), item("b", 9, "nine"))).join();
+		keeper("one").save(job(Map.of("a", 5L, "b", 2L))).join();
+		keeper("two").save(job(Map.of("a", 4L, "b", 9L))).join();
 		ProgressKeeper.Saved saved = keeper("three").saved().join();
-		assertThat(saved.of(item("a", 0, "")).map(ItemProgress::output)).isEqualTo(Optional.of("five"));
-		assertThat(saved.of(item("b", 0, "")).map(ItemProgress::output)).isEqualTo(Optional.of("nine"));
-		assertThat(saved.of(item("c", 0, ""))).isEqualTo(Optional.empty());
+		assertThat(saved.of(item("a")).map(ItemProgress::output)).isEqualTo(Optional.of("text of a5"));
+		assertThat(saved.of(item("b")).map(ItemProgress::output)).isEqualTo(Optional.of("text of b9"));
+		assertThat(saved.of(item("c"))).isEqualTo(Optional.empty());
+	}
+
+	/**
+	 * An item has ended, and its owner is killed before the result is listed. The next
+	 * owner lists it; run anew, it would take its whole time again.
+	 */
+	@Test
+	void shouldKeepWhatWaitsToBeListed() {
+		List<OwnedJob> jobs = job(Map.of("a", 5L, "b", 2L));
+		jobs.get(0).finish(new ItemOutcome("a", true, "all of a"), 1);
+		keeper("one").save(jobs).join();
+		OwnedJob taken = job(Map.of("a", 0L, "b", 0L)).get(0);
+		ProgressKeeper.Saved saved = keeper("two").saved().join();
+		taken.runs().forEach((run) -> saved.of(run).ifPresent((progress) -> taken.goOnAfter(progress, 1)));
+		assertThat(taken.unlisted()).containsExactly(new ItemOutcome("a", true, "all of a"));
+		assertThat(taken.runs().stream().map((run) -> run.item().id()).toList()).containsExactly("b");
+		assertThat(taken.runs().get(0).lastEvent()).isEqualTo(2);
 	}
 
 	/**
@@ -107,13 +137,13 @@
 	@Test
 	void shouldSaveAgainWhatTheStoreDidNotTake() {
 		ProgressKeeper keeper = keeper("one");
-		List<ItemRun> runs = List.of(item("a", 3, "x"));
+		List<OwnedJob> jobs = job(Map.of("a", 3L));
 		this.store.away = true;
 		after(ProgressKeeper.LEAST_PAUSE);
-		keeper.round(runs, 1);
+		keeper.round(jobs, 1);
 		this.store.away = false;
 		after(ProgressKeeper.LEAST_PAUSE);
-		keeper.round(runs, 1);
+		keeper.round(jobs, 1);
 		assertThat(this.store.writes).isEqualTo(1);
 	}
 
