--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
@@ -93,7 +93,7 @@
 		if (!this.stopped) {
 			this.placing.leaveQueues(openRuns());
 			pump();
-			this.progress.round(ready(), this.parts.owners().count());
+			this.progress.round(readyJobs(), this.parts.owners().count());
 			this.parts.timers().schedule(ROUND, this::round);
 		}
 	}
@@ -127,7 +127,7 @@
 	 */
 	public CompletableFuture<Void> stop() {
 		this.stopped = true;
-		CompletableFuture<Void> saved = this.progress.save(ready());
+		CompletableFuture<Void> saved = this.progress.save(readyJobs());
 		this.jobs.values().forEach((job) -> {
 			job.stopRuns();
 			if (job.hasFinished()) {
@@ -204,7 +204,7 @@
 		this.placing.giveWay(this::openRuns);
 	}
 
-	private List<OwnedJob> ready() {
+	private List<OwnedJob> readyJobs() {
 		return this.jobs.values().stream().filter((job) -> job.phase() == OwnedJob.Phase.READY).toList();
 	}
 
