Let a watch gather changes before its next call

Cause: every process takes its watch of upstreams up again at each change. Ruled out: a copy of the data (staleOk) for watches, since a drained upstream has to be known within two seconds and copies may be seconds old. Change: after changes a watch pauses for 10 ms for each process, 400 ms at most, so one call takes what has come meanwhile; a lone change is still seen at once. Configuration and retirements, which change seldom, are watched as before. Calls of the store are counted by collection and call, on the metrics address and in a log line each 10 s.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/feed/FeedFollower.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/feed/FeedFollower.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Objects;
 import java.util.concurrent.Executor;
+import java.util.function.Supplier;
 
 import org.ragworthook.core.error.Failures;
 import org.ragworthook.core.log.EventLog;
@@ -35,18 +36,21 @@
 
 	private final StoreHealth health;
 
+	private final Supplier<Duration> gathering;
+
 	private int failures;
 
 	private boolean stopped;
 
 	private FeedFollower(Feed<T> feed, FeedListener<T> listener, Timers timers, Executor loop, Duration wait,
-			StoreHealth health) {
+			StoreHealth health, Supplier<Duration> gathering) {
 		this.feed = Objects.requireNonNull(feed, "feed is null");
 		this.listener = Objects.requireNonNull(listener, "listener is null");
 		this.timers = Objects.requireNonNull(timers, "timers is null");
 		this.loop = Objects.requireNonNull(loop, "loop is null");
 		this.wait = Objects.requireNonNull(wait, "wait is null");
 		this.health = Objects.requireNonNull(health, "health is null");
+		this.gathering = Objects.requireNonNull(gathering, "gathering is null");
 	}
 
 	/**
@@ -58,11 +62,13 @@
 	 * @param loop the event loop
 	 * @param wait how long one call waits for changes
 	 * @param health learns whether the platform answers
+	 * @param gathering gives the pause after changes, in which the next ones gather to be
+	 * taken by one call; zero for none
 	 * @return the follower
 	 */
 	public static <T> FeedFollower<T> start(Feed<T> feed, FeedListener<T> listener, Timers timers, Executor loop,
-			Duration wait, StoreHealth health) {
-		FeedFollower<T> follower = new FeedFollower<>(feed, listener, timers, loop, wait, health);
+			Duration wait, StoreHealth health, Supplier<Duration> gathering) {
+		FeedFollower<T> follower = new FeedFollower<>(feed, listener, timers, loop, wait, health, gathering);
 		loop.execute(follower::list);
 		return follower;
 	}
@@ -107,10 +113,20 @@
 				return;
 			}
 			changes.get().changes().forEach(this.listener::changed);
-			watch(changes.get().version());
+			watchOn(changes.get());
 		}, this.loop);
 	}
 
+	private void watchOn(Changes<T> seen) {
+		Duration pause = seen.changes().isEmpty() ? Duration.ZERO : this.gathering.get();
+		if (pause.isZero()) {
+			watch(seen.version());
+		}
+		else {
+			this.timers.schedule(pause, () -> watch(seen.version()));
+		}
+	}
+
 	private void answered() {
 		this.failures = 0;
 		this.health.answered();
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/metrics/GatewayMetrics.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/metrics/GatewayMetrics.java
@@ -2,9 +2,11 @@
 
 import java.time.Duration;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.ToDoubleFunction;
+import java.util.stream.Collectors;
 
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.Gauge;
@@ -27,6 +29,8 @@
 
 	private final Map<String, Counter> counters = new ConcurrentHashMap<>();
 
+	private final Map<String, Counter> storeCalls = new ConcurrentHashMap<>();
+
 	private final Timer firstEvent = timer("ragworthook.gateway.first.event", "From a request's arrival to its answer");
 
 	private final Timer whole = timer("ragworthook.gateway.request", "From a request's arrival to its end");
@@ -94,15 +98,33 @@
 
 	/**
 	 * Counts a call of the platform's store.
-	 * @param kind what the call concerned
+	 * @param collection what the call concerned
+	 * @param call what it did there
 	 * @param answered whether an answer came
 	 * @param nanos how long it took
 	 */
-	public void storeCall(String kind, boolean answered, long nanos) {
-		count("ragworthook.gateway.store.calls", "call", kind + (answered ? "_answered" : "_failed"), 1);
+	public void storeCall(String collection, String call, boolean answered, long nanos) {
+		this.storeCalls
+			.computeIfAbsent(collection + "." + call + (answered ? "" : ".failed"),
+					(name) -> Counter.builder("ragworthook.gateway.store.calls")
+						.tags("collection", collection, "call", call, "outcome", answered ? "answered" : "failed")
+						.register(this.registry))
+			.increment();
 		this.storeCall.record(nanos, TimeUnit.NANOSECONDS);
 	}
 
+	/**
+	 * Returns how often the platform's store was called.
+	 * @return counts since the start by collection and call, such as
+	 * {@code servers.watch:12,servers.list:1}, in order of their names
+	 */
+	public String storeCalls() {
+		return new TreeMap<>(this.storeCalls).entrySet()
+			.stream()
+			.map((entry) -> entry.getKey() + ":" + (long) entry.getValue().count())
+			.collect(Collectors.joining(","));
+	}
+
 	/**
 	 * Shows a figure that is read when the metrics are.
 	 * @param <T> what the figure is read from
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
@@ -30,6 +30,7 @@
 import org.ragworthook.gateway.feed.Feed;
 import org.ragworthook.gateway.feed.FeedFollower;
 import org.ragworthook.gateway.feed.FeedListener;
+import org.ragworthook.gateway.feed.GatheringRule;
 import org.ragworthook.gateway.feed.StoreHealth;
 import org.ragworthook.gateway.feed.UpstreamFeedListener;
 import org.ragworthook.gateway.http.ConnectionPool;
@@ -77,6 +78,12 @@
 	/** What is left of the grace when the process ends whatever is open. */
 	private static final Duration MARGIN = Duration.ofMillis(700);
 
+	/** For collections that change seldom: a watch is taken up again at once. */
+	private static final Supplier<Duration> AT_ONCE = () -> Duration.ZERO;
+
+	/** How often the calls of the store are logged: one line in some hundred. */
+	private static final Duration STORE_CALLS_SHOWN = Duration.ofSeconds(10);
+
 	private static final Duration LISTEN_AGAIN = Duration.ofMillis(200);
 
 	private static final Duration LOOK = Duration.ofMillis(50);
@@ -160,9 +167,10 @@
 		ConnectionPool connections = ConnectionPool.of(this.loop, this.ticker, UPSTREAM_CONNECT,
 				this.platform.headers().requestId());
 		showMetrics();
+		this.timers.schedule(STORE_CALLS_SHOWN, this::showStoreCalls);
 		this.loads.storeLost(() -> this.health.lostFor().compareTo(IsolationRule.STORE_LOST) >= 0);
-		follow(this.platform.upstreams(), this.upstreamFeed);
-		follow(this.platform.configuration(), new ConfigurationListener());
+		follow(this.platform.upstreams(), this.upstreamFeed, this::gathering);
+		follow(this.platform.configuration(), new ConfigurationListener(), AT_ONCE);
 		if (this.settings.front().isPresent()) {
 			serveCallers(placement, connections);
 		}
@@ -171,6 +179,17 @@
 		}
 	}
 
+	/**
+	 * Logs how often this process has called the store, so that the cause of many calls
+	 * is found without the metrics of a process that is gone.
+	 */
+	private void showStoreCalls() {
+		LOG.info("store_calls", "since_start", this.metrics.storeCalls());
+		if (!this.leaving) {
+			this.timers.schedule(STORE_CALLS_SHOWN, this::showStoreCalls);
+		}
+	}
+
 	private void showMetrics() {
 		this.metrics.gauge("upstreams", this.upstreams, (all) -> all.all().size());
 		this.metrics.gauge("configuration.version", this.configuration,
@@ -179,8 +198,17 @@
 		listen("metrics", this.settings.metrics(), new MetricsServer(this.metrics));
 	}
 
-	private <T> void follow(Feed<T> feed, FeedListener<T> listener) {
-		this.followers.add(FeedFollower.start(feed, listener, this.timers, this.loop, WATCH, this.health));
+	/**
+	 * Returns how long changes gather where they are frequent, so that the processes that
+	 * watch do not all call the store at each.
+	 * @return the pause
+	 */
+	private Duration gathering() {
+		return GatheringRule.pause(this.loads.peerView().known() + 1);
+	}
+
+	private <T> void follow(Feed<T> feed, FeedListener<T> listener, Supplier<Duration> gathering) {
+		this.followers.add(FeedFollower.start(feed, listener, this.timers, this.loop, WATCH, this.health, gathering));
 	}
 
 	private void serveCallers(Placement placement, ConnectionPool connections) {
@@ -241,9 +269,9 @@
 		this.loads.wantsSlots(jobRunner::wanting);
 		this.loads.backlog(jobRunner::backlog);
 		this.loads.onReport(jobRunner::giveWay);
-		follow(this.platform.jobs(), new JobListener(jobRunner));
+		follow(this.platform.jobs(), new JobListener(jobRunner), this::gathering);
 		follow(this.platform.retirements(), new Retirement(this.settings.instance(), this.loads, jobRunner,
-				this.platform::retired, this.timers, this.loop));
+				this.platform::retired, this.timers, this.loop), AT_ONCE);
 		jobRunner.start();
 	}
 
