--- /dev/null
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/dispatch/SlotRequest.java
@@ -0,0 +1,37 @@
+package org.ragworthook.gateway.dispatch;
+
+import java.util.Objects;
+import java.util.Set;
+
+/**
+ * A request of an entry for a slot.
+ *
+ * @param entry the name of the entry
+ * @param number the entry's number for it, the same when it asks again
+ * @param id the caller's id of it, for the log
+ * @param service the service
+ * @param failureDomain the entry's failure domain
+ * @param except keys of upstreams that are not to be chosen
+ * @param goalNanos the ticker's reading by which it has to begin to run to be in time
+ */
+record SlotRequest(String entry, long number, String id, String service, String failureDomain, Set<Integer> except,
+		long goalNanos) {
+
+	SlotRequest {
+		Objects.requireNonNull(entry, "entry is null");
+		Objects.requireNonNull(id, "id is null");
+		Objects.requireNonNull(service, "service is null");
+		Objects.requireNonNull(failureDomain, "failureDomain is null");
+		except = Set.copyOf(except);
+	}
+
+	/**
+	 * Tells whether this is the same request, asked for once more.
+	 * @param other the other one
+	 * @return whether entry and number are the same
+	 */
+	boolean repeats(SlotRequest other) {
+		return this.number == other.number && this.entry.equals(other.entry);
+	}
+
+}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineContext.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineContext.java
@@ -1,11 +1,13 @@
 package org.ragworthook.gateway.online;
 
 import java.util.Objects;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
 import org.ragworthook.core.time.Ticker;
 import org.ragworthook.core.time.Timers;
 import org.ragworthook.gateway.dialect.HeaderNames;
+import org.ragworthook.gateway.dispatch.DispatchClient;
 import org.ragworthook.gateway.http.ConnectionPool;
 import org.ragworthook.gateway.metrics.GatewayMetrics;
 import org.ragworthook.gateway.route.ConfigurationInForce;
@@ -28,11 +30,14 @@
  * @param random draws for weights and delays
  * @param suspects the requests that make upstreams crash
  * @param metrics counts what happens
+ * @param dispatch asks for slots while they are scarce
+ * @param loadChanged is told of the service whose requests of this process have changed
  * @param urge tells the peers at once what this process has at upstreams
  */
 public record OnlineContext(ConfigurationInForce configuration, UpstreamRegistry upstreams, Placement placement,
 		UnheardRequests unheard, ConnectionPool connections, HeaderNames headers, Ticker ticker, Timers timers,
-		RandomGenerator random, SuspectRequests suspects, GatewayMetrics metrics, Runnable urge) {
+		RandomGenerator random, SuspectRequests suspects, GatewayMetrics metrics, DispatchClient dispatch,
+		Consumer<String> loadChanged, Runnable urge) {
 
 	/**
 	 * Checks that all parts are there.
@@ -49,6 +54,8 @@
 		Objects.requireNonNull(random, "random is null");
 		Objects.requireNonNull(suspects, "suspects is null");
 		Objects.requireNonNull(metrics, "metrics is null");
+		Objects.requireNonNull(dispatch, "dispatch is null");
+		Objects.requireNonNull(loadChanged, "loadChanged is null");
 		Objects.requireNonNull(urge, "urge is null");
 	}
 
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
@@ -1,6 +1,7 @@
 package org.ragworthook.gateway.online;
 
 import java.time.Duration;
+import java.util.Collection;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
@@ -11,6 +12,7 @@
 import org.ragworthook.core.time.Timers;
 import org.ragworthook.gateway.attempt.Attempt;
 import org.ragworthook.gateway.attempt.AttemptListener;
+import org.ragworthook.gateway.dispatch.DispatchClient;
 import org.ragworthook.gateway.http.SendFailure;
 import org.ragworthook.gateway.suspect.SuspectRequests;
 import org.ragworthook.gateway.upstream.Placement;
@@ -45,6 +47,12 @@
 	/** How soon a caller may come again where no better estimate is at hand. */
 	private static final Duration COME_AGAIN = Duration.ofMillis(200);
 
+	/**
+	 * Share of the goal within which a request has to be sent to be in time: the rest is
+	 * for the ways and the first event of an engine that has a slot free.
+	 */
+	private static final double GOAL_TO_SEND = 0.75;
+
 	private final OnlineContext context;
 
 	private final OnlineRequest request;
@@ -61,6 +69,8 @@
 
 	private final TriedUpstreams tried = new TriedUpstreams();
 
+	private final Slot slot = new Slot();
+
 	private int sends;
 
 	private boolean mayHaveRun;
@@ -117,6 +127,12 @@
 			refuse(CONVICTED);
 			return;
 		}
+		if (!this.queues.askForSlot(this.service, this)) {
+			placeHere();
+		}
+	}
+
+	private void placeHere() {
 		if (!tryPlace()) {
 			this.queues.enter(this.service, this);
 		}
@@ -131,7 +147,8 @@
 			return true;
 		}
 		Optional<TrackedUpstream> choice = choice(this.queues.room());
-		choice.ifPresent(this::send);
+		choice.ifPresent((upstream) -> send(upstream, Chooser.ENTRY, !SlotSharing.slotFree(upstream),
+				SlotSharing.needsYield(upstream)));
 		return choice.isPresent();
 	}
 
@@ -141,20 +158,27 @@
 			.choose(serving, this.tried.except(serving), room, this.context.unheard().count());
 	}
 
-	private void send(TrackedUpstream upstream) {
+	/**
+	 * Sends the request.
+	 * @param upstream where to
+	 * @param chooser who chose it, for the log
+	 * @param full whether it is likely to wait there for a slot
+	 * @param urgent whether batch items are to leave it for the request
+	 */
+	private void send(TrackedUpstream upstream, Chooser chooser, boolean full, boolean urgent) {
 		stop(this.patience);
 		this.queues.leave(this.service, this);
-		boolean urgent = SlotSharing.needsYield(upstream);
-		this.queued = upstream.load() >= upstream.entry().slots();
+		this.queued = full;
 		this.heardNanos = this.context.ticker().nanos();
 		this.stalled = false;
 		this.queues.stalls().add(this);
-		LOG.info("placed", "request", this.request.id(), "upstream", upstream, "load", upstream.load(), "sends",
-				this.sends, "after_ms", sinceBegin());
+		LOG.info("placed", "request", this.request.id(), "upstream", upstream, "by", chooser.label(), "load",
+				upstream.load(), "slots", upstream.entry().slots(), "sends", this.sends, "after_ms", sinceBegin());
 		this.last = upstream;
 		this.context.unheard().placed();
 		this.attempt = Attempt.start(upstream, WorkClass.ONLINE, this.context.connections(), this.context.headers(),
 				this::message, this.request.id(), this.lastEvent, new Answer());
+		this.context.loadChanged().accept(this.service);
 		if (urgent) {
 			this.context.urge().run();
 		}
@@ -213,7 +237,7 @@
 		this.attempt.abandon();
 		this.sends++;
 		this.mayHaveRun = true;
-		send(other.get());
+		send(other.get(), Chooser.ENTRY, false, SlotSharing.needsYield(other.get()));
 	}
 
 	/**
@@ -271,6 +295,7 @@
 				this.request.configurationVersion(), "outcome", outcome, "status", status, "upstream", this.last,
 				"sends", this.sends, "first_ms", firstByteMillis(), "ms", sinceBegin(), "last_event", this.lastEvent);
 		this.context.metrics().requestEnded(outcome, firstByteMillis(), sinceBegin());
+		this.context.loadChanged().accept(this.service);
 		this.queues.freed(this.service);
 	}
 
@@ -303,10 +328,90 @@
 		this.patience = timer;
 	}
 
+	/**
+	 * Returns what takes the dispatcher's answer.
+	 * @return the asker
+	 */
+	Slot slot() {
+		return this.slot;
+	}
+
 	OnlineRequest request() {
 		return this.request;
 	}
 
+	/**
+	 * Returns the upstreams to keep away from.
+	 * @return a part of those that were tried
+	 */
+	Collection<TrackedUpstream> except() {
+		return this.tried.except(this.context.upstreams().serving(this.service));
+	}
+
+	/**
+	 * Returns until when the request has to be sent to a free slot to be in time.
+	 * @return the ticker's reading
+	 */
+	long goalNanos() {
+		if (this.answering) {
+			return this.context.ticker().nanos() + StallRule.MIDWAY.toNanos();
+		}
+		return this.begunNanos + (long) (this.request.route().latencyGoal().toNanos() * GOAL_TO_SEND);
+	}
+
+	/**
+	 * Who has chosen an upstream.
+	 */
+	private enum Chooser {
+
+		/** This process, by what it has heard of its peers. */
+		ENTRY,
+
+		/** The process that gives out slots while they are scarce. */
+		DISPATCHER;
+
+		String label() {
+			return name().toLowerCase(Locale.ROOT);
+		}
+
+	}
+
+	/**
+	 * Acts on what the dispatcher answers.
+	 */
+	final class Slot implements DispatchClient.Asker {
+
+		@Override
+		public String requestId() {
+			return OnlineExchange.this.request.id();
+		}
+
+		@Override
+		public void granted(int upstreamKey, boolean yields) {
+			OnlineExchange exchange = OnlineExchange.this;
+			if (exchange.over) {
+				return;
+			}
+			Optional<TrackedUpstream> upstream = exchange.context.upstreams()
+				.byKey(upstreamKey)
+				.filter((known) -> !known.entry().draining() && !exchange.except().contains(known));
+			if (upstream.isPresent()) {
+				send(upstream.get(), Chooser.DISPATCHER, false, yields);
+			}
+			else {
+				placeHere();
+			}
+		}
+
+		@Override
+		public void unanswered() {
+			if (!OnlineExchange.this.over) {
+				placeHere();
+			}
+		}
+
+	}
+
 	/**
 	 * Acts on what the upstream answers.
 	 */
@@ -389,6 +494,7 @@
 			TrackedUpstream upstream = exchange.attempt.upstream();
 			exchange.attempt = null;
 			exchange.queues.stalls().remove(exchange);
+			exchange.context.loadChanged().accept(exchange.service);
 			return upstream;
 		}
 
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineQueues.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineQueues.java
@@ -2,8 +2,11 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 
 import org.ragworthook.core.log.EventLog;
 import org.ragworthook.gateway.http.SendFailure;
@@ -92,22 +95,48 @@
 		return SlotSharing::onlineRoom;
 	}
 
+	/**
+	 * Asks the dispatcher for a slot, if slots are scarce.
+	 * @param service the service
+	 * @param exchange the request
+	 * @return whether the request waits for the dispatcher's answer
+	 */
+	boolean askForSlot(String service, OnlineExchange exchange) {
+		List<TrackedUpstream> serving = this.context.upstreams().serving(service);
+		if (!SlotSharing.scarce(serving)) {
+			return false;
+		}
+		long now = this.context.ticker().nanos();
+		Set<Integer> except = new HashSet<>();
+		exchange.except().forEach((upstream) -> except.add(upstream.key()));
+		serving.stream().filter((upstream) -> upstream.avoided(now)).forEach((upstream) -> except.add(upstream.key()));
+		boolean asked = this.context.dispatch().ask(exchange.slot(), service, except, exchange.goalNanos());
+		if (asked) {
+			waitAtMost(service, exchange);
+		}
+		return asked;
+	}
+
 	/**
 	 * Lets a request wait, or refuses it if it cannot be served in its time.
 	 * @param service the service
 	 * @param exchange the request
 	 */
 	void enter(String service, OnlineExchange exchange) {
-		Duration left = exchange.request().deadline().left().orElse(exchange.request().route().timeout());
-		Duration wait = Duration.ofMillis((long) (left.toMillis() * PATIENCE));
+		line(service).add(exchange);
+		Duration wait = waitAtMost(service, exchange);
 		LOG.info("waiting", "request", exchange.request().id(), "service", service, "at_most_ms", wait.toMillis(),
 				"upstreams", this.context.upstreams().serving(service).size());
-		line(service).add(exchange);
+	}
+
+	private Duration waitAtMost(String service, OnlineExchange exchange) {
+		Duration left = exchange.request().deadline().left().orElse(exchange.request().route().timeout());
+		Duration wait = Duration.ofMillis((long) (left.toMillis() * PATIENCE));
 		exchange.patience(this.context.timers().schedule(wait, () -> {
-			if (line(service).remove(exchange)) {
-				exchange.refuse(COME_AGAIN);
-			}
+			leave(service, exchange);
+			exchange.refuse(COME_AGAIN);
 		}));
+		return wait;
 	}
 
 	/**
@@ -117,6 +146,7 @@
 	 */
 	void leave(String service, OnlineExchange exchange) {
 		line(service).remove(exchange);
+		this.context.dispatch().withdraw(exchange.slot());
 	}
 
 	/**
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/peer/LoadExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/peer/LoadExchange.java
@@ -4,10 +4,12 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -30,6 +32,7 @@
 import org.ragworthook.gateway.suspect.SuspectRequests;
 import org.ragworthook.gateway.upstream.BatchTurns;
 import org.ragworthook.gateway.upstream.PeerLoad;
+import org.ragworthook.gateway.upstream.RendezvousScore;
 import org.ragworthook.gateway.upstream.TrackedUpstream;
 import org.ragworthook.gateway.upstream.UpstreamRegistry;
 import org.ragworthook.gateway.upstream.WorkClass;
@@ -102,6 +105,10 @@
 
 	private final SuspectRequests suspects;
 
+	private final LoadSums sums;
+
+	private final List<ReportPart> parts = new CopyOnWriteArrayList<>();
+
 	private LoadExchange(EventLoop loop, Ticker ticker, UpstreamRegistry registry, SuspectRequests suspects,
 			PeerSettings self) {
 		this.suspects = Objects.requireNonNull(suspects, "suspects is null");
@@ -111,6 +118,7 @@
 		this.self = Objects.requireNonNull(self, "self is null");
 		this.turns = BatchTurns.of(self.instance(), List.of());
 		this.peers = new PeerTable(ticker);
+		this.sums = new LoadSums(registry);
 	}
 
 	/**
@@ -143,6 +151,37 @@
 		this.listeners.add(Objects.requireNonNull(listener, "listener is null"));
 	}
 
+	/**
+	 * Adds what is told along with the loads.
+	 * @param part writes and reads it on the event loop
+	 */
+	public void add(ReportPart part) {
+		this.parts.add(Objects.requireNonNull(part, "part is null"));
+	}
+
+	/**
+	 * Sends one peer a report now, if it is heard.
+	 * @param instance the peer's name
+	 * @param report what it is told beside what all are told
+	 */
+	public void tell(String instance, LoadReport.Builder report) {
+		this.peers.heard(instance).ifPresent((peer) -> {
+			this.sequence++;
+			send(peer, report(report, loads()).toByteArray());
+			this.channel.flush();
+		});
+	}
+
+	/**
+	 * Returns which of the processes that run jobs comes first for a thing. All that hear
+	 * the same processes name the same one.
+	 * @param thing a hash of the thing
+	 * @return the process's name, or empty if none is known
+	 */
+	public Optional<String> firstRunner(int thing) {
+		return RendezvousScore.first(jobRunners(), thing);
+	}
+
 	/**
 	 * Makes a peer known, so that it is sent reports and sends its own.
 	 * @param address where it takes reports
@@ -327,16 +366,20 @@
 		this.lastWanting = this.wantsSlots.getAsBoolean();
 		this.quietRounds = 0;
 		this.sequence++;
-		byte[] bytes = report(loads).toByteArray();
+		byte[] bytes = report(LoadReport.newBuilder(), loads).toByteArray();
 		for (Peer peer : this.peers.all()) {
-			this.channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), peer.address()),
-					this.channel.voidPromise());
+			send(peer, bytes);
 		}
 		this.channel.flush();
 	}
 
-	private LoadReport report(List<UpstreamLoad> loads) {
-		LoadReport.Builder report = LoadReport.newBuilder();
+	private void send(Peer peer, byte[] bytes) {
+		this.channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), peer.address()),
+				this.channel.voidPromise());
+	}
+
+	private LoadReport report(LoadReport.Builder report, List<UpstreamLoad> loads) {
+		this.parts.forEach((part) -> part.write(report));
 		this.suspects.own()
 			.forEach((fingerprint, breaks) -> report
 				.addSuspects(SuspectRequest.newBuilder().setFingerprint(fingerprint).setBreaks(breaks)));
@@ -359,23 +402,38 @@
 			.build();
 	}
 
+	/**
+	 * Adds up anew what changes without a report: peers that have fallen silent,
+	 * upstreams that are new, turns among other processes.
+	 */
 	private void sum() {
 		this.peers.logChanges();
-		Map<Integer, PeerLoad> sums = new HashMap<>();
+		Set<InetSocketAddress> heard = new HashSet<>();
+		for (Peer peer : this.peers.all()) {
+			this.peers.fresh(peer).ifPresent((present) -> {
+				heard.add(peer.address());
+				this.sums.replace(peer.address(), loads(present));
+			});
+		}
+		this.sums.keep(heard);
+		sumBreaks();
+	}
+
+	private void sumBreaks() {
 		Map<Long, Integer> breaks = new HashMap<>();
 		for (Peer peer : this.peers.all()) {
 			peer.newest()
 				.ifPresent((last) -> last.getSuspectsList()
 					.forEach((suspect) -> breaks.merge(suspect.getFingerprint(), suspect.getBreaks(), Integer::sum)));
-			this.peers.fresh(peer)
-				.ifPresent((present) -> present.getLoadsList()
-					.forEach((load) -> sums.merge(load.getUpstream(), load(present.getInstance(), load),
-							PeerLoad::plus)));
 		}
 		this.suspects.peers(breaks);
-		for (TrackedUpstream upstream : this.registry.all()) {
-			upstream.peers(sums.getOrDefault(upstream.key(), PeerLoad.NONE));
-		}
+	}
+
+	private Map<Integer, PeerLoad> loads(LoadReport report) {
+		Map<Integer, PeerLoad> loads = new HashMap<>();
+		report.getLoadsList()
+			.forEach((load) -> loads.merge(load.getUpstream(), load(report.getInstance(), load), PeerLoad::plus));
+		return loads;
 	}
 
 	private PeerLoad load(String peer, UpstreamLoad load) {
@@ -395,17 +453,24 @@
 			LoadExchange exchange = LoadExchange.this;
 			try {
 				LoadReport report = LoadReport.parseFrom(ByteBufUtil.getBytes(packet.content()));
-				if (exchange.peers.take(report)) {
-					exchange.runners = List.of();
-					sum();
-					exchange.listeners.forEach(Runnable::run);
-				}
+				exchange.peers.take(report).ifPresent((peer) -> taken(peer, report));
+				exchange.parts.forEach((part) -> part.read(report));
 			}
 			catch (InvalidProtocolBufferException ex) {
 				LOG.warning("report_malformed", "from", packet.sender(), "error", ex.getMessage());
 			}
 		}
 
+		private void taken(Peer peer, LoadReport report) {
+			LoadExchange exchange = LoadExchange.this;
+			exchange.runners = List.of();
+			exchange.sums.replace(peer.address(), loads(report));
+			if (report.getSuspectsCount() > 0) {
+				sumBreaks();
+			}
+			exchange.listeners.forEach(Runnable::run);
+		}
+
 		@Override
 		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
 			LOG.debug("report_not_delivered", "error", cause);
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/peer/PeerTable.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/peer/PeerTable.java
@@ -65,11 +65,24 @@
 	/**
 	 * Takes a report.
 	 * @param report the report
-	 * @return whether it is newer than what was known
+	 * @return its sender, or empty if a newer one was taken before
 	 */
-	boolean take(LoadReport report) {
+	Optional<Peer> take(LoadReport report) {
 		InetSocketAddress from = new InetSocketAddress(report.getHost(), report.getPort());
-		return this.peers.computeIfAbsent(from, Peer::new).take(report, this.ticker.nanos());
+		Peer peer = this.peers.computeIfAbsent(from, Peer::new);
+		return peer.take(report, this.ticker.nanos()) ? Optional.of(peer) : Optional.empty();
+	}
+
+	/**
+	 * Returns a peer that is heard.
+	 * @param instance its name
+	 * @return the peer, or empty if none of that name is heard
+	 */
+	Optional<Peer> heard(String instance) {
+		return this.peers.values()
+			.stream()
+			.filter((peer) -> fresh(peer).filter((report) -> report.getInstance().equals(instance)).isPresent())
+			.findFirst();
 	}
 
 	Collection<Peer> all() {
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/peer/RendezvousOwners.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/peer/RendezvousOwners.java
@@ -34,16 +34,7 @@
 
 	@Override
 	public boolean own(String jobId) {
-		String best = null;
-		long most = Long.MIN_VALUE;
-		for (String name : this.runners.get()) {
-			long score = RendezvousScore.of(name, jobId.hashCode());
-			if (best == null || score > most || (score == most && name.compareTo(best) < 0)) {
-				best = name;
-				most = score;
-			}
-		}
-		return this.self.equals(best);
+		return RendezvousScore.first(this.runners.get(), jobId.hashCode()).filter(this.self::equals).isPresent();
 	}
 
 	@Override
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
@@ -26,6 +26,9 @@
 import org.ragworthook.core.store.Stamps;
 import org.ragworthook.core.time.Ticker;
 import org.ragworthook.core.time.Timers;
+import org.ragworthook.gateway.dispatch.DispatchClient;
+import org.ragworthook.gateway.dispatch.DispatchReports;
+import org.ragworthook.gateway.dispatch.Dispatcher;
 import org.ragworthook.gateway.feed.Change;
 import org.ragworthook.gateway.feed.Feed;
 import org.ragworthook.gateway.feed.FeedFollower;
@@ -54,6 +57,7 @@
 import org.ragworthook.gateway.route.Route;
 import org.ragworthook.gateway.suspect.SuspectRequests;
 import org.ragworthook.gateway.upstream.Placement;
+import org.ragworthook.gateway.upstream.SlotSharing;
 import org.ragworthook.gateway.upstream.UnheardRequests;
 import org.ragworthook.gateway.upstream.UpstreamRegistry;
 
@@ -116,6 +120,8 @@
 
 	private final LoadExchange loads;
 
+	private final DispatchReports dispatch;
+
 	private final UpstreamFeedListener upstreamFeed;
 
 	private final List<FeedFollower<?>> followers = new CopyOnWriteArrayList<>();
@@ -143,6 +149,8 @@
 		this.jobs = JobStore.of(this.platform.store(), this.writer);
 		PeerSettings self = new PeerSettings(settings.instance(), started, settings.peers(), settings.runsJobs());
 		this.loads = LoadExchange.start(this.loop, this.ticker, this.upstreams, this.suspects, self);
+		this.dispatch = DispatchReports.on(this.loads, this.loop, this.ticker, settings.instance(),
+				settings.failureDomain());
 		this.upstreamFeed = UpstreamFeedListener.of(this.upstreams, this.health, this.timers);
 		PeerDirectory.join(this.platform.store(), this.writer, this.platform.peers(), this.loads, self, this.timers);
 	}
@@ -212,10 +220,12 @@
 	}
 
 	private void serveCallers(Placement placement, ConnectionPool connections) {
+		DispatchClient client = DispatchClient.of(this.ticker, this.timers, this.dispatch);
+		this.dispatch.client(client);
 		OnlineContext context = new OnlineContext(this.configuration, this.upstreams, placement,
 				UnheardRequests.of(this.ticker, LoadExchange.MEAN_AGE, this.loads::otherEntries), connections,
 				this.platform.headers(), this.ticker, this.timers, ThreadLocalRandom.current(), this.suspects,
-				this.metrics, this.loads::urge);
+				this.metrics, client, this::onlineLoadChanged, this.loads::urge);
 		Frontend front = OnlinePart.of(this.vertx, context, this.jobs, JobReader.of(this.jobs, this.timers),
 				this.platform.jobFormat(), this.loop, this.health::up, new JobBacklog());
 		this.frontend = Optional.of(front);
@@ -225,6 +235,12 @@
 		this.settings.readiness().ifPresent((place) -> listen("readiness", place, new ReadinessServer(this::ready)));
 	}
 
+	private void onlineLoadChanged(String service) {
+		if (SlotSharing.scarce(this.upstreams.serving(service))) {
+			this.dispatch.loadChanged(service);
+		}
+	}
+
 	private void listen(String what, Address address, Handler<HttpServerRequest> handler) {
 		listen(what,
 				() -> this.vertx.createHttpServer()
@@ -266,6 +282,8 @@
 				this.ticker, System::currentTimeMillis, this.timers, ThreadLocalRandom.current()::nextDouble, this.loop,
 				this.metrics, this.settings.queuePatience()));
 		this.runner = Optional.of(jobRunner);
+		this.dispatch.dispatcher(
+				Dispatcher.of(this.upstreams, this.ticker, ThreadLocalRandom.current(), firstGrant(), this.dispatch));
 		this.loads.wantsSlots(jobRunner::wanting);
 		this.loads.backlog(jobRunner::backlog);
 		this.loads.onReport(jobRunner::giveWay);
@@ -275,6 +293,15 @@
 		jobRunner.start();
 	}
 
+	/**
+	 * Returns a number above those of an earlier run's grants, of which there were fewer
+	 * than one in a microsecond.
+	 * @return the number
+	 */
+	private static long firstGrant() {
+		return TimeUnit.MILLISECONDS.toMicros(System.currentTimeMillis());
+	}
+
 	/**
 	 * Takes settings that were read again. How long a stop may take holds at once;
 	 * addresses and duties hold from the next start.
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/upstream/PeerLoad.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/upstream/PeerLoad.java
@@ -21,4 +21,13 @@
 		return new PeerLoad(this.online + other.online, this.batch + other.batch, this.givenFirst + other.givenFirst);
 	}
 
+	/**
+	 * Takes away what another peer had.
+	 * @param other the other's
+	 * @return the difference
+	 */
+	public PeerLoad minus(PeerLoad other) {
+		return new PeerLoad(this.online - other.online, this.batch - other.batch, this.givenFirst - other.givenFirst);
+	}
+
 }
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/upstream/RendezvousScore.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/upstream/RendezvousScore.java
@@ -1,5 +1,8 @@
 package org.ragworthook.gateway.upstream;
 
+import java.util.Collection;
+import java.util.Optional;
+
 /**
  * Scores pairs of a process and a thing, so that all processes order each other in the
  * same way for each thing without a word, and in ever other ways for other things.
@@ -24,4 +27,24 @@
 		return hash ^ (hash >>> 32);
 	}
 
+	/**
+	 * Returns the process that comes first for a thing.
+	 * @param processes the names of the processes
+	 * @param thing a hash of the thing
+	 * @return the one with the highest score, of equals the first by name; empty if there
+	 * is none
+	 */
+	public static Optional<String> first(Collection<String> processes, int thing) {
+		String best = null;
+		long most = Long.MIN_VALUE;
+		for (String name : processes) {
+			long score = of(name, thing);
+			if (best == null || score > most || (score == most && name.compareTo(best) < 0)) {
+				best = name;
+				most = score;
+			}
+		}
+		return Optional.ofNullable(best);
+	}
+
 }
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/upstream/SlotSharing.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/upstream/SlotSharing.java
@@ -54,6 +54,32 @@
 		return upstream.onlineLoad() < upstream.entry().slots() + AHEAD;
 	}
 
+	/**
+	 * Tells whether an online request would begin to run as soon as batch has yielded.
+	 * @param upstream the upstream
+	 * @return whether online requests leave a slot there
+	 */
+	public static boolean onlineSlotFree(TrackedUpstream upstream) {
+		return upstream.onlineLoad() < upstream.entry().slots();
+	}
+
+	/**
+	 * Tells whether slots are scarce for online requests. While half of them are free,
+	 * the entries' own choices hardly meet: played with 28 entries, fewer than 1 in 1,000
+	 * requests found its engine full. Beyond that a slot is asked of the dispatcher.
+	 * @param fleet the upstreams of a service
+	 * @return whether online requests have half of the slots or more
+	 */
+	public static boolean scarce(List<TrackedUpstream> fleet) {
+		int slots = 0;
+		int online = 0;
+		for (TrackedUpstream upstream : fleet) {
+			slots += upstream.entry().slots();
+			online += upstream.onlineLoad();
+		}
+		return 2 * online >= slots;
+	}
+
 	/**
 	 * Tells whether a request would begin to run at once.
 	 * @param upstream the upstream
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/upstream/TrackedUpstream.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/upstream/TrackedUpstream.java
@@ -17,6 +17,8 @@
 
 	private final AtomicInteger batch = new AtomicInteger();
 
+	private final AtomicInteger granted = new AtomicInteger();
+
 	private final AtomicInteger failures = new AtomicInteger();
 
 	private final AtomicLong avoidUntilNanos = new AtomicLong(Long.MIN_VALUE);
@@ -102,6 +104,15 @@
 		this.peers = newest;
 	}
 
+	/**
+	 * Counts slots there that this process, as dispatcher, has given to entries whose
+	 * reports do not count them yet.
+	 * @param change how many more, or fewer if negative
+	 */
+	public void granted(int change) {
+		this.granted.addAndGet(change);
+	}
+
 	/**
 	 * Returns what all processes have there, as far as known.
 	 * @return requests sent and not ended
@@ -112,10 +123,10 @@
 
 	/**
 	 * Returns the online requests that all processes have there, as far as known.
-	 * @return requests sent and not ended
+	 * @return requests sent, or about to be, and not ended
 	 */
 	public int onlineLoad() {
-		return this.online.get() + this.peers.online();
+		return this.online.get() + this.granted.get() + this.peers.online();
 	}
 
 	/**
--- /dev/null
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/dispatch/DispatchClientTests.java
@@ -0,0 +1,126 @@
+package org.ragworthook.gateway.dispatch;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+import org.ragworthook.core.time.ManualTime;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class DispatchClientTests {
+
+	private static final Duration GOAL = Duration.ofMillis(200);
+
+	private final ManualTime time = ManualTime.of();
+
+	private final Line line = new Line();
+
+	private final DispatchClient client = DispatchClient.of(this.time, this.time, this.line);
+
+	private boolean ask(DispatchClient.Asker asker) {
+		return this.client.ask(asker, "svc", Set.of(), this.time.nanos() + GOAL.toNanos());
+	}
+
+	/**
+	 * The dispatcher's machine freezes. Requests that wait for its word would be late
+	 * although slots are free; they go back to the entry's own choice in a tenth of their
+	 * goal, and the next ones do not wait for it at all.
+	 */
+	@Test
+	void shouldChooseForItselfWhenTheDispatcherIsSilent() {
+		Request first = new Request();
+		Request second = new Request();
+		assertThat(ask(first)).isTrue();
+		this.time.advance(Duration.ofMillis(10));
+		assertThat(ask(second)).isTrue();
+		this.time.advance(DispatchClient.ANSWER);
+		assertThat(first.outcomes).containsExactly("unanswered");
+		assertThat(second.outcomes).containsExactly("unanswered");
+		assertThat(ask(new Request())).isFalse();
+		this.time.advance(DispatchClient.DOUBTED);
+		assertThat(ask(new Request())).isTrue();
+	}
+
+	/**
+	 * A request waits in the dispatcher's line, which is not silence: it is asked for
+	 * again in case that the grant was lost, with what is left until its goal.
+	 */
+	@Test
+	void shouldAskAgainWhileARequestWaits() {
+		Request request = new Request();
+		ask(request);
+		this.client.waits(1);
+		this.time.advance(DispatchClient.ASK_AGAIN);
+		assertThat(request.outcomes).isEmpty();
+		assertThat(this.line.asked).containsExactly("1 200", "1 100").inOrder();
+		this.client.granted(1, 7, false);
+		assertThat(request.outcomes).containsExactly("granted 7");
+	}
+
+	/**
+	 * The caller leaves while its request waits, and the grant comes after all.
+	 */
+	@Test
+	void shouldIgnoreAGrantForARequestThatIsGone() {
+		Request request = new Request();
+		ask(request);
+		this.client.withdraw(request);
+		this.client.granted(1, 7, false);
+		this.time.advance(Duration.ofSeconds(1));
+		assertThat(request.outcomes).isEmpty();
+		assertThat(this.line.asked).hasSize(1);
+	}
+
+	@Test
+	void shouldAskNobodyWhereThereIsNoDispatcher() {
+		this.line.dispatcher = Optional.empty();
+		assertThat(ask(new Request())).isFalse();
+	}
+
+	private static final class Request implements DispatchClient.Asker {
+
+		private final List<String> outcomes = new ArrayList<>();
+
+		@Override
+		public String requestId() {
+			return "r";
+		}
+
+		@Override
+		public void granted(int upstreamKey, boolean yields) {
+			this.outcomes.add("granted " + upstreamKey);
+		}
+
+		@Override
+		public void unanswered() {
+			this.outcomes.add("unanswered");
+		}
+
+	}
+
+	/**
+	 * Leads to a dispatcher that hears and says nothing.
+	 */
+	private static final class Line implements DispatchClient.Channel {
+
+		private final List<String> asked = new ArrayList<>();
+
+		private Optional<String> dispatcher = Optional.of("d");
+
+		@Override
+		public Optional<String> dispatcher(String service) {
+			return this.dispatcher;
+		}
+
+		@Override
+		public void ask(String name, DispatchClient.Question question) {
+			this.asked.add(question.number() + " " + question.toGoal().toMillis());
+		}
+
+	}
+
+}
--- /dev/null
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/dispatch/DispatchReportsTests.java
@@ -0,0 +1,152 @@
+package org.ragworthook.gateway.dispatch;
+
+import java.net.DatagramSocket;
+import java.net.SocketException;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.ragworthook.core.close.Closer;
+import org.ragworthook.core.fleet.Address;
+import org.ragworthook.core.time.ManualTime;
+import org.ragworthook.core.time.Ticker;
+import org.ragworthook.gateway.peer.LoadExchange;
+import org.ragworthook.gateway.peer.PeerSettings;
+import org.ragworthook.gateway.suspect.SuspectRequests;
+import org.ragworthook.gateway.upstream.TrackedUpstream;
+import org.ragworthook.gateway.upstream.UpstreamEntry;
+import org.ragworthook.gateway.upstream.UpstreamRegistry;
+import org.ragworthook.gateway.upstream.WorkClass;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * An entry and a dispatcher that speak over sockets.
+ */
+class DispatchReportsTests {
+
+	private static final long LIMIT_SECONDS = 30;
+
+	private static final String SERVICE = "svc";
+
+	private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+	private final EventLoop loop = (EventLoop) this.group.next();
+
+	private final Closer closer = Closer.empty();
+
+	/** Stands still, so that no answer is ever late. */
+	private final ManualTime time = ManualTime.of();
+
+	private final Address entryAddress = free();
+
+	private final Address dispatcherAddress = free();
+
+	@AfterEach
+	void stop() {
+		this.closer.close();
+		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+	}
+
+	private static Address free() {
+		try (DatagramSocket socket = new DatagramSocket()) {
+			return new Address("127.0.0.1", socket.getLocalPort());
+		}
+		catch (SocketException ex) {
+			throw new AssertionError("no free port", ex);
+		}
+	}
+
+	private static void until(BooleanSupplier condition) throws InterruptedException {
+		long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(LIMIT_SECONDS);
+		while (!condition.getAsBoolean()) {
+			assertThat(System.nanoTime() - end).isLessThan(0L);
+			new CountDownLatch(1).await(5, TimeUnit.MILLISECONDS);
+		}
+	}
+
+	private static UpstreamRegistry registry() {
+		UpstreamRegistry registry = UpstreamRegistry.empty();
+		registry.put(new UpstreamEntry("u1", SERVICE, new Address("10.0.0.1", 80), "a", 1, false));
+		return registry;
+	}
+
+	private LoadExchange exchange(String name, Address address, UpstreamRegistry registry, boolean runsJobs) {
+		return this.closer.add(LoadExchange.start(this.loop, Ticker.system(), registry,
+				SuspectRequests.none(Ticker.system()), new PeerSettings(name, 1, address, runsJobs)));
+	}
+
+	/**
+	 * Two requests of an entry need the one slot of an engine. The second one gets it
+	 * when the entry's report shows that the first has ended, and not before.
+	 */
+	@Test
+	void shouldGiveOutTheSlotsThatReportsShowFree() throws InterruptedException {
+		UpstreamRegistry mine = registry();
+		LoadExchange entry = exchange("entry", this.entryAddress, mine, false);
+		UpstreamRegistry theirs = registry();
+		LoadExchange dispatching = exchange("dispatching", this.dispatcherAddress, theirs, true);
+		DispatchReports asking = DispatchReports.on(entry, this.loop, this.time, "entry", "a");
+		DispatchClient client = DispatchClient.of(this.time, this.time, asking);
+		asking.client(client);
+		DispatchReports answering = DispatchReports.on(dispatching, this.loop, this.time, "dispatching", "a");
+		answering.dispatcher(Dispatcher.of(theirs, this.time, new Random(1), 0, answering));
+		dispatching.introduce(this.entryAddress);
+		entry.introduce(this.dispatcherAddress);
+		dispatching.introduced();
+		until(() -> entry.firstRunner(SERVICE.hashCode()).isPresent() && dispatching.settled());
+		TrackedUpstream here = mine.byKey(TrackedUpstream.key("u1")).orElseThrow();
+		Sender first = new Sender(here);
+		Sender second = new Sender(here);
+		this.loop.execute(() -> {
+			client.ask(first, SERVICE, Set.of(), Long.MAX_VALUE / 2);
+			client.ask(second, SERVICE, Set.of(), Long.MAX_VALUE / 2);
+		});
+		TrackedUpstream there = theirs.byKey(TrackedUpstream.key("u1")).orElseThrow();
+		until(() -> first.sent.get() == 1 && there.onlineLoad() == 1);
+		assertThat(second.sent.get()).isEqualTo(0);
+		this.loop.execute(() -> {
+			here.end(WorkClass.ONLINE);
+			asking.loadChanged(SERVICE);
+		});
+		until(() -> second.sent.get() == 1);
+		assertThat(first.sent.get()).isEqualTo(1);
+	}
+
+	/**
+	 * Sends a request to the upstream that it is given.
+	 */
+	private record Sender(TrackedUpstream upstream, AtomicInteger sent) implements DispatchClient.Asker {
+
+		Sender(TrackedUpstream upstream) {
+			this(upstream, new AtomicInteger());
+		}
+
+		@Override
+		public String requestId() {
+			return "r";
+		}
+
+		@Override
+		public void granted(int upstreamKey, boolean yields) {
+			assertThat(upstreamKey).isEqualTo(this.upstream.key());
+			this.upstream.begin(WorkClass.ONLINE);
+			this.sent.incrementAndGet();
+		}
+
+		@Override
+		public void unanswered() {
+			throw new AssertionError("no answer");
+		}
+
+	}
+
+}
--- a/modules/wire/src/main/java/org/ragworthook/wire/load/Load.java
+++ b/modules/wire/src/main/java/org/ragworthook/wire/load/Load.java
@@ -31,6 +31,16 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_ragworthook_LoadReport_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ragworthook_SlotAsk_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ragworthook_SlotAsk_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ragworthook_SlotAnswer_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ragworthook_SlotAnswer_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_ragworthook_HeardRunner_descriptor;
   static final 
@@ -60,7 +70,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\nload.proto\022\013ragworthook\"\377\002\n\nLoadReport" +
+      "\n\nload.proto\022\013ragworthook\"\366\003\n\nLoadReport" +
       "\022\020\n\010instance\030\001 \001(\t\022\026\n\016started_millis\030\002 \001" +
       "(\004\022\020\n\010sequence\030\003 \001(\004\022\014\n\004host\030\004 \001(\t\022\014\n\004po" +
       "rt\030\005 \001(\r\022\021\n\truns_jobs\030\006 \001(\010\022\017\n\007leaving\030\007" +
@@ -70,13 +80,22 @@
       "rd_runners\030\013 \003(\0132\030.ragworthook.HeardRunn" +
       "er\022\023\n\013wants_slots\030\014 \001(\010\022+\n\010backlogs\030\r \003(" +
       "\0132\031.ragworthook.RouteBacklog\022\025\n\rbacklog_" +
-      "known\030\016 \001(\010\"3\n\013HeardRunner\022\020\n\010instance\030\001" +
-      " \001(\t\022\022\n\nstore_lost\030\002 \001(\010\"-\n\014RouteBacklog" +
-      "\022\r\n\005route\030\001 \001(\007\022\016\n\006tokens\030\002 \001(\004\"?\n\014Upstr" +
-      "eamLoad\022\020\n\010upstream\030\001 \001(\007\022\016\n\006online\030\002 \001(" +
-      "\r\022\r\n\005batch\030\003 \001(\r\"5\n\016SuspectRequest\022\023\n\013fi" +
-      "ngerprint\030\001 \001(\006\022\016\n\006breaks\030\002 \001(\rB\035\n\031org.r" +
-      "agworthook.wire.loadP\001b\006proto3"
+      "known\030\016 \001(\010\022\"\n\004asks\030\017 \003(\0132\024.ragworthook." +
+      "SlotAsk\022(\n\007answers\030\020 \003(\0132\027.ragworthook.S" +
+      "lotAnswer\022\022\n\ndispatcher\030\021 \001(\t\022\023\n\013grants_" +
+      "seen\030\022 \001(\004\"x\n\007SlotAsk\022\016\n\006number\030\001 \001(\004\022\017\n" +
+      "\007service\030\002 \001(\t\022\026\n\016failure_domain\030\003 \001(\t\022\016" +
+      "\n\006except\030\004 \003(\007\022\023\n\013goal_millis\030\005 \001(\021\022\017\n\007r" +
+      "equest\030\006 \001(\t\"\\\n\nSlotAnswer\022\016\n\006number\030\001 \001" +
+      "(\004\022\r\n\005waits\030\002 \001(\010\022\020\n\010upstream\030\003 \001(\007\022\016\n\006y" +
+      "ields\030\004 \001(\010\022\r\n\005grant\030\005 \001(\004\"3\n\013HeardRunne" +
+      "r\022\020\n\010instance\030\001 \001(\t\022\022\n\nstore_lost\030\002 \001(\010\"" +
+      "-\n\014RouteBacklog\022\r\n\005route\030\001 \001(\007\022\016\n\006tokens" +
+      "\030\002 \001(\004\"?\n\014UpstreamLoad\022\020\n\010upstream\030\001 \001(\007" +
+      "\022\016\n\006online\030\002 \001(\r\022\r\n\005batch\030\003 \001(\r\"5\n\016Suspe" +
+      "ctRequest\022\023\n\013fingerprint\030\001 \001(\006\022\016\n\006breaks" +
+      "\030\002 \001(\rB\035\n\031org.ragworthook.wire.loadP\001b\006p" +
+      "roto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -87,27 +106,39 @@
     internal_static_ragworthook_LoadReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragworthook_LoadReport_descriptor,
-        new java.lang.String[] { "Instance", "StartedMillis", "Sequence", "Host", "Port", "RunsJobs", "Leaving", "Loads", "Suspects", "StoreLost", "HeardRunners", "WantsSlots", "Backlogs", "BacklogKnown", });
-    internal_static_ragworthook_HeardRunner_descriptor =
+        new java.lang.String[] { "Instance", "StartedMillis", "Sequence", "Host", "Port", "RunsJobs", "Leaving", "Loads", "Suspects", "StoreLost", "HeardRunners", "WantsSlots", "Backlogs", "BacklogKnown", "Asks", "Answers", "Dispatcher", "GrantsSeen", });
+    internal_static_ragworthook_SlotAsk_descriptor =
       getDescriptor().getMessageType(1);
+    internal_static_ragworthook_SlotAsk_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ragworthook_SlotAsk_descriptor,
+        new java.lang.String[] { "Number", "Service", "FailureDomain", "Except", "GoalMillis", "Request", });
+    internal_static_ragworthook_SlotAnswer_descriptor =
+      getDescriptor().getMessageType(2);
+    internal_static_ragworthook_SlotAnswer_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ragworthook_SlotAnswer_descriptor,
+        new java.lang.String[] { "Number", "Waits", "Upstream", "Yields", "Grant", });
+    internal_static_ragworthook_HeardRunner_descriptor =
+      getDescriptor().getMessageType(3);
     internal_static_ragworthook_HeardRunner_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragworthook_HeardRunner_descriptor,
         new java.lang.String[] { "Instance", "StoreLost", });
     internal_static_ragworthook_RouteBacklog_descriptor =
-      getDescriptor().getMessageType(2);
+      getDescriptor().getMessageType(4);
     internal_static_ragworthook_RouteBacklog_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragworthook_RouteBacklog_descriptor,
         new java.lang.String[] { "Route", "Tokens", });
     internal_static_ragworthook_UpstreamLoad_descriptor =
-      getDescriptor().getMessageType(3);
+      getDescriptor().getMessageType(5);
     internal_static_ragworthook_UpstreamLoad_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragworthook_UpstreamLoad_descriptor,
         new java.lang.String[] { "Upstream", "Online", "Batch", });
     internal_static_ragworthook_SuspectRequest_descriptor =
-      getDescriptor().getMessageType(4);
+      getDescriptor().getMessageType(6);
     internal_static_ragworthook_SuspectRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragworthook_SuspectRequest_descriptor,
--- a/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReport.java
+++ b/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReport.java
@@ -39,6 +39,9 @@
     suspects_ = java.util.Collections.emptyList();
     heardRunners_ = java.util.Collections.emptyList();
     backlogs_ = java.util.Collections.emptyList();
+    asks_ = java.util.Collections.emptyList();
+    answers_ = java.util.Collections.emptyList();
+    dispatcher_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -442,6 +445,190 @@
     return backlogKnown_;
   }
 
+  public static final int ASKS_FIELD_NUMBER = 15;
+  @SuppressWarnings("serial")
+  private java.util.List<org.ragworthook.wire.load.SlotAsk> asks_;
+  /**
+   * <pre>
+   * to the dispatcher that gets this report
+   * </pre>
+   *
+   * <code>repeated .ragworthook.SlotAsk asks = 15;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.ragworthook.wire.load.SlotAsk> getAsksList() {
+    return asks_;
+  }
+  /**
+   * <pre>
+   * to the dispatcher that gets this report
+   * </pre>
+   *
+   * <code>repeated .ragworthook.SlotAsk asks = 15;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.ragworthook.wire.load.SlotAskOrBuilder> 
+      getAsksOrBuilderList() {
+    return asks_;
+  }
+  /**
+   * <pre>
+   * to the dispatcher that gets this report
+   * </pre>
+   *
+   * <code>repeated .ragworthook.SlotAsk asks = 15;</code>
+   */
+  @java.lang.Override
+  public int getAsksCount() {
+    return asks_.size();
+  }
+  /**
+   * <pre>
+   * to the dispatcher that gets this report
+   * </pre>
+   *
+   * <code>repeated .ragworthook.SlotAsk asks = 15;</code>
+   */
+  @java.lang.Override
+  public org.ragworthook.wire.load.SlotAsk getAsks(int index) {
+    return asks_.get(index);
+  }
+  /**
+   * <pre>
+   * to the dispatcher that gets this report
+   * </pre>
+   *
+   * <code>repeated .ragworthook.SlotAsk asks = 15;</code>
+   */
+  @java.lang.Override
+  public org.ragworthook.wire.load.SlotAskOrBuilder getAsksOrBuilder(
+      int index) {
+    return asks_.get(index);
+  }
+
+  public static final int ANSWERS_FIELD_NUMBER = 16;
+  @SuppressWarnings("serial")
+  private java.util.List<org.ragworthook.wire.load.SlotAnswer> answers_;
+  /**
+   * <pre>
+   * of a dispatcher to the entry that gets this report
+   * </pre>
+   *
+   * <code>repeated .ragworthook.SlotAnswer answers = 16;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.ragworthook.wire.load.SlotAnswer> getAnswersList() {
+    return answers_;
+  }
+  /**
+   * <pre>
+   * of a dispatcher to the entry that gets this report
+   * </pre>
+   *
+   * <code>repeated .ragworthook.SlotAnswer answers = 16;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.ragworthook.wire.load.SlotAnswerOrBuilder> 
+      getAnswersOrBuilderList() {
+    return answers_;
+  }
+  /**
+   * <pre>
+   * of a dispatcher to the entry that gets this report
+   * </pre>
+   *
+   * <code>repeated .ragworthook.SlotAnswer answers = 16;</code>
+   */
+  @java.lang.Override
+  public int getAnswersCount() {
+    return answers_.size();
+  }
+  /**
+   * <pre>
+   * of a dispatcher to the entry that gets this report
+   * </pre>
+   *
+   * <code>repeated .ragworthook.SlotAnswer answers = 16;</code>
+   */
+  @java.lang.Override
+  public org.ragworthook.wire.load.SlotAnswer getAnswers(int index) {
+    return answers_.get(index);
+  }
+  /**
+   * <pre>
+   * of a dispatcher to the entry that gets this report
+   * </pre>
+   *
+   * <code>repeated .ragworthook.SlotAnswer answers = 16;</code>
+   */
+  @java.lang.Override
+  public org.ragworthook.wire.load.SlotAnswerOrBuilder getAnswersOrBuilder(
+      int index) {
+    return answers_.get(index);
+  }
+
+  public static final int DISPATCHER_FIELD_NUMBER = 17;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object dispatcher_ = "";
+  /**
+   * <pre>
+   * the instance whose grants the next field counts
+   * </pre>
+   *
+   * <code>string dispatcher = 17;</code>
+   * @return The dispatcher.
+   */
+  @java.lang.Override
+  public java.lang.String getDispatcher() {
+    java.lang.Object ref = dispatcher_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      dispatcher_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * the instance whose grants the next field counts
+   * </pre>
+   *
+   * <code>string dispatcher = 17;</code>
+   * @return The bytes for dispatcher.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getDispatcherBytes() {
+    java.lang.Object ref = dispatcher_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      dispatcher_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int GRANTS_SEEN_FIELD_NUMBER = 18;
+  private long grantsSeen_ = 0L;
+  /**
+   * <pre>
+   * the loads count what was sent for grants up to this
+   * </pre>
+   *
+   * <code>uint64 grants_seen = 18;</code>
+   * @return The grantsSeen.
+   */
+  @java.lang.Override
+  public long getGrantsSeen() {
+    return grantsSeen_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -498,6 +685,18 @@
     if (backlogKnown_ != false) {
       output.writeBool(14, backlogKnown_);
     }
+    for (int i = 0; i < asks_.size(); i++) {
+      output.writeMessage(15, asks_.get(i));
+    }
+    for (int i = 0; i < answers_.size(); i++) {
+      output.writeMessage(16, answers_.get(i));
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(dispatcher_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 17, dispatcher_);
+    }
+    if (grantsSeen_ != 0L) {
+      output.writeUInt64(18, grantsSeen_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -576,6 +775,31 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(14, backlogKnown_);
     }
+
+        {
+          final int count = asks_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(asks_.get(i));
+          }
+          size += 1 * count;
+        }
+
+        {
+          final int count = answers_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(answers_.get(i));
+          }
+          size += 2 * count;
+        }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(dispatcher_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(17, dispatcher_);
+    }
+    if (grantsSeen_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(18, grantsSeen_);
+    }
     return size;
   }
   @java.lang.Override
@@ -628,6 +852,14 @@
         .equals(other.getBacklogsList())) return false;
     if (getBacklogKnown()
         != other.getBacklogKnown()) return false;
+    if (!getAsksList()
+        .equals(other.getAsksList())) return false;
+    if (!getAnswersList()
+        .equals(other.getAnswersList())) return false;
+    if (!getDispatcher()
+        .equals(other.getDispatcher())) return false;
+    if (getGrantsSeen()
+        != other.getGrantsSeen()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -682,6 +914,19 @@
     hash = (37 * hash) + BACKLOG_KNOWN_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getBacklogKnown());
+    if (getAsksCount() > 0) {
+      hash = (37 * hash) + ASKS_FIELD_NUMBER;
+      hash = (53 * hash) + getAsksList().hashCode();
+    }
+    if (getAnswersCount() > 0) {
+      hash = (37 * hash) + ANSWERS_FIELD_NUMBER;
+      hash = (53 * hash) + getAnswersList().hashCode();
+    }
+    hash = (37 * hash) + DISPATCHER_FIELD_NUMBER;
+    hash = (53 * hash) + getDispatcher().hashCode();
+    hash = (37 * hash) + GRANTS_SEEN_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getGrantsSeen());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -856,6 +1101,22 @@
       }
       bitField0_ = (bitField0_ & ~0x00001000);
       backlogKnown_ = false;
+      if (asksBuilder_ == null) {
+        asks_ = java.util.Collections.emptyList();
+      } else {
+        asks_ = null;
+        asksBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00004000);
+      if (answersBuilder_ == null) {
+        answers_ = java.util.Collections.emptyList();
+      } else {
+        answers_ = null;
+        answersBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00008000);
+      dispatcher_ = "";
+      grantsSeen_ = 0L;
       return this;
     }
 
@@ -925,6 +1186,24 @@
       } else {
         result.backlogs_ = backlogsBuilder_.build();
       }
+      if (asksBuilder_ == null) {
+        if (((bitField0_ & 0x00004000) != 0)) {
+          asks_ = java.util.Collections.unmodifiableList(asks_);
+          bitField0_ = (bitField0_ & ~0x00004000);
+        }
+        result.asks_ = asks_;
+      } else {
+        result.asks_ = asksBuilder_.build();
+      }
+      if (answersBuilder_ == null) {
+        if (((bitField0_ & 0x00008000) != 0)) {
+          answers_ = java.util.Collections.unmodifiableList(answers_);
+          bitField0_ = (bitField0_ & ~0x00008000);
+        }
+        result.answers_ = answers_;
+      } else {
+        result.answers_ = answersBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.ragworthook.wire.load.LoadReport result) {
@@ -959,6 +1238,12 @@
       if (((from_bitField0_ & 0x00002000) != 0)) {
         result.backlogKnown_ = backlogKnown_;
       }
+      if (((from_bitField0_ & 0x00010000) != 0)) {
+        result.dispatcher_ = dispatcher_;
+      }
+      if (((from_bitField0_ & 0x00020000) != 0)) {
+        result.grantsSeen_ = grantsSeen_;
+      }
     }
 
     @java.lang.Override
@@ -1111,6 +1396,66 @@
       if (other.getBacklogKnown() != false) {
         setBacklogKnown(other.getBacklogKnown());
       }
+      if (asksBuilder_ == null) {
+        if (!other.asks_.isEmpty()) {
+          if (asks_.isEmpty()) {
+            asks_ = other.asks_;
+            bitField0_ = (bitField0_ & ~0x00004000);
+          } else {
+            ensureAsksIsMutable();
+            asks_.addAll(other.asks_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.asks_.isEmpty()) {
+          if (asksBuilder_.isEmpty()) {
+            asksBuilder_.dispose();
+            asksBuilder_ = null;
+            asks_ = other.asks_;
+            bitField0_ = (bitField0_ & ~0x00004000);
+            asksBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetAsksFieldBuilder() : null;
+          } else {
+            asksBuilder_.addAllMessages(other.asks_);
+          }
+        }
+      }
+      if (answersBuilder_ == null) {
+        if (!other.answers_.isEmpty()) {
+          if (answers_.isEmpty()) {
+            answers_ = other.answers_;
+            bitField0_ = (bitField0_ & ~0x00008000);
+          } else {
+            ensureAnswersIsMutable();
+            answers_.addAll(other.answers_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.answers_.isEmpty()) {
+          if (answersBuilder_.isEmpty()) {
+            answersBuilder_.dispose();
+            answersBuilder_ = null;
+            answers_ = other.answers_;
+            bitField0_ = (bitField0_ & ~0x00008000);
+            answersBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetAnswersFieldBuilder() : null;
+          } else {
+            answersBuilder_.addAllMessages(other.answers_);
+          }
+        }
+      }
+      if (!other.getDispatcher().isEmpty()) {
+        dispatcher_ = other.dispatcher_;
+        bitField0_ |= 0x00010000;
+        onChanged();
+      }
+      if (other.getGrantsSeen() != 0L) {
+        setGrantsSeen(other.getGrantsSeen());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1237,6 +1582,42 @@
               bitField0_ |= 0x00002000;
               break;
             } // case 112
+            case 122: {
+              org.ragworthook.wire.load.SlotAsk m =
+                  input.readMessage(
+                      org.ragworthook.wire.load.SlotAsk.parser(),
+                      extensionRegistry);
+              if (asksBuilder_ == null) {
+                ensureAsksIsMutable();
+                asks_.add(m);
+              } else {
+                asksBuilder_.addMessage(m);
+              }
+              break;
+            } // case 122
+            case 130: {
+              org.ragworthook.wire.load.SlotAnswer m =
+                  input.readMessage(
+                      org.ragworthook.wire.load.SlotAnswer.parser(),
+                      extensionRegistry);
+              if (answersBuilder_ == null) {
+                ensureAnswersIsMutable();
+                answers_.add(m);
+              } else {
+                answersBuilder_.addMessage(m);
+              }
+              break;
+            } // case 130
+            case 138: {
+              dispatcher_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00010000;
+              break;
+            } // case 138
+            case 144: {
+              grantsSeen_ = input.readUInt64();
+              bitField0_ |= 0x00020000;
+              break;
+            } // case 144
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2760,6 +3141,754 @@
       return this;
     }
 
+    private java.util.List<org.ragworthook.wire.load.SlotAsk> asks_ =
+      java.util.Collections.emptyList();
+    private void ensureAsksIsMutable() {
+      if (!((bitField0_ & 0x00004000) != 0)) {
+        asks_ = new java.util.ArrayList<org.ragworthook.wire.load.SlotAsk>(asks_);
+        bitField0_ |= 0x00004000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.ragworthook.wire.load.SlotAsk, org.ragworthook.wire.load.SlotAsk.Builder, org.ragworthook.wire.load.SlotAskOrBuilder> asksBuilder_;
+
+    /**
+     * <pre>
+     * to the dispatcher that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SlotAsk asks = 15;</code>
+     */
+    public java.util.List<org.ragworthook.wire.load.SlotAsk> getAsksList() {
+      if (asksBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(asks_);
+      } else {
+        return asksBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * to the dispatcher that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SlotAsk asks = 15;</code>
+     */
+    public int getAsksCount() {
+      if (asksBuilder_ == null) {
+        return asks_.size();
+      } else {
+        return asksBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * to the dispatcher that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SlotAsk asks = 15;</code>
+     */
+    public org.ragworthook.wire.load.SlotAsk getAsks(int index) {
+      if (asksBuilder_ == null) {
+        return asks_.get(index);
+      } else {
+        return asksBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * to the dispatcher that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SlotAsk asks = 15;</code>
+     */
+    public Builder setAsks(
+        int index, org.ragworthook.wire.load.SlotAsk value) {
+      if (asksBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureAsksIsMutable();
+        asks_.set(index, value);
+        onChanged();
+      } else {
+        asksBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * to the dispatcher that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SlotAsk asks = 15;</code>
+     */
+    public Builder setAsks(
+        int index, org.ragworthook.wire.load.SlotAsk.Builder builderForValue) {
+      if (asksBuilder_ == null) {
+        ensureAsksIsMutable();
+        asks_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        asksBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * to the dispatcher that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SlotAsk asks = 15;</code>
+     */
+    public Builder addAsks(org.ragworthook.wire.load.SlotAsk value) {
+      if (asksBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureAsksIsMutable();
+        asks_.add(value);
+        onChanged();
+      } else {
+        asksBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * to the dispatcher that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SlotAsk asks = 15;</code>
+     */
+    public Builder addAsks(
+        int index, org.ragworthook.wire.load.SlotAsk value) {
+      if (asksBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureAsksIsMutable();
+        asks_.add(index, value);
+        onChanged();
+      } else {
+        asksBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * to the dispatcher that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SlotAsk asks = 15;</code>
+     */
+    public Builder addAsks(
+        org.ragworthook.wire.load.SlotAsk.Builder builderForValue) {
+      if (asksBuilder_ == null) {
+        ensureAsksIsMutable();
+        asks_.add(builderForValue.build());
+        onChanged();
+      } else {
+        asksBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * to the dispatcher that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SlotAsk asks = 15;</code>
+     */
+    public Builder addAsks(
+        int index, org.ragworthook.wire.load.SlotAsk.Builder builderForValue) {
+      if (asksBuilder_ == null) {
+        ensureAsksIsMutable();
+        asks_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        asksBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * to the dispatcher that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SlotAsk asks = 15;</code>
+     */
+    public Builder addAllAsks(
+        java.lang.Iterable<? extends org.ragworthook.wire.load.SlotAsk> values) {
+      if (asksBuilder_ == null) {
+        ensureAsksIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, asks_);
+        onChanged();
+      } else {
+        asksBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * to the dispatcher that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SlotAsk asks = 15;</code>
+     */
+    public Builder clearAsks() {
+      if (asksBuilder_ == null) {
+        asks_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00004000);
+        onChanged();
+      } else {
+        asksBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * to the dispatcher that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SlotAsk asks = 15;</code>
+     */
+    public Builder removeAsks(int index) {
+      if (asksBuilder_ == null) {
+        ensureAsksIsMutable();
+        asks_.remove(index);
+        onChanged();
+      } else {
+        asksBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * to the dispatcher that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SlotAsk asks = 15;</code>
+     */
+    public org.ragworthook.wire.load.SlotAsk.Builder getAsksBuilder(
+        int index) {
+      return internalGetAsksFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * to the dispatcher that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SlotAsk asks = 15;</code>
+     */
+    public org.ragworthook.wire.load.SlotAskOrBuilder getAsksOrBuilder(
+        int index) {
+      if (asksBuilder_ == null) {
+        return asks_.get(index);  } else {
+        return asksBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * to the dispatcher that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SlotAsk asks = 15;</code>
+     */
+    public java.util.List<? extends org.ragworthook.wire.load.SlotAskOrBuilder> 
+         getAsksOrBuilderList() {
+      if (asksBuilder_ != null) {
+        return asksBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(asks_);
+      }
+    }
+    /**
+     * <pre>
+     * to the dispatcher that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SlotAsk asks = 15;</code>
+     */
+    public org.ragworthook.wire.load.SlotAsk.Builder addAsksBuilder() {
+      return internalGetAsksFieldBuilder().addBuilder(
+          org.ragworthook.wire.load.SlotAsk.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * to the dispatcher that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SlotAsk asks = 15;</code>
+     */
+    public org.ragworthook.wire.load.SlotAsk.Builder addAsksBuilder(
+        int index) {
+      return internalGetAsksFieldBuilder().addBuilder(
+          index, org.ragworthook.wire.load.SlotAsk.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * to the dispatcher that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SlotAsk asks = 15;</code>
+     */
+    public java.util.List<org.ragworthook.wire.load.SlotAsk.Builder> 
+         getAsksBuilderList() {
+      return internalGetAsksFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.ragworthook.wire.load.SlotAsk, org.ragworthook.wire.load.SlotAsk.Builder, org.ragworthook.wire.load.SlotAskOrBuilder> 
+        internalGetAsksFieldBuilder() {
+      if (asksBuilder_ == null) {
+        asksBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.ragworthook.wire.load.SlotAsk, org.ragworthook.wire.load.SlotAsk.Builder, org.ragworthook.wire.load.SlotAskOrBuilder>(
+                asks_,
+                ((bitField0_ & 0x00004000) != 0),
+                getParentForChildren(),
+                isClean());
+        asks_ = null;
+      }
+      return asksBuilder_;
+    }
+
+    private java.util.List<org.ragworthook.wire.load.SlotAnswer> answers_ =
+      java.util.Collections.emptyList();
+    private void ensureAnswersIsMutable() {
+      if (!((bitField0_ & 0x00008000) != 0)) {
+        answers_ = new java.util.ArrayList<org.ragworthook.wire.load.SlotAnswer>(answers_);
+        bitField0_ |= 0x00008000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.ragworthook.wire.load.SlotAnswer, org.ragworthook.wire.load.SlotAnswer.Builder, org.ragworthook.wire.load.SlotAnswerOrBuilder> answersBuilder_;
+
+    /**
+     * <pre>
+     * of a dispatcher to the entry that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SlotAnswer answers = 16;</code>
+     */
+    public java.util.List<org.ragworthook.wire.load.SlotAnswer> getAnswersList() {
+      if (answersBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(answers_);
+      } else {
+        return answersBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * of a dispatcher to the entry that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SlotAnswer answers = 16;</code>
+     */
+    public int getAnswersCount() {
+      if (answersBuilder_ == null) {
+        return answers_.size();
+      } else {
+        return answersBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * of a dispatcher to the entry that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SlotAnswer answers = 16;</code>
+     */
+    public org.ragworthook.wire.load.SlotAnswer getAnswers(int index) {
+      if (answersBuilder_ == null) {
+        return answers_.get(index);
+      } else {
+        return answersBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * of a dispatcher to the entry that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SlotAnswer answers = 16;</code>
+     */
+    public Builder setAnswers(
+        int index, org.ragworthook.wire.load.SlotAnswer value) {
+      if (answersBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureAnswersIsMutable();
+        answers_.set(index, value);
+        onChanged();
+      } else {
+        answersBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * of a dispatcher to the entry that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SlotAnswer answers = 16;</code>
+     */
+    public Builder setAnswers(
+        int index, org.ragworthook.wire.load.SlotAnswer.Builder builderForValue) {
+      if (answersBuilder_ == null) {
+        ensureAnswersIsMutable();
+        answers_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        answersBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * of a dispatcher to the entry that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SlotAnswer answers = 16;</code>
+     */
+    public Builder addAnswers(org.ragworthook.wire.load.SlotAnswer value) {
+      if (answersBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureAnswersIsMutable();
+        answers_.add(value);
+        onChanged();
+      } else {
+        answersBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * of a dispatcher to the entry that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SlotAnswer answers = 16;</code>
+     */
+    public Builder addAnswers(
+        int index, org.ragworthook.wire.load.SlotAnswer value) {
+      if (answersBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureAnswersIsMutable();
+        answers_.add(index, value);
+        onChanged();
+      } else {
+        answersBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * of a dispatcher to the entry that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SlotAnswer answers = 16;</code>
+     */
+    public Builder addAnswers(
+        org.ragworthook.wire.load.SlotAnswer.Builder builderForValue) {
+      if (answersBuilder_ == null) {
+        ensureAnswersIsMutable();
+        answers_.add(builderForValue.build());
+        onChanged();
+      } else {
+        answersBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * of a dispatcher to the entry that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SlotAnswer answers = 16;</code>
+     */
+    public Builder addAnswers(
+        int index, org.ragworthook.wire.load.SlotAnswer.Builder builderForValue) {
+      if (answersBuilder_ == null) {
+        ensureAnswersIsMutable();
+        answers_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        answersBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * of a dispatcher to the entry that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SlotAnswer answers = 16;</code>
+     */
+    public Builder addAllAnswers(
+        java.lang.Iterable<? extends org.ragworthook.wire.load.SlotAnswer> values) {
+      if (answersBuilder_ == null) {
+        ensureAnswersIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, answers_);
+        onChanged();
+      } else {
+        answersBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * of a dispatcher to the entry that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SlotAnswer answers = 16;</code>
+     */
+    public Builder clearAnswers() {
+      if (answersBuilder_ == null) {
+        answers_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00008000);
+        onChanged();
+      } else {
+        answersBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * of a dispatcher to the entry that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SlotAnswer answers = 16;</code>
+     */
+    public Builder removeAnswers(int index) {
+      if (answersBuilder_ == null) {
+        ensureAnswersIsMutable();
+        answers_.remove(index);
+        onChanged();
+      } else {
+        answersBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * of a dispatcher to the entry that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SlotAnswer answers = 16;</code>
+     */
+    public org.ragworthook.wire.load.SlotAnswer.Builder getAnswersBuilder(
+        int index) {
+      return internalGetAnswersFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * of a dispatcher to the entry that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SlotAnswer answers = 16;</code>
+     */
+    public org.ragworthook.wire.load.SlotAnswerOrBuilder getAnswersOrBuilder(
+        int index) {
+      if (answersBuilder_ == null) {
+        return answers_.get(index);  } else {
+        return answersBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * of a dispatcher to the entry that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SlotAnswer answers = 16;</code>
+     */
+    public java.util.List<? extends org.ragworthook.wire.load.SlotAnswerOrBuilder> 
+         getAnswersOrBuilderList() {
+      if (answersBuilder_ != null) {
+        return answersBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(answers_);
+      }
+    }
+    /**
+     * <pre>
+     * of a dispatcher to the entry that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SlotAnswer answers = 16;</code>
+     */
+    public org.ragworthook.wire.load.SlotAnswer.Builder addAnswersBuilder() {
+      return internalGetAnswersFieldBuilder().addBuilder(
+          org.ragworthook.wire.load.SlotAnswer.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * of a dispatcher to the entry that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SlotAnswer answers = 16;</code>
+     */
+    public org.ragworthook.wire.load.SlotAnswer.Builder addAnswersBuilder(
+        int index) {
+      return internalGetAnswersFieldBuilder().addBuilder(
+          index, org.ragworthook.wire.load.SlotAnswer.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * of a dispatcher to the entry that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SlotAnswer answers = 16;</code>
+     */
+    public java.util.List<org.ragworthook.wire.load.SlotAnswer.Builder> 
+         getAnswersBuilderList() {
+      return internalGetAnswersFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.ragworthook.wire.load.SlotAnswer, org.ragworthook.wire.load.SlotAnswer.Builder, org.ragworthook.wire.load.SlotAnswerOrBuilder> 
+        internalGetAnswersFieldBuilder() {
+      if (answersBuilder_ == null) {
+        answersBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.ragworthook.wire.load.SlotAnswer, org.ragworthook.wire.load.SlotAnswer.Builder, org.ragworthook.wire.load.SlotAnswerOrBuilder>(
+                answers_,
+                ((bitField0_ & 0x00008000) != 0),
+                getParentForChildren(),
+                isClean());
+        answers_ = null;
+      }
+      return answersBuilder_;
+    }
+
+    private java.lang.Object dispatcher_ = "";
+    /**
+     * <pre>
+     * the instance whose grants the next field counts
+     * </pre>
+     *
+     * <code>string dispatcher = 17;</code>
+     * @return The dispatcher.
+     */
+    public java.lang.String getDispatcher() {
+      java.lang.Object ref = dispatcher_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        dispatcher_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * the instance whose grants the next field counts
+     * </pre>
+     *
+     * <code>string dispatcher = 17;</code>
+     * @return The bytes for dispatcher.
+     */
+    public com.google.protobuf.ByteString
+        getDispatcherBytes() {
+      java.lang.Object ref = dispatcher_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        dispatcher_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * the instance whose grants the next field counts
+     * </pre>
+     *
+     * <code>string dispatcher = 17;</code>
+     * @param value The dispatcher to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDispatcher(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      dispatcher_ = value;
+      bitField0_ |= 0x00010000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * the instance whose grants the next field counts
+     * </pre>
+     *
+     * <code>string dispatcher = 17;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDispatcher() {
+      dispatcher_ = getDefaultInstance().getDispatcher();
+      bitField0_ = (bitField0_ & ~0x00010000);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * the instance whose grants the next field counts
+     * </pre>
+     *
+     * <code>string dispatcher = 17;</code>
+     * @param value The bytes for dispatcher to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDispatcherBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      dispatcher_ = value;
+      bitField0_ |= 0x00010000;
+      onChanged();
+      return this;
+    }
+
+    private long grantsSeen_ ;
+    /**
+     * <pre>
+     * the loads count what was sent for grants up to this
+     * </pre>
+     *
+     * <code>uint64 grants_seen = 18;</code>
+     * @return The grantsSeen.
+     */
+    @java.lang.Override
+    public long getGrantsSeen() {
+      return grantsSeen_;
+    }
+    /**
+     * <pre>
+     * the loads count what was sent for grants up to this
+     * </pre>
+     *
+     * <code>uint64 grants_seen = 18;</code>
+     * @param value The grantsSeen to set.
+     * @return This builder for chaining.
+     */
+    public Builder setGrantsSeen(long value) {
+
+      grantsSeen_ = value;
+      bitField0_ |= 0x00020000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * the loads count what was sent for grants up to this
+     * </pre>
+     *
+     * <code>uint64 grants_seen = 18;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearGrantsSeen() {
+      bitField0_ = (bitField0_ & ~0x00020000);
+      grantsSeen_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:ragworthook.LoadReport)
   }
 
--- a/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReportOrBuilder.java
+++ b/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReportOrBuilder.java
@@ -230,4 +230,122 @@
    * @return The backlogKnown.
    */
   boolean getBacklogKnown();
+
+  /**
+   * <pre>
+   * to the dispatcher that gets this report
+   * </pre>
+   *
+   * <code>repeated .ragworthook.SlotAsk asks = 15;</code>
+   */
+  java.util.List<org.ragworthook.wire.load.SlotAsk> 
+      getAsksList();
+  /**
+   * <pre>
+   * to the dispatcher that gets this report
+   * </pre>
+   *
+   * <code>repeated .ragworthook.SlotAsk asks = 15;</code>
+   */
+  org.ragworthook.wire.load.SlotAsk getAsks(int index);
+  /**
+   * <pre>
+   * to the dispatcher that gets this report
+   * </pre>
+   *
+   * <code>repeated .ragworthook.SlotAsk asks = 15;</code>
+   */
+  int getAsksCount();
+  /**
+   * <pre>
+   * to the dispatcher that gets this report
+   * </pre>
+   *
+   * <code>repeated .ragworthook.SlotAsk asks = 15;</code>
+   */
+  java.util.List<? extends org.ragworthook.wire.load.SlotAskOrBuilder> 
+      getAsksOrBuilderList();
+  /**
+   * <pre>
+   * to the dispatcher that gets this report
+   * </pre>
+   *
+   * <code>repeated .ragworthook.SlotAsk asks = 15;</code>
+   */
+  org.ragworthook.wire.load.SlotAskOrBuilder getAsksOrBuilder(
+      int index);
+
+  /**
+   * <pre>
+   * of a dispatcher to the entry that gets this report
+   * </pre>
+   *
+   * <code>repeated .ragworthook.SlotAnswer answers = 16;</code>
+   */
+  java.util.List<org.ragworthook.wire.load.SlotAnswer> 
+      getAnswersList();
+  /**
+   * <pre>
+   * of a dispatcher to the entry that gets this report
+   * </pre>
+   *
+   * <code>repeated .ragworthook.SlotAnswer answers = 16;</code>
+   */
+  org.ragworthook.wire.load.SlotAnswer getAnswers(int index);
+  /**
+   * <pre>
+   * of a dispatcher to the entry that gets this report
+   * </pre>
+   *
+   * <code>repeated .ragworthook.SlotAnswer answers = 16;</code>
+   */
+  int getAnswersCount();
+  /**
+   * <pre>
+   * of a dispatcher to the entry that gets this report
+   * </pre>
+   *
+   * <code>repeated .ragworthook.SlotAnswer answers = 16;</code>
+   */
+  java.util.List<? extends org.ragworthook.wire.load.SlotAnswerOrBuilder> 
+      getAnswersOrBuilderList();
+  /**
+   * <pre>
+   * of a dispatcher to the entry that gets this report
+   * </pre>
+   *
+   * <code>repeated .ragworthook.SlotAnswer answers = 16;</code>
+   */
+  org.ragworthook.wire.load.SlotAnswerOrBuilder getAnswersOrBuilder(
+      int index);
+
+  /**
+   * <pre>
+   * the instance whose grants the next field counts
+   * </pre>
+   *
+   * <code>string dispatcher = 17;</code>
+   * @return The dispatcher.
+   */
+  java.lang.String getDispatcher();
+  /**
+   * <pre>
+   * the instance whose grants the next field counts
+   * </pre>
+   *
+   * <code>string dispatcher = 17;</code>
+   * @return The bytes for dispatcher.
+   */
+  com.google.protobuf.ByteString
+      getDispatcherBytes();
+
+  /**
+   * <pre>
+   * the loads count what was sent for grants up to this
+   * </pre>
+   *
+   * <code>uint64 grants_seen = 18;</code>
+   * @return The grantsSeen.
+   */
+  long getGrantsSeen();
 }
