--- a/modules/cli/src/main/java/org/ragworthook/cli/CommandName.java
+++ b/modules/cli/src/main/java/org/ragworthook/cli/CommandName.java
@@ -17,6 +17,7 @@
 import org.ragworthook.cli.command.ValidateCommand;
 import org.ragworthook.cli.command.VersionCommand;
 import org.ragworthook.cli.command.WatchCommand;
+import org.ragworthook.cli.explain.ExplainCommand;
 
 /**
  * The commands by name.
@@ -56,6 +57,9 @@
 	/** Drains an instance. */
 	DRAIN(DrainCommand::new, "have an instance finish its work and take no more"),
 
+	/** Explains losses. */
+	EXPLAIN(ExplainCommand::new, "tell from logs why requests were late, refused or failed"),
+
 	/** Prints the version. */
 	VERSION(VersionCommand::new, "print the version of this program");
 
--- a/modules/cli/src/main/java/org/ragworthook/cli/command/Session.java
+++ b/modules/cli/src/main/java/org/ragworthook/cli/command/Session.java
@@ -57,7 +57,11 @@
 		return this.client;
 	}
 
-	Printer printer() {
+	/**
+	 * Returns what prints reports.
+	 * @return the printer for the format that was asked for
+	 */
+	public Printer printer() {
 		return this.printer;
 	}
 
