Ask the next dispatcher when one is silent; no dispatcher where no upstream is known

The dispatcher was replaced at 3.0 s; 54 times an entry got no answer from it until its reports were missed for 1.5 s, chose for itself, and put 339 requests late into the engines' queues in the burst of seconds 5 to 7. Ruled out: two dispatchers at once, by slot_granted of each process and second. Change: while a dispatcher is doubted the next in the order is asked; only processes that are heard here themselves; losing the store does not matter. Where no upstream of a service is known nobody is asked. slot_asked is logged at the entry. A dispatcher that was asked in the last second is told of each change of load.

--- a/modules/cli/src/main/java/org/ragworthook/cli/explain/Cause.java
+++ b/modules/cli/src/main/java/org/ragworthook/cli/explain/Cause.java
@@ -28,7 +28,7 @@
 	BELIEVED_FREE("sent where a slot was believed free"),
 
 	/** It was never sent, and not refused either. */
-	NOT_SENT("never sent");
+	NOT_SENT("never sent, nor asked for a slot");
 
 	private final String words;
 
--- a/modules/cli/src/main/java/org/ragworthook/cli/explain/RequestStory.java
+++ b/modules/cli/src/main/java/org/ragworthook/cli/explain/RequestStory.java
@@ -65,7 +65,7 @@
 			return Cause.JUST_STARTED;
 		}
 		if (placed.isEmpty()) {
-			return first("waiting").or(() -> first("slot_granted")).isPresent() ? Cause.WAITED : Cause.NOT_SENT;
+			return first("waiting").or(() -> first("slot_asked")).isPresent() ? Cause.WAITED : Cause.NOT_SENT;
 		}
 		if (2 * waited > goalMillis) {
 			return Cause.WAITED;
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/dispatch/DispatchClient.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/dispatch/DispatchClient.java
@@ -7,6 +7,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.ragworthook.core.log.EventLog;
 import org.ragworthook.core.time.Ticker;
@@ -19,7 +20,8 @@
  * The dispatcher may be frozen, slow or gone, and datagrams are lost. A request is then
  * held up while slots are free; its caller notices a late first event. So a request that
  * has no answer within a tenth of a usual goal goes back to the entry's own choice, and
- * for a while the dispatcher is not asked.
+ * for a while the next process in the order is asked: when a dispatcher is gone, all ask
+ * the same other one within that time, not only when its silence shows in the reports.
  */
 public final class DispatchClient {
 
@@ -39,7 +41,7 @@
 
 	/**
 	 * How long a dispatcher that did not answer is not asked: three tries until a dead
-	 * one is known to be silent and another process takes its place.
+	 * one is known to be silent by its missing reports.
 	 */
 	static final Duration DOUBTED = Duration.ofMillis(500);
 
@@ -82,7 +84,7 @@
 	 * @return whether somebody was asked; if not, the entry is to choose for itself
 	 */
 	public boolean ask(Asker asker, String service, Set<Integer> except, long goalNanos) {
-		Optional<String> dispatcher = this.channel.dispatcher(service).filter((name) -> !doubted(name));
+		Optional<String> dispatcher = this.channel.dispatcher(service, (name) -> !doubted(name));
 		if (dispatcher.isEmpty()) {
 			return false;
 		}
@@ -245,11 +247,14 @@
 	public interface Channel {
 
 		/**
-		 * Returns who gives out the slots of a service.
+		 * Returns who gives out the slots of a service. All who hear the same processes
+		 * and doubt none of them are told the same one. A process that is not heard here
+		 * is cut off from this one; asked, it would only hold requests up.
 		 * @param service the service
-		 * @return the name of a process, or empty if none is known
+		 * @param usable which processes may be asked
+		 * @return the name of a process, or empty if there is none
 		 */
-		Optional<String> dispatcher(String service);
+		Optional<String> dispatcher(String service, Predicate<String> usable);
 
 		/**
 		 * Sends a request for a slot.
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/dispatch/DispatchReports.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/dispatch/DispatchReports.java
@@ -9,10 +9,12 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.Executor;
+import java.util.function.Predicate;
 
 import org.ragworthook.core.time.Ticker;
 import org.ragworthook.gateway.peer.LoadExchange;
 import org.ragworthook.gateway.peer.ReportPart;
+import org.ragworthook.gateway.upstream.RendezvousScore;
 import org.ragworthook.wire.load.LoadReport;
 import org.ragworthook.wire.load.SlotAnswer;
 import org.ragworthook.wire.load.SlotAsk;
@@ -24,6 +26,12 @@
  */
 public final class DispatchReports implements ReportPart, DispatchClient.Channel, Dispatcher.Answers {
 
+	/**
+	 * How long after a question a dispatcher is told of each change: longer than the
+	 * pause between two bursts' ends, in which the slots of the first come free.
+	 */
+	private static final Duration TOLD_AFTER_ASKING = Duration.ofSeconds(1);
+
 	private final LoadExchange exchange;
 
 	private final Executor loop;
@@ -36,6 +44,9 @@
 
 	private final Map<String, LoadReport.Builder> outbox = new HashMap<>();
 
+	/** When each dispatcher was asked last, the ticker's reading. */
+	private final Map<String, Long> askedNanos = new HashMap<>();
+
 	private Optional<DispatchClient> client = Optional.empty();
 
 	private Optional<Dispatcher> dispatcher = Optional.empty();
@@ -86,20 +97,26 @@
 	}
 
 	/**
-	 * Tells the dispatcher of a service that loads of this process have changed.
-	 * @param service the service
+	 * Tells the dispatchers that were asked a moment ago that loads of this process have
+	 * changed.
 	 */
-	public void loadChanged(String service) {
-		dispatcher(service).ifPresent(this::report);
+	public void loadChanged() {
+		long since = this.ticker.nanos() - TOLD_AFTER_ASKING.toNanos();
+		this.askedNanos.values().removeIf((nanos) -> nanos - since <= 0);
+		this.askedNanos.keySet().forEach(this::report);
 	}
 
 	@Override
-	public Optional<String> dispatcher(String service) {
-		return this.exchange.firstRunner(service.hashCode()).filter((name) -> !name.equals(this.self));
+	public Optional<String> dispatcher(String service, Predicate<String> usable) {
+		return RendezvousScore.first(this.exchange.heardRunners()
+			.stream()
+			.filter((name) -> !name.equals(this.self) && usable.test(name))
+			.toList(), service.hashCode());
 	}
 
 	@Override
 	public void ask(String name, DispatchClient.Question question) {
+		this.askedNanos.put(name, this.ticker.nanos());
 		report(name).addAsks(SlotAsk.newBuilder()
 			.setNumber(question.number())
 			.setRequest(question.requestId())
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineContext.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineContext.java
@@ -1,7 +1,6 @@
 package org.ragworthook.gateway.online;
 
 import java.util.Objects;
-import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
 import org.ragworthook.core.time.Ticker;
@@ -31,13 +30,13 @@
  * @param suspects the requests that make upstreams crash
  * @param metrics counts what happens
  * @param dispatch asks for slots while they are scarce
- * @param loadChanged is told of the service whose requests of this process have changed
+ * @param loadChanged is told that the loads of this process have changed
  * @param urge tells the peers at once what this process has at upstreams
  */
 public record OnlineContext(ConfigurationInForce configuration, UpstreamRegistry upstreams, Placement placement,
 		UnheardRequests unheard, ConnectionPool connections, HeaderNames headers, Ticker ticker, Timers timers,
 		RandomGenerator random, SuspectRequests suspects, GatewayMetrics metrics, DispatchClient dispatch,
-		Consumer<String> loadChanged, Runnable urge) {
+		Runnable loadChanged, Runnable urge) {
 
 	/**
 	 * Checks that all parts are there.
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
@@ -178,7 +178,7 @@
 		this.context.unheard().placed();
 		this.attempt = Attempt.start(upstream, WorkClass.ONLINE, this.context.connections(), this.context.headers(),
 				this::message, this.request.id(), this.lastEvent, new Answer());
-		this.context.loadChanged().accept(this.service);
+		this.context.loadChanged().run();
 		if (urgent) {
 			this.context.urge().run();
 		}
@@ -295,7 +295,7 @@
 				this.request.configurationVersion(), "outcome", outcome, "status", status, "upstream", this.last,
 				"sends", this.sends, "first_ms", firstByteMillis(), "ms", sinceBegin(), "last_event", this.lastEvent);
 		this.context.metrics().requestEnded(outcome, firstByteMillis(), sinceBegin());
-		this.context.loadChanged().accept(this.service);
+		this.context.loadChanged().run();
 		this.queues.freed(this.service);
 	}
 
@@ -494,7 +494,7 @@
 			TrackedUpstream upstream = exchange.attempt.upstream();
 			exchange.attempt = null;
 			exchange.queues.stalls().remove(exchange);
-			exchange.context.loadChanged().accept(exchange.service);
+			exchange.context.loadChanged().run();
 			return upstream;
 		}
 
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineQueues.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineQueues.java
@@ -55,6 +55,8 @@
 
 	private static final int MISDIRECTED = 421;
 
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
 	private final OnlineContext context;
 
 	private final Map<String, ServiceLine<OnlineExchange>> lines = new HashMap<>();
@@ -112,7 +114,10 @@
 		serving.stream().filter((upstream) -> upstream.avoided(now)).forEach((upstream) -> except.add(upstream.key()));
 		boolean asked = this.context.dispatch().ask(exchange.slot(), service, except, exchange.goalNanos());
 		if (asked) {
-			waitAtMost(service, exchange);
+			Duration wait = waitAtMost(service, exchange);
+			LOG.info("slot_asked", "request", exchange.request().id(), "service", service, "goal_in_ms",
+					(exchange.goalNanos() - now) / NANOS_PER_MILLI, "at_most_ms", wait.toMillis(), "except",
+					except.size());
 		}
 		return asked;
 	}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/peer/LoadExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/peer/LoadExchange.java
@@ -32,7 +32,6 @@
 import org.ragworthook.gateway.suspect.SuspectRequests;
 import org.ragworthook.gateway.upstream.BatchTurns;
 import org.ragworthook.gateway.upstream.PeerLoad;
-import org.ragworthook.gateway.upstream.RendezvousScore;
 import org.ragworthook.gateway.upstream.TrackedUpstream;
 import org.ragworthook.gateway.upstream.UpstreamRegistry;
 import org.ragworthook.gateway.upstream.WorkClass;
@@ -173,13 +172,17 @@
 	}
 
 	/**
-	 * Returns which of the processes that run jobs comes first for a thing. All that hear
-	 * the same processes name the same one.
-	 * @param thing a hash of the thing
-	 * @return the process's name, or empty if none is known
+	 * Returns the processes that run jobs and that this process hears itself, whether
+	 * they reach the store or not, this one included if it does.
+	 * @return their names
 	 */
-	public Optional<String> firstRunner(int thing) {
-		return RendezvousScore.first(jobRunners(), thing);
+	public List<String> heardRunners() {
+		Stream<String> heard = this.peers.fresh()
+			.stream()
+			.filter((report) -> report.getRunsJobs() && !report.getLeaving())
+			.map(LoadReport::getInstance);
+		boolean self = this.self.runsJobs() && !this.leaving;
+		return Stream.concat(heard, Stream.of(this.self.instance()).filter((name) -> self)).toList();
 	}
 
 	/**
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
@@ -57,7 +57,6 @@
 import org.ragworthook.gateway.route.Route;
 import org.ragworthook.gateway.suspect.SuspectRequests;
 import org.ragworthook.gateway.upstream.Placement;
-import org.ragworthook.gateway.upstream.SlotSharing;
 import org.ragworthook.gateway.upstream.UnheardRequests;
 import org.ragworthook.gateway.upstream.UpstreamRegistry;
 
@@ -122,6 +121,8 @@
 
 	private final DispatchReports dispatch;
 
+	private final DispatchClient slots;
+
 	private final UpstreamFeedListener upstreamFeed;
 
 	private final List<FeedFollower<?>> followers = new CopyOnWriteArrayList<>();
@@ -151,6 +152,8 @@
 		this.loads = LoadExchange.start(this.loop, this.ticker, this.upstreams, this.suspects, self);
 		this.dispatch = DispatchReports.on(this.loads, this.loop, this.ticker, settings.instance(),
 				settings.failureDomain());
+		this.slots = DispatchClient.of(this.ticker, this.timers, this.dispatch);
+		this.dispatch.client(this.slots);
 		this.upstreamFeed = UpstreamFeedListener.of(this.upstreams, this.health, this.timers);
 		PeerDirectory.join(this.platform.store(), this.writer, this.platform.peers(), this.loads, self, this.timers);
 	}
@@ -220,12 +223,10 @@
 	}
 
 	private void serveCallers(Placement placement, ConnectionPool connections) {
-		DispatchClient client = DispatchClient.of(this.ticker, this.timers, this.dispatch);
-		this.dispatch.client(client);
 		OnlineContext context = new OnlineContext(this.configuration, this.upstreams, placement,
 				UnheardRequests.of(this.ticker, LoadExchange.MEAN_AGE, this.loads::otherEntries), connections,
 				this.platform.headers(), this.ticker, this.timers, ThreadLocalRandom.current(), this.suspects,
-				this.metrics, client, this::onlineLoadChanged, this.loads::urge);
+				this.metrics, this.slots, this.dispatch::loadChanged, this.loads::urge);
 		Frontend front = OnlinePart.of(this.vertx, context, this.jobs, JobReader.of(this.jobs, this.timers),
 				this.platform.jobFormat(), this.loop, this.health::up, new JobBacklog());
 		this.frontend = Optional.of(front);
@@ -235,12 +236,6 @@
 		this.settings.readiness().ifPresent((place) -> listen("readiness", place, new ReadinessServer(this::ready)));
 	}
 
-	private void onlineLoadChanged(String service) {
-		if (SlotSharing.scarce(this.upstreams.serving(service))) {
-			this.dispatch.loadChanged(service);
-		}
-	}
-
 	private void listen(String what, Address address, Handler<HttpServerRequest> handler) {
 		listen(what,
 				() -> this.vertx.createHttpServer()
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/upstream/SlotSharing.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/upstream/SlotSharing.java
@@ -68,7 +68,8 @@
 	 * the entries' own choices hardly meet: played with 28 entries, fewer than 1 in 1,000
 	 * requests found its engine full. Beyond that a slot is asked of the dispatcher.
 	 * @param fleet the upstreams of a service
-	 * @return whether online requests have half of the slots or more
+	 * @return whether online requests have half of the slots or more; not if there are
+	 * none, since nobody can give any
 	 */
 	public static boolean scarce(List<TrackedUpstream> fleet) {
 		int slots = 0;
@@ -77,7 +78,7 @@
 			slots += upstream.entry().slots();
 			online += upstream.onlineLoad();
 		}
-		return 2 * online >= slots;
+		return slots > 0 && 2 * online >= slots;
 	}
 
 	/**
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/dispatch/DispatchClientTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/dispatch/DispatchClientTests.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.junit.jupiter.api.Test;
 import org.ragworthook.core.time.ManualTime;
@@ -45,6 +46,22 @@
 		assertThat(ask(new Request())).isTrue();
 	}
 
+	/**
+	 * The dispatcher's machine is taken away in a burst. Its silence shows in the reports
+	 * only after a second and a half; if each entry chose for itself that long, requests
+	 * would fill the engines' queues for the rest of the burst.
+	 */
+	@Test
+	void shouldAskTheNextWhenTheDispatcherIsSilent() {
+		this.line.dispatchers = List.of("first", "second");
+		ask(new Request());
+		this.time.advance(DispatchClient.ANSWER);
+		assertThat(ask(new Request())).isTrue();
+		this.time.advance(DispatchClient.DOUBTED);
+		assertThat(ask(new Request())).isTrue();
+		assertThat(this.line.askedOf).containsExactly("first", "second", "first").inOrder();
+	}
+
 	/**
 	 * A request waits in the dispatcher's line, which is not silence: it is asked for
 	 * again in case that the grant was lost, with what is left until its goal.
@@ -77,7 +94,7 @@
 
 	@Test
 	void shouldAskNobodyWhereThereIsNoDispatcher() {
-		this.line.dispatcher = Optional.empty();
+		this.line.dispatchers = List.of();
 		assertThat(ask(new Request())).isFalse();
 	}
 
@@ -109,15 +126,18 @@
 
 		private final List<String> asked = new ArrayList<>();
 
-		private Optional<String> dispatcher = Optional.of("d");
+		private final List<String> askedOf = new ArrayList<>();
+
+		private List<String> dispatchers = List.of("d");
 
 		@Override
-		public Optional<String> dispatcher(String service) {
-			return this.dispatcher;
+		public Optional<String> dispatcher(String service, Predicate<String> usable) {
+			return this.dispatchers.stream().filter(usable).findFirst();
 		}
 
 		@Override
 		public void ask(String name, DispatchClient.Question question) {
+			this.askedOf.add(name);
 			this.asked.add(question.number() + " " + question.toGoal().toMillis());
 		}
 
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/dispatch/DispatchReportsTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/dispatch/DispatchReportsTests.java
@@ -102,7 +102,7 @@
 		dispatching.introduce(this.entryAddress);
 		entry.introduce(this.dispatcherAddress);
 		dispatching.introduced();
-		until(() -> entry.firstRunner(SERVICE.hashCode()).isPresent() && dispatching.settled());
+		until(() -> asking.dispatcher(SERVICE, (name) -> true).isPresent() && dispatching.settled());
 		TrackedUpstream here = mine.byKey(TrackedUpstream.key("u1")).orElseThrow();
 		Sender first = new Sender(here);
 		Sender second = new Sender(here);
@@ -115,7 +115,7 @@
 		assertThat(second.sent.get()).isEqualTo(0);
 		this.loop.execute(() -> {
 			here.end(WorkClass.ONLINE);
-			asking.loadChanged(SERVICE);
+			asking.loadChanged();
 		});
 		until(() -> second.sent.get() == 1);
 		assertThat(first.sent.get()).isEqualTo(1);
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/dispatch/FleetPlay.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/dispatch/FleetPlay.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.ragworthook.core.fleet.Address;
 import org.ragworthook.core.time.ManualTime;
@@ -372,8 +373,8 @@
 		}
 
 		@Override
-		public Optional<String> dispatcher(String service) {
-			return Optional.of("dispatcher");
+		public Optional<String> dispatcher(String service, Predicate<String> usable) {
+			return Optional.of("dispatcher").filter(usable);
 		}
 
 		@Override
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/upstream/SlotSharingTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/upstream/SlotSharingTests.java
@@ -47,6 +47,24 @@
 		assertThat(SlotSharing.toYield(upstream)).isEqualTo(yielded);
 	}
 
+	@ParameterizedTest
+	@CsvSource({ "0, 0, false", "7, 0, false", "7, 9, false", "8, 0, true", "16, 0, true" })
+	void shouldTellWhetherSlotsAreScarce(int online, int batch, boolean scarce) {
+		TrackedUpstream upstream = upstream("u", "a");
+		begin(upstream, WorkClass.ONLINE, online);
+		begin(upstream, WorkClass.BATCH, batch);
+		assertThat(SlotSharing.scarce(List.of(upstream, upstream("v", "a")))).isEqualTo(scarce);
+	}
+
+	/**
+	 * The upstreams of a service are all gone. Nobody can give a slot, and asking for one
+	 * would only hide that no upstream is known.
+	 */
+	@Test
+	void shouldNotAskWhereNoUpstreamIsKnown() {
+		assertThat(SlotSharing.scarce(List.of())).isFalse();
+	}
+
 	/**
 	 * Twelve upstreams are filled with batch, and a burst of online requests arrives:
 	 * more than there are free slots. Each request finds room at once, and after one
