--- a/modules/gateway/src/main/java/org/ragworthook/gateway/dispatch/DispatchReports.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/dispatch/DispatchReports.java
@@ -108,7 +108,8 @@
 
 	@Override
 	public Optional<String> dispatcher(String service, Predicate<String> usable) {
-		return RendezvousScore.first(this.exchange.heardRunners()
+		return RendezvousScore.first(this.exchange.fleet()
+			.heardRunners()
 			.stream()
 			.filter((name) -> !name.equals(this.self) && usable.test(name))
 			.toList(), service.hashCode());
@@ -170,7 +171,7 @@
 		}
 		answering.expire();
 		answering.changed();
-		if (this.exchange.settled()) {
+		if (this.exchange.fleet().settled()) {
 			requests(report).forEach(answering::ask);
 		}
 	}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
@@ -47,12 +47,6 @@
 	/** How soon a caller may come again where no better estimate is at hand. */
 	private static final Duration COME_AGAIN = Duration.ofMillis(200);
 
-	/**
-	 * Share of the goal within which a request has to be sent to be in time: the rest is
-	 * for the ways and the first event of an engine that has a slot free.
-	 */
-	private static final double GOAL_TO_SEND = 0.75;
-
 	private final OnlineContext context;
 
 	private final OnlineRequest request;
@@ -63,7 +57,7 @@
 
 	private final String service;
 
-	private final long begunNanos;
+	private final RequestClock clock;
 
 	private final long fingerprint;
 
@@ -91,11 +85,6 @@
 
 	private Timers.Timer patience;
 
-	private long firstByteNanos;
-
-	/** When the upstream was last heard of this request, or it was sent. */
-	private long heardNanos;
-
 	private boolean queued;
 
 	private boolean stalled;
@@ -106,7 +95,7 @@
 		this.response = response;
 		this.queues = queues;
 		this.service = request.route().service(context.random().nextDouble());
-		this.begunNanos = context.ticker().nanos();
+		this.clock = new RequestClock(context.ticker());
 		this.lastEvent = request.lastEvent().orElse(0L);
 		this.fingerprint = SuspectRequests.fingerprint(request.route().host(), request.uri(), request.body());
 	}
@@ -169,11 +158,12 @@
 		stop(this.patience);
 		this.queues.leave(this.service, this);
 		this.queued = full;
-		this.heardNanos = this.context.ticker().nanos();
+		this.clock.heard();
 		this.stalled = false;
 		this.queues.stalls().add(this);
 		LOG.info("placed", "request", this.request.id(), "upstream", upstream, "by", chooser.label(), "load",
-				upstream.load(), "slots", upstream.entry().slots(), "sends", this.sends, "after_ms", sinceBegin());
+				upstream.load(), "slots", upstream.entry().slots(), "sends", this.sends, "after_ms",
+				this.clock.ageMillis());
 		this.last = upstream;
 		this.context.unheard().placed();
 		this.attempt = Attempt.start(upstream, WorkClass.ONLINE, this.context.connections(), this.context.headers(),
@@ -202,15 +192,15 @@
 	void checkStall(long nowNanos) {
 		Duration patience = StallRule.patience(this.answering, this.queued);
 		if (this.over || this.attempt == null || this.response.full()
-				|| nowNanos - this.heardNanos < patience.toNanos()) {
+				|| nowNanos - this.clock.heardNanos() < patience.toNanos()) {
 			return;
 		}
 		TrackedUpstream silent = this.attempt.upstream();
 		if (!this.stalled) {
 			this.stalled = true;
-			this.queues.stalled(silent, this.heardNanos);
+			this.queues.stalled(silent, this.clock.heardNanos());
 			LOG.info("upstream_silent", "request", this.request.id(), "upstream", silent, "answering", this.answering,
-					"ms", (nowNanos - this.heardNanos) / NANOS_PER_MILLI);
+					"ms", (nowNanos - this.clock.heardNanos()) / NANOS_PER_MILLI);
 		}
 		if (this.attempt.sent() && this.request.route().repeatable()
 				&& this.sends + 1 < this.request.route().maxAttempts()) {
@@ -293,24 +283,16 @@
 		}
 		LOG.info("request_ended", "request", this.request.id(), "route", this.request.route().name(), "config",
 				this.request.configurationVersion(), "outcome", outcome, "status", status, "upstream", this.last,
-				"sends", this.sends, "first_ms", firstByteMillis(), "ms", sinceBegin(), "last_event", this.lastEvent);
-		this.context.metrics().requestEnded(outcome, firstByteMillis(), sinceBegin());
+				"sends", this.sends, "first_ms", this.clock.firstByteMillis(), "ms", this.clock.ageMillis(),
+				"last_event", this.lastEvent);
+		this.context.metrics().requestEnded(outcome, this.clock.firstByteMillis(), this.clock.ageMillis());
 		this.context.loadChanged().run();
 		this.queues.freed(this.service);
 	}
 
 	private void heard() {
-		this.heardNanos = this.context.ticker().nanos();
 		this.stalled = false;
-		this.attempt.upstream().heard(this.heardNanos);
-	}
-
-	private long firstByteMillis() {
-		return (this.firstByteNanos != 0) ? (this.firstByteNanos - this.begunNanos) / NANOS_PER_MILLI : -1;
-	}
-
-	private long sinceBegin() {
-		return (this.context.ticker().nanos() - this.begunNanos) / NANOS_PER_MILLI;
+		this.attempt.upstream().heard(this.clock.heard());
 	}
 
 	private static void stop(Timers.Timer timer) {
@@ -356,24 +338,7 @@
 		if (this.answering) {
 			return this.context.ticker().nanos() + StallRule.MIDWAY.toNanos();
 		}
-		return this.begunNanos + (long) (this.request.route().latencyGoal().toNanos() * GOAL_TO_SEND);
-	}
-
-	/**
-	 * Who has chosen an upstream.
-	 */
-	private enum Chooser {
-
-		/** This process, by what it has heard of its peers. */
-		ENTRY,
-
-		/** The process that gives out slots while they are scarce. */
-		DISPATCHER;
-
-		String label() {
-			return name().toLowerCase(Locale.ROOT);
-		}
-
+		return this.clock.sendGoalNanos(this.request.route().latencyGoal());
 	}
 
 	/**
@@ -425,7 +390,7 @@
 				return;
 			}
 			exchange.answering = true;
-			exchange.firstByteNanos = exchange.heardNanos;
+			exchange.clock.answerBegins();
 			exchange.response.head(head);
 		}
 
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/peer/LoadExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/peer/LoadExchange.java
@@ -14,23 +14,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
-import java.util.stream.Stream;
-
-import com.google.protobuf.InvalidProtocolBufferException;
-import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
+
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.DatagramPacket;
-import io.netty.channel.socket.nio.NioDatagramChannel;
 import org.ragworthook.core.fleet.Address;
-import org.ragworthook.core.log.EventLog;
 import org.ragworthook.core.time.Ticker;
 import org.ragworthook.gateway.suspect.SuspectRequests;
-import org.ragworthook.gateway.upstream.BatchTurns;
 import org.ragworthook.gateway.upstream.PeerLoad;
 import org.ragworthook.gateway.upstream.TrackedUpstream;
 import org.ragworthook.gateway.upstream.UpstreamRegistry;
@@ -49,8 +37,6 @@
  */
 public final class LoadExchange implements AutoCloseable {
 
-	private static final EventLog LOG = EventLog.of(LoadExchange.class);
-
 	/** How often changed counts are sent: some times during one usual request. */
 	private static final Duration ROUND = Duration.ofMillis(100);
 
@@ -75,7 +61,7 @@
 
 	private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
 
-	private volatile Channel channel;
+	private volatile ReportChannel channel;
 
 	private List<UpstreamLoad> lastSent = List.of();
 
@@ -83,29 +69,20 @@
 
 	private long sequence;
 
-	private boolean leaving;
-
 	private boolean urging;
 
-	private BooleanSupplier storeLost = () -> false;
-
 	private BooleanSupplier wantsSlots = () -> false;
 
 	private boolean lastWanting;
 
 	private final BacklogReports backlogs = new BacklogReports();
 
-	private BatchTurns turns;
-
-	/** The owners of jobs as they were put together last; empty to do so anew. */
-	private List<String> runners = List.of();
-
-	private long runnersNanos;
-
 	private final SuspectRequests suspects;
 
 	private final LoadSums sums;
 
+	private final FleetView fleet;
+
 	private final List<ReportPart> parts = new CopyOnWriteArrayList<>();
 
 	private LoadExchange(EventLoop loop, Ticker ticker, UpstreamRegistry registry, SuspectRequests suspects,
@@ -115,8 +92,8 @@
 		this.ticker = Objects.requireNonNull(ticker, "ticker is null");
 		this.registry = Objects.requireNonNull(registry, "registry is null");
 		this.self = Objects.requireNonNull(self, "self is null");
-		this.turns = BatchTurns.of(self.instance(), List.of());
 		this.peers = new PeerTable(ticker);
+		this.fleet = new FleetView(ticker, this.peers, self);
 		this.sums = new LoadSums(registry);
 	}
 
@@ -132,12 +109,7 @@
 	public static LoadExchange start(EventLoop loop, Ticker ticker, UpstreamRegistry registry, SuspectRequests suspects,
 			PeerSettings self) {
 		LoadExchange exchange = new LoadExchange(loop, ticker, registry, suspects, self);
-		exchange.channel = new Bootstrap().group(loop)
-			.channel(NioDatagramChannel.class)
-			.handler(exchange.new Receiver())
-			.bind(new InetSocketAddress(self.address().host(), self.address().port()))
-			.syncUninterruptibly()
-			.channel();
+		exchange.channel = ReportChannel.open(loop, self.address(), exchange::take);
 		loop.scheduleAtFixedRate(exchange::round, ROUND.toMillis(), ROUND.toMillis(), TimeUnit.MILLISECONDS);
 		return exchange;
 	}
@@ -166,23 +138,17 @@
 	public void tell(String instance, LoadReport.Builder report) {
 		this.peers.heard(instance).ifPresent((peer) -> {
 			this.sequence++;
-			send(peer, report(report, loads()).toByteArray());
+			this.channel.write(report(report, loads()).toByteArray(), peer.address());
 			this.channel.flush();
 		});
 	}
 
 	/**
-	 * Returns the processes that run jobs and that this process hears itself, whether
-	 * they reach the store or not, this one included if it does.
-	 * @return their names
+	 * Returns which processes there are, as far as this one hears.
+	 * @return the view, which changes as reports come
 	 */
-	public List<String> heardRunners() {
-		Stream<String> heard = this.peers.fresh()
-			.stream()
-			.filter((report) -> report.getRunsJobs() && !report.getLeaving())
-			.map(LoadReport::getInstance);
-		boolean self = this.self.runsJobs() && !this.leaving;
-		return Stream.concat(heard, Stream.of(this.self.instance()).filter((name) -> self)).toList();
+	public FleetView fleet() {
+		return this.fleet;
 	}
 
 	/**
@@ -195,32 +161,12 @@
 		}
 	}
 
-	/**
-	 * Sets what tells whether this process has lost the store. It is heard by its peers
-	 * all the same; if it counted as the owner of jobs, nobody would list their results.
-	 * @param condition whether it has
-	 */
-	public void storeLost(BooleanSupplier condition) {
-		this.storeLost = Objects.requireNonNull(condition, "condition is null");
-	}
-
-	/**
-	 * Returns how many peers are heard.
-	 * @return the counts
-	 */
-	public PeerView peerView() {
-		List<LoadReport> heard = this.peers.fresh();
-		int reaching = (int) heard.stream().filter((report) -> !report.getStoreLost()).count();
-		return new PeerView(this.peers.all().size(), heard.size(), reaching);
-	}
-
 	/**
 	 * Tells the peers that this process will stop, so that others take its jobs.
 	 */
 	public void leave() {
 		this.loop.execute(() -> {
-			this.leaving = true;
-			this.runners = List.of();
+			this.fleet.leave();
 			send(loads());
 		});
 	}
@@ -239,26 +185,6 @@
 		}
 	}
 
-	/**
-	 * Returns the processes that run jobs and are heard, this one included if it does.
-	 * Those that have lost the store are left out, unless all have: then each goes on
-	 * with what it has. Asked for each job many times a second, they are put together
-	 * anew once a round, and when a report comes.
-	 * @return their names
-	 */
-	public List<String> jobRunners() {
-		long now = this.ticker.nanos();
-		if (this.runners.isEmpty() || now - this.runnersNanos >= ROUND.toNanos()) {
-			RunnerView view = RunnerView.of(this.peers.fresh());
-			if (this.self.runsJobs() && !this.leaving) {
-				view.add(this.self.instance(), this.storeLost.getAsBoolean());
-			}
-			this.runners = view.owners();
-			this.runnersNanos = now;
-		}
-		return this.runners;
-	}
-
 	/**
 	 * Learns that all processes that the platform knows were introduced.
 	 */
@@ -266,15 +192,6 @@
 		this.loop.execute(this.peers::introduced);
 	}
 
-	/**
-	 * Tells whether this process knows what its peers do; until then it leaves jobs
-	 * alone.
-	 * @return whether all peers were heard, or have had the time to be
-	 */
-	public boolean settled() {
-		return this.peers.settled();
-	}
-
 	/**
 	 * Sets what tells whether items of this process wait for a slot.
 	 * @param condition whether they do
@@ -283,15 +200,6 @@
 		this.wantsSlots = Objects.requireNonNull(condition, "condition is null");
 	}
 
-	/**
-	 * Returns how many other processes take callers' requests and are heard. One that
-	 * also runs jobs is not counted: reports do not tell whether it takes requests.
-	 * @return the entries without this one
-	 */
-	public int otherEntries() {
-		return (int) this.peers.fresh().stream().filter((report) -> !report.getRunsJobs()).count();
-	}
-
 	/**
 	 * Sets what tells which items wait, as far as this process knows.
 	 * @param backlog gives tokens by the key of the route, or empty while not known
@@ -318,25 +226,6 @@
 		return this.backlogs.sum(this.peers.lately(), routeKey);
 	}
 
-	/**
-	 * Returns the turns of the processes that have items waiting. Dealt out to all that
-	 * run jobs, slots of processes without work stood empty: 78 were in use while 91
-	 * items waited, and 94 with turns among those that want some.
-	 * @return the turns among this process and those that are heard now
-	 */
-	public BatchTurns turns() {
-		List<String> runners = Stream
-			.concat(Stream.of(this.self.instance()),
-					this.peers.fresh().stream().filter(LoadReport::getWantsSlots).map(LoadReport::getInstance))
-			.distinct()
-			.sorted()
-			.toList();
-		if (!runners.equals(this.turns.runners())) {
-			this.turns = BatchTurns.of(this.self.instance(), runners);
-		}
-		return this.turns;
-	}
-
 	private void round() {
 		List<UpstreamLoad> now = loads();
 		boolean same = now.equals(this.lastSent) && this.lastWanting == this.wantsSlots.getAsBoolean()
@@ -370,17 +259,10 @@
 		this.quietRounds = 0;
 		this.sequence++;
 		byte[] bytes = report(LoadReport.newBuilder(), loads).toByteArray();
-		for (Peer peer : this.peers.all()) {
-			send(peer, bytes);
-		}
+		this.peers.all().forEach((peer) -> this.channel.write(bytes, peer.address()));
 		this.channel.flush();
 	}
 
-	private void send(Peer peer, byte[] bytes) {
-		this.channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), peer.address()),
-				this.channel.voidPromise());
-	}
-
 	private LoadReport report(LoadReport.Builder report, List<UpstreamLoad> loads) {
 		this.parts.forEach((part) -> part.write(report));
 		this.suspects.own()
@@ -398,8 +280,8 @@
 			.setHost(this.self.address().host())
 			.setPort(this.self.address().port())
 			.setRunsJobs(this.self.runsJobs())
-			.setLeaving(this.leaving)
-			.setStoreLost(this.storeLost.getAsBoolean())
+			.setLeaving(this.fleet.leaving())
+			.setStoreLost(this.fleet.hasLostStore())
 			.setWantsSlots(this.wantsSlots.getAsBoolean())
 			.addAllLoads(loads)
 			.build();
@@ -440,45 +322,27 @@
 	}
 
 	private PeerLoad load(String peer, UpstreamLoad load) {
-		boolean givesFirst = load.getBatch() > 0 && this.turns.givesFirst(peer, load.getUpstream());
+		boolean givesFirst = load.getBatch() > 0 && this.fleet.lastTurns().givesFirst(peer, load.getUpstream());
 		return new PeerLoad(load.getOnline(), load.getBatch(), givesFirst ? load.getBatch() : 0);
 	}
 
-	@Override
-	public void close() {
-		this.channel.close();
+	private void take(LoadReport report) {
+		this.peers.take(report).ifPresent((peer) -> counted(peer, report));
+		this.parts.forEach((part) -> part.read(report));
 	}
 
-	private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
-
-		@Override
-		protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
-			LoadExchange exchange = LoadExchange.this;
-			try {
-				LoadReport report = LoadReport.parseFrom(ByteBufUtil.getBytes(packet.content()));
-				exchange.peers.take(report).ifPresent((peer) -> taken(peer, report));
-				exchange.parts.forEach((part) -> part.read(report));
-			}
-			catch (InvalidProtocolBufferException ex) {
-				LOG.warning("report_malformed", "from", packet.sender(), "error", ex.getMessage());
-			}
-		}
-
-		private void taken(Peer peer, LoadReport report) {
-			LoadExchange exchange = LoadExchange.this;
-			exchange.runners = List.of();
-			exchange.sums.replace(peer.address(), loads(report));
-			if (report.getSuspectsCount() > 0) {
-				sumBreaks();
-			}
-			exchange.listeners.forEach(Runnable::run);
-		}
-
-		@Override
-		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-			LOG.debug("report_not_delivered", "error", cause);
+	private void counted(Peer peer, LoadReport report) {
+		this.fleet.changed();
+		this.sums.replace(peer.address(), loads(report));
+		if (report.getSuspectsCount() > 0) {
+			sumBreaks();
 		}
+		this.listeners.forEach(Runnable::run);
+	}
 
+	@Override
+	public void close() {
+		this.channel.close();
 	}
 
 }
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -13,12 +12,9 @@
 import java.util.function.Supplier;
 
 import io.netty.channel.EventLoop;
-import io.vertx.core.Future;
-import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
-import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.internal.ContextInternal;
 import org.ragworthook.core.fleet.Address;
 import org.ragworthook.core.log.EventLog;
@@ -43,7 +39,6 @@
 import org.ragworthook.gateway.job.JobStore;
 import org.ragworthook.gateway.job.ProgressStore;
 import org.ragworthook.gateway.metrics.GatewayMetrics;
-import org.ragworthook.gateway.online.Backlog;
 import org.ragworthook.gateway.online.Frontend;
 import org.ragworthook.gateway.online.OnlineContext;
 import org.ragworthook.gateway.online.OnlinePart;
@@ -51,10 +46,8 @@
 import org.ragworthook.gateway.peer.PeerDirectory;
 import org.ragworthook.gateway.peer.PeerSettings;
 import org.ragworthook.gateway.peer.RendezvousOwners;
-import org.ragworthook.gateway.peer.WaitingTokens;
 import org.ragworthook.gateway.route.Configuration;
 import org.ragworthook.gateway.route.ConfigurationInForce;
-import org.ragworthook.gateway.route.Route;
 import org.ragworthook.gateway.suspect.SuspectRequests;
 import org.ragworthook.gateway.upstream.Placement;
 import org.ragworthook.gateway.upstream.UnheardRequests;
@@ -87,8 +80,6 @@
 	/** How often the calls of the store are logged: one line in some hundred. */
 	private static final Duration STORE_CALLS_SHOWN = Duration.ofSeconds(10);
 
-	private static final Duration LISTEN_AGAIN = Duration.ofMillis(200);
-
 	private static final Duration LOOK = Duration.ofMillis(50);
 
 	private volatile GatewaySettings settings;
@@ -111,6 +102,8 @@
 
 	private final SuspectRequests suspects = SuspectRequests.none(this.ticker);
 
+	private final Listening listening;
+
 	private final Platform platform;
 
 	private final JobStore jobs;
@@ -143,6 +136,7 @@
 					new FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false)));
 		this.loop = ((ContextInternal) this.vertx.getOrCreateContext()).nettyEventLoop();
 		this.timers = new LoopTimers(this.loop);
+		this.listening = new Listening(this.vertx, this.timers, () -> this.leaving);
 		this.platform = adapter.apply(new Runtime(this.loop, this.ticker, this.timers, this.metrics));
 		long started = System.currentTimeMillis();
 		this.writer = ConditionalWriter.of(this.platform.store(),
@@ -179,7 +173,7 @@
 				this.platform.headers().requestId());
 		showMetrics();
 		this.timers.schedule(STORE_CALLS_SHOWN, this::showStoreCalls);
-		this.loads.storeLost(() -> this.health.lostFor().compareTo(IsolationRule.STORE_LOST) >= 0);
+		this.loads.fleet().storeLost(() -> this.health.lostFor().compareTo(IsolationRule.STORE_LOST) >= 0);
 		follow(this.platform.upstreams(), this.upstreamFeed, this::gathering);
 		follow(this.platform.configuration(), new ConfigurationListener(), AT_ONCE);
 		if (this.settings.front().isPresent()) {
@@ -206,7 +200,7 @@
 		this.metrics.gauge("configuration.version", this.configuration,
 				(present) -> present.present().map(Configuration::version).orElse(0L));
 		this.metrics.gauge("store.up", this.health, (present) -> present.up() ? 1 : 0);
-		listen("metrics", this.settings.metrics(), new MetricsServer(this.metrics));
+		this.listening.start("metrics", this.settings.metrics(), new MetricsServer(this.metrics));
 	}
 
 	/**
@@ -215,7 +209,7 @@
 	 * @return the pause
 	 */
 	private Duration gathering() {
-		return GatheringRule.pause(this.loads.peerView().known() + 1);
+		return GatheringRule.pause(this.loads.fleet().peerView().known() + 1);
 	}
 
 	private <T> void follow(Feed<T> feed, FeedListener<T> listener, Supplier<Duration> gathering) {
@@ -224,58 +218,32 @@
 
 	private void serveCallers(Placement placement, ConnectionPool connections) {
 		OnlineContext context = new OnlineContext(this.configuration, this.upstreams, placement,
-				UnheardRequests.of(this.ticker, LoadExchange.MEAN_AGE, this.loads::otherEntries), connections,
+				UnheardRequests.of(this.ticker, LoadExchange.MEAN_AGE, this.loads.fleet()::otherEntries), connections,
 				this.platform.headers(), this.ticker, this.timers, ThreadLocalRandom.current(), this.suspects,
 				this.metrics, this.slots, this.dispatch::loadChanged, this.loads::urge);
 		Frontend front = OnlinePart.of(this.vertx, context, this.jobs, JobReader.of(this.jobs, this.timers),
-				this.platform.jobFormat(), this.loop, this.health::up, new JobBacklog());
+				this.platform.jobFormat(), this.loop, this.health::up, new JobBacklog(this.loads, this.platform::jobs));
 		this.frontend = Optional.of(front);
 		this.loads.onReport(front::roomChanged);
 		Address address = this.settings.front().orElseThrow();
-		listen("callers", () -> front.listen(address));
-		this.settings.readiness().ifPresent((place) -> listen("readiness", place, new ReadinessServer(this::ready)));
-	}
-
-	private void listen(String what, Address address, Handler<HttpServerRequest> handler) {
-		listen(what,
-				() -> this.vertx.createHttpServer()
-					.requestHandler(handler)
-					.listen(address.port(), address.host())
-					.mapEmpty());
-	}
-
-	/**
-	 * Listens, and tries again while it cannot: the process before this one may hold the
-	 * port for a moment longer.
-	 * @param what for whom
-	 * @param server begins to listen
-	 */
-	private void listen(String what, Supplier<Future<Void>> server) {
-		server.get().onComplete((done) -> {
-			if (done.succeeded()) {
-				LOG.info("listening", "for", what);
-				return;
-			}
-			LOG.warning("not_listening", "for", what, "error", done.cause());
-			if (!this.leaving) {
-				this.timers.schedule(LISTEN_AGAIN, () -> listen(what, server));
-			}
-		});
+		this.listening.start("callers", () -> front.listen(address));
+		this.settings.readiness()
+			.ifPresent((place) -> this.listening.start("readiness", place, new ReadinessServer(this::ready)));
 	}
 
 	private boolean ready() {
 		return !this.leaving && this.configuration.present().isPresent() && this.upstreamFeed.listed()
-				&& !IsolationRule.isolated(this.health.lostFor(), this.loads.peerView());
+				&& !IsolationRule.isolated(this.health.lostFor(), this.loads.fleet().peerView());
 	}
 
 	private void runJobs(Placement placement, ConnectionPool connections) {
 		ProgressStore progress = ProgressStore.of(this.platform.store(), this.writer, this.platform.progress(),
 				this.settings.instance());
 		JobRunner jobRunner = JobRunner.of(new JobRunner.Parts(this.jobs, progress,
-				RendezvousOwners.of(this.settings.instance(), this.loads::jobRunners), this.loads::settled,
-				this.loads::turns, this.configuration, this.upstreams, placement, connections, this.platform.headers(),
-				this.ticker, System::currentTimeMillis, this.timers, ThreadLocalRandom.current()::nextDouble, this.loop,
-				this.metrics, this.settings.queuePatience()));
+				RendezvousOwners.of(this.settings.instance(), this.loads.fleet()::jobRunners),
+				this.loads.fleet()::settled, this.loads.fleet()::turns, this.configuration, this.upstreams, placement,
+				connections, this.platform.headers(), this.ticker, System::currentTimeMillis, this.timers,
+				ThreadLocalRandom.current()::nextDouble, this.loop, this.metrics, this.settings.queuePatience()));
 		this.runner = Optional.of(jobRunner);
 		this.dispatch.dispatcher(
 				Dispatcher.of(this.upstreams, this.ticker, ThreadLocalRandom.current(), firstGrant(), this.dispatch));
@@ -409,39 +377,4 @@
 
 	}
 
-	/**
-	 * What is known of the items that wait, from reports and, where they are not enough,
-	 * from the store.
-	 */
-	private final class JobBacklog implements Backlog {
-
-		@Override
-		public WaitingTokens reported(Route route) {
-			return GatewayProcess.this.loads.waiting(route.key());
-		}
-
-		@Override
-		public CompletableFuture<Long> atMost(Route route) {
-			return GatewayProcess.this.platform.jobs()
-				.list()
-				.thenApply((all) -> all.changes()
-					.stream()
-					.flatMap((change) -> change.value().stream())
-					.filter((job) -> !job.ended() && route.covers(job.host(), job.path()))
-					.mapToLong(Job::tokens)
-					.sum());
-		}
-
-		@Override
-		public void show(Supplier<Map<Integer, Long>> accepted) {
-			GatewayProcess.this.loads.accepted(accepted);
-		}
-
-		@Override
-		public void tell() {
-			GatewayProcess.this.loads.urge();
-		}
-
-	}
-
 }
--- /dev/null
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/JobBacklog.java
@@ -0,0 +1,57 @@
+package org.ragworthook.gateway.process;
+
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+
+import org.ragworthook.gateway.feed.Feed;
+import org.ragworthook.gateway.job.Job;
+import org.ragworthook.gateway.online.Backlog;
+import org.ragworthook.gateway.peer.LoadExchange;
+import org.ragworthook.gateway.peer.WaitingTokens;
+import org.ragworthook.gateway.route.Route;
+
+/**
+ * What is known of the items that wait, from reports and, where they are not enough, from
+ * the store.
+ */
+final class JobBacklog implements Backlog {
+
+	private final LoadExchange loads;
+
+	private final Supplier<Feed<Job>> jobs;
+
+	JobBacklog(LoadExchange loads, Supplier<Feed<Job>> jobs) {
+		this.loads = Objects.requireNonNull(loads, "loads is null");
+		this.jobs = Objects.requireNonNull(jobs, "jobs is null");
+	}
+
+	@Override
+	public WaitingTokens reported(Route route) {
+		return this.loads.waiting(route.key());
+	}
+
+	@Override
+	public CompletableFuture<Long> atMost(Route route) {
+		return this.jobs.get()
+			.list()
+			.thenApply((all) -> all.changes()
+				.stream()
+				.flatMap((change) -> change.value().stream())
+				.filter((job) -> !job.ended() && route.covers(job.host(), job.path()))
+				.mapToLong(Job::tokens)
+				.sum());
+	}
+
+	@Override
+	public void show(Supplier<Map<Integer, Long>> accepted) {
+		this.loads.accepted(accepted);
+	}
+
+	@Override
+	public void tell() {
+		this.loads.urge();
+	}
+
+}
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/dispatch/DispatchReportsTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/dispatch/DispatchReportsTests.java
@@ -102,7 +102,7 @@
 		dispatching.introduce(this.entryAddress);
 		entry.introduce(this.dispatcherAddress);
 		dispatching.introduced();
-		until(() -> asking.dispatcher(SERVICE, (name) -> true).isPresent() && dispatching.settled());
+		until(() -> asking.dispatcher(SERVICE, (name) -> true).isPresent() && dispatching.fleet().settled());
 		TrackedUpstream here = mine.byKey(TrackedUpstream.key("u1")).orElseThrow();
 		Sender first = new Sender(here);
 		Sender second = new Sender(here);
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/peer/LoadExchangeTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/peer/LoadExchangeTests.java
@@ -131,14 +131,14 @@
 		AtomicBoolean secondLost = new AtomicBoolean();
 		LoadExchange a = exchange("a", first, registry(), true);
 		LoadExchange b = exchange("b", second, registry(), true);
-		a.storeLost(firstLost::get);
-		b.storeLost(secondLost::get);
+		a.fleet().storeLost(firstLost::get);
+		b.fleet().storeLost(secondLost::get);
 		b.introduce(first);
-		until(() -> a.jobRunners().size() == 2);
+		until(() -> a.fleet().jobRunners().size() == 2);
 		secondLost.set(true);
-		until(() -> a.jobRunners().equals(List.of("a")));
+		until(() -> a.fleet().jobRunners().equals(List.of("a")));
 		firstLost.set(true);
-		until(() -> a.jobRunners().size() == 2);
+		until(() -> a.fleet().jobRunners().size() == 2);
 	}
 
 	/**
@@ -151,9 +151,9 @@
 		LoadExchange a = exchange("a", first, registry(), true);
 		LoadExchange b = exchange("b", free(), registry(), true);
 		b.introduce(first);
-		until(() -> a.jobRunners().size() == 2);
+		until(() -> a.fleet().jobRunners().size() == 2);
 		b.leave();
-		until(() -> a.jobRunners().equals(List.of("a")));
+		until(() -> a.fleet().jobRunners().equals(List.of("a")));
 	}
 
 	/**
@@ -167,12 +167,12 @@
 		Address second = free();
 		LoadExchange late = this.closer.add(LoadExchange.start(this.loop, time, registry(), SuspectRequests.none(time),
 				new PeerSettings("a", 1, first, true)));
-		assertThat(late.settled()).isFalse();
+		assertThat(late.fleet().settled()).isFalse();
 		late.introduce(second);
 		late.introduced();
 		exchange("b", second, registry(), true).introduce(first);
-		until(late::settled);
-		assertThat(late.jobRunners()).containsExactly("a", "b");
+		until(late.fleet()::settled);
+		assertThat(late.fleet().jobRunners()).containsExactly("a", "b");
 	}
 
 	/**
@@ -186,9 +186,9 @@
 		late.introduce(free());
 		late.introduced();
 		time.advance(Duration.ofMillis(1_400));
-		assertThat(late.settled()).isFalse();
+		assertThat(late.fleet().settled()).isFalse();
 		time.advance(Duration.ofMillis(200));
-		assertThat(late.settled()).isTrue();
+		assertThat(late.fleet().settled()).isTrue();
 	}
 
 }
