--- a/modules/gateway/src/main/java/org/ragworthook/gateway/dispatch/DispatchReports.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/dispatch/DispatchReports.java
@@ -27,8 +27,9 @@
 public final class DispatchReports implements ReportPart, DispatchClient.Channel, Dispatcher.Answers {
 
 	/**
-	 * How long after a question a dispatcher is told of each change: longer than the
-	 * pause between two bursts' ends, in which the slots of the first come free.
+	 * How long after a question a dispatcher is told of each change. Longer than a usual
+	 * run, so that it hears at once of the slots that come free at the end of a burst;
+	 * while nobody asks, the reports that all get are soon enough.
 	 */
 	private static final Duration TOLD_AFTER_ASKING = Duration.ofSeconds(1);
 
