Keep with a slot request when it was asked for; do no work twice in job code

Found on a last read of the change; behaviour stays. - Dispatcher kept a map of times by a text of entry and number beside the line that holds the same requests, and walked it at each report. The time is a part of SlotRequest now. - OnlineQueues read a request's goal twice; JobLoading opened a job's items twice where it has results; OwnedJob looked a run up twice; ProgressKeeper added up all items each 0.1 s before it looked whether it was time to save. - LoadExchangeTests and DispatchReportsTests had their free port and their waiting twice; both call Loopback.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/dispatch/DispatchReports.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/dispatch/DispatchReports.java
@@ -179,10 +179,11 @@
 
 	private List<SlotRequest> requests(LoadReport report) {
 		List<SlotRequest> requests = new ArrayList<>();
+		long now = this.ticker.nanos();
 		for (SlotAsk ask : report.getAsksList()) {
-			long goal = this.ticker.nanos() + Duration.ofMillis(ask.getGoalMillis()).toNanos();
+			long goal = now + Duration.ofMillis(ask.getGoalMillis()).toNanos();
 			requests.add(new SlotRequest(report.getInstance(), ask.getNumber(), ask.getRequest(), ask.getService(),
-					ask.getFailureDomain(), new HashSet<>(ask.getExceptList()), goal));
+					ask.getFailureDomain(), new HashSet<>(ask.getExceptList()), now, goal));
 		}
 		return requests;
 	}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/dispatch/Dispatcher.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/dispatch/Dispatcher.java
@@ -49,9 +49,6 @@
 
 	private final Map<String, SlotLine> lines = new HashMap<>();
 
-	/** When each waiting request was asked for last, the ticker's reading. */
-	private final Map<String, Long> askedNanos = new HashMap<>();
-
 	private final Map<String, Placement> placements = new HashMap<>();
 
 	private Dispatcher(UpstreamRegistry upstreams, Ticker ticker, RandomGenerator random, long firstGrant,
@@ -89,9 +86,8 @@
 		}
 		SlotLine line = this.lines.computeIfAbsent(request.service(), (name) -> new SlotLine());
 		line.add(request);
-		this.askedNanos.put(key(request), this.ticker.nanos());
 		drain(line);
-		if (this.askedNanos.containsKey(key(request))) {
+		if (line.contains(request)) {
 			this.answers.waits(request);
 		}
 	}
@@ -118,14 +114,7 @@
 	void expire() {
 		this.ledger.expire();
 		long before = this.ticker.nanos() - FORGOTTEN.toNanos();
-		Set<String> old = new HashSet<>();
-		this.askedNanos.forEach((key, nanos) -> {
-			if (nanos - before <= 0) {
-				old.add(key);
-			}
-		});
-		this.askedNanos.keySet().removeAll(old);
-		this.lines.values().forEach((line) -> line.removeIf((request) -> old.contains(key(request))));
+		this.lines.values().forEach((line) -> line.removeIf((request) -> request.askedNanos() - before <= 0));
 	}
 
 	/**
@@ -152,7 +141,6 @@
 
 	private void grant(SlotRequest request, TrackedUpstream upstream) {
 		boolean yields = SlotSharing.needsYield(upstream);
-		this.askedNanos.remove(key(request));
 		GrantLedger.Grant grant = this.ledger.add(request, upstream);
 		long spare = (request.goalNanos() - this.ticker.nanos()) / 1_000_000;
 		LOG.info("slot_granted", "request", request.id(), "entry", request.entry(), "upstream", upstream, "online",
@@ -165,10 +153,6 @@
 				(domain) -> Placement.of(domain, this.ticker, this.random));
 	}
 
-	private static String key(SlotRequest request) {
-		return request.entry() + "/" + request.number();
-	}
-
 	/**
 	 * Takes the answers of a dispatcher.
 	 */
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/dispatch/SlotLine.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/dispatch/SlotLine.java
@@ -50,6 +50,10 @@
 		this.waiting.removeIf(condition);
 	}
 
+	boolean contains(SlotRequest request) {
+		return this.waiting.contains(request);
+	}
+
 	int size() {
 		return this.waiting.size();
 	}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/dispatch/SlotRequest.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/dispatch/SlotRequest.java
@@ -12,10 +12,11 @@
  * @param service the service
  * @param failureDomain the entry's failure domain
  * @param except keys of upstreams that are not to be chosen
+ * @param askedNanos when it was asked for, the ticker's reading
  * @param goalNanos the ticker's reading by which it has to begin to run to be in time
  */
 record SlotRequest(String entry, long number, String id, String service, String failureDomain, Set<Integer> except,
-		long goalNanos) {
+		long askedNanos, long goalNanos) {
 
 	SlotRequest {
 		Objects.requireNonNull(entry, "entry is null");
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobLoading.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobLoading.java
@@ -51,6 +51,7 @@
 			}
 			else {
 				job.resultsKnown();
+				job.open();
 				ready(job);
 			}
 		}, this.parts.loop()).exceptionally((failure) -> later(job, failure));
@@ -89,7 +90,6 @@
 	}
 
 	private void ready(OwnedJob job) {
-		job.open();
 		if (job.phase() == OwnedJob.Phase.READING) {
 			job.phase(OwnedJob.Phase.READY);
 		}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/OwnedJob.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/OwnedJob.java
@@ -186,18 +186,15 @@
 	 * @param nowNanos the ticker's reading
 	 */
 	void goOnAfter(ItemProgress saved, long nowNanos) {
+		ItemRun run = this.open.get(saved.itemId());
 		if (saved.whole()) {
-			stopRun(saved.itemId());
+			if (run != null) {
+				run.stop();
+			}
 			finish(new ItemOutcome(saved.itemId(), true, saved.output()), nowNanos);
 		}
-		else if (this.open.containsKey(saved.itemId())) {
-			this.open.get(saved.itemId()).goOnAfter(saved);
-		}
-	}
-
-	private void stopRun(String itemId) {
-		if (this.open.containsKey(itemId)) {
-			this.open.get(itemId).stop();
+		else if (run != null) {
+			run.goOnAfter(saved);
 		}
 	}
 
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ProgressKeeper.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ProgressKeeper.java
@@ -86,9 +86,11 @@
 	void round(List<OwnedJob> jobs, int processes) {
 		Duration pause = PAUSE_PER_PROCESS.multipliedBy(processes);
 		long wait = Math.max(LEAST_PAUSE.toNanos(), pause.toNanos());
+		if (!this.writing.isDone() || this.ticker.nanos() - this.writtenNanos < wait) {
+			return;
+		}
 		long advance = advance(jobs);
-		boolean changed = advance > 0 && advance != this.savedAdvance;
-		if (changed && this.writing.isDone() && this.ticker.nanos() - this.writtenNanos >= wait) {
+		if (advance > 0 && advance != this.savedAdvance) {
 			write(jobs);
 		}
 	}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineQueues.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineQueues.java
@@ -112,12 +112,12 @@
 		Set<Integer> except = new HashSet<>();
 		exchange.except().forEach((upstream) -> except.add(upstream.key()));
 		serving.stream().filter((upstream) -> upstream.avoided(now)).forEach((upstream) -> except.add(upstream.key()));
-		boolean asked = this.context.dispatch().ask(exchange.slot(), service, except, exchange.goalNanos());
+		long goal = exchange.goalNanos();
+		boolean asked = this.context.dispatch().ask(exchange.slot(), service, except, goal);
 		if (asked) {
 			Duration wait = waitAtMost(service, exchange);
 			LOG.info("slot_asked", "request", exchange.request().id(), "service", service, "goal_in_ms",
-					(exchange.goalNanos() - now) / NANOS_PER_MILLI, "at_most_ms", wait.toMillis(), "except",
-					except.size());
+					(goal - now) / NANOS_PER_MILLI, "at_most_ms", wait.toMillis(), "except", except.size());
 		}
 		return asked;
 	}
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/dispatch/DispatchReportsTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/dispatch/DispatchReportsTests.java
@@ -1,13 +1,9 @@
 package org.ragworthook.gateway.dispatch;
 
-import java.net.DatagramSocket;
-import java.net.SocketException;
 import java.util.Random;
 import java.util.Set;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.BooleanSupplier;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -19,6 +15,7 @@
 import org.ragworthook.core.time.ManualTime;
 import org.ragworthook.core.time.Ticker;
 import org.ragworthook.gateway.peer.LoadExchange;
+import org.ragworthook.gateway.peer.Loopback;
 import org.ragworthook.gateway.peer.PeerSettings;
 import org.ragworthook.gateway.suspect.SuspectRequests;
 import org.ragworthook.gateway.upstream.TrackedUpstream;
@@ -33,8 +30,6 @@
  */
 class DispatchReportsTests {
 
-	private static final long LIMIT_SECONDS = 30;
-
 	private static final String SERVICE = "svc";
 
 	private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -46,9 +41,9 @@
 	/** Stands still, so that no answer is ever late. */
 	private final ManualTime time = ManualTime.of();
 
-	private final Address entryAddress = free();
+	private final Address entryAddress = Loopback.free();
 
-	private final Address dispatcherAddress = free();
+	private final Address dispatcherAddress = Loopback.free();
 
 	@AfterEach
 	void stop() {
@@ -56,23 +51,6 @@
 		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
 	}
 
-	private static Address free() {
-		try (DatagramSocket socket = new DatagramSocket()) {
-			return new Address("127.0.0.1", socket.getLocalPort());
-		}
-		catch (SocketException ex) {
-			throw new AssertionError("no free port", ex);
-		}
-	}
-
-	private static void until(BooleanSupplier condition) throws InterruptedException {
-		long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(LIMIT_SECONDS);
-		while (!condition.getAsBoolean()) {
-			assertThat(System.nanoTime() - end).isLessThan(0L);
-			new CountDownLatch(1).await(5, TimeUnit.MILLISECONDS);
-		}
-	}
-
 	private static UpstreamRegistry registry() {
 		UpstreamRegistry registry = UpstreamRegistry.empty();
 		registry.put(new UpstreamEntry("u1", SERVICE, new Address("10.0.0.1", 80), "a", 1, false));
@@ -102,7 +80,7 @@
 		dispatching.introduce(this.entryAddress);
 		entry.introduce(this.dispatcherAddress);
 		dispatching.introduced();
-		until(() -> asking.dispatcher(SERVICE, (name) -> true).isPresent() && dispatching.fleet().settled());
+		Loopback.until(() -> asking.dispatcher(SERVICE, (name) -> true).isPresent() && dispatching.fleet().settled());
 		TrackedUpstream here = mine.byKey(TrackedUpstream.key("u1")).orElseThrow();
 		Sender first = new Sender(here);
 		Sender second = new Sender(here);
@@ -111,13 +89,13 @@
 			client.ask(second, SERVICE, Set.of(), Long.MAX_VALUE / 2);
 		});
 		TrackedUpstream there = theirs.byKey(TrackedUpstream.key("u1")).orElseThrow();
-		until(() -> first.sent.get() == 1 && there.onlineLoad() == 1);
+		Loopback.until(() -> first.sent.get() == 1 && there.onlineLoad() == 1);
 		assertThat(second.sent.get()).isEqualTo(0);
 		this.loop.execute(() -> {
 			here.end(WorkClass.ONLINE);
 			asking.loadChanged();
 		});
-		until(() -> second.sent.get() == 1);
+		Loopback.until(() -> second.sent.get() == 1);
 		assertThat(first.sent.get()).isEqualTo(1);
 	}
 
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/dispatch/DispatcherTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/dispatch/DispatcherTests.java
@@ -32,7 +32,8 @@
 	}
 
 	private SlotRequest request(String entry, long number, Integer... except) {
-		return new SlotRequest(entry, number, "r", "svc", "d1", Set.of(except), this.time.nanos() + 1_000_000);
+		return new SlotRequest(entry, number, "r", "svc", "d1", Set.of(except), this.time.nanos(),
+				this.time.nanos() + 1_000_000);
 	}
 
 	/**
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/dispatch/FleetPlay.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/dispatch/FleetPlay.java
@@ -380,7 +380,7 @@
 		@Override
 		public void ask(String to, DispatchClient.Question question) {
 			SlotRequest request = new SlotRequest(this.name, question.number(), question.requestId(),
-					question.service(), "d0", question.except(),
+					question.service(), "d0", question.except(), FleetPlay.this.time.nanos(),
 					FleetPlay.this.time.nanos() + question.toGoal().toNanos());
 			FleetPlay.this.time.schedule(WAY, () -> FleetPlay.this.dispatcher.ask(request));
 		}
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/dispatch/SlotLineTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/dispatch/SlotLineTests.java
@@ -19,7 +19,7 @@
 	private final List<Long> served = new ArrayList<>();
 
 	private static SlotRequest request(long number, long goal) {
-		return new SlotRequest("e1", number, "r", "svc", "d1", Set.of(), goal);
+		return new SlotRequest("e1", number, "r", "svc", "d1", Set.of(), NOW, goal);
 	}
 
 	private void drain(int slots) {
@@ -72,7 +72,7 @@
 	@CsvSource({ "e1, 1, 1", "e2, 1, 2", "e1, 2, 2" })
 	void shouldKeepARequestOnce(String entry, long number, int size) {
 		this.line.add(request(1, NOW));
-		this.line.add(new SlotRequest(entry, number, "r", "svc", "d1", Set.of(), NOW));
+		this.line.add(new SlotRequest(entry, number, "r", "svc", "d1", Set.of(), NOW, NOW));
 		assertThat(this.line.size()).isEqualTo(size);
 	}
 
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/peer/LoadExchangeTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/peer/LoadExchangeTests.java
@@ -1,16 +1,12 @@
 package org.ragworthook.gateway.peer;
 
-import java.net.DatagramSocket;
-import java.net.SocketException;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
-import java.util.function.BooleanSupplier;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -34,8 +30,6 @@
  */
 class LoadExchangeTests {
 
-	private static final long LIMIT_SECONDS = 30;
-
 	private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
 	private final EventLoop loop = (EventLoop) this.group.next();
@@ -48,15 +42,6 @@
 		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
 	}
 
-	private static Address free() {
-		try (DatagramSocket socket = new DatagramSocket()) {
-			return new Address("127.0.0.1", socket.getLocalPort());
-		}
-		catch (SocketException ex) {
-			throw new AssertionError("no free port", ex);
-		}
-	}
-
 	private static UpstreamRegistry registry() {
 		UpstreamRegistry registry = UpstreamRegistry.empty();
 		registry.put(new UpstreamEntry("u-1", "svc", new Address("10.0.0.1", 80), "a", 8, false));
@@ -68,18 +53,10 @@
 				SuspectRequests.none(Ticker.system()), new PeerSettings(name, 1, address, runsJobs)));
 	}
 
-	private static void until(BooleanSupplier condition) throws InterruptedException {
-		long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(LIMIT_SECONDS);
-		while (!condition.getAsBoolean()) {
-			assertThat(System.nanoTime() - end).isLessThan(0L);
-			new CountDownLatch(1).await(5, TimeUnit.MILLISECONDS);
-		}
-	}
-
 	@Test
 	void shouldCountWhatPeersHaveAtUpstreams() throws InterruptedException {
-		Address first = free();
-		Address second = free();
+		Address first = Loopback.free();
+		Address second = Loopback.free();
 		UpstreamRegistry mine = registry();
 		UpstreamRegistry other = registry();
 		exchange("a", first, mine, false);
@@ -87,11 +64,11 @@
 		TrackedUpstream theirs = other.serving("svc").get(0);
 		theirs.begin(WorkClass.ONLINE);
 		theirs.begin(WorkClass.BATCH);
-		until(() -> mine.serving("svc").get(0).load() == 2);
+		Loopback.until(() -> mine.serving("svc").get(0).load() == 2);
 		assertThat(mine.serving("svc").get(0).batchLoad()).isEqualTo(1);
 		theirs.end(WorkClass.ONLINE);
 		theirs.end(WorkClass.BATCH);
-		until(() -> mine.serving("svc").get(0).load() == 0);
+		Loopback.until(() -> mine.serving("svc").get(0).load() == 0);
 	}
 
 	/**
@@ -101,19 +78,19 @@
 	 */
 	@Test
 	void shouldTellWhichItemsWait() throws InterruptedException {
-		Address first = free();
+		Address first = Loopback.free();
 		AtomicReference<Optional<Map<Integer, Long>>> owned = new AtomicReference<>(Optional.empty());
 		LoadExchange entry = exchange("entry", first, registry(), false);
-		LoadExchange otherEntry = exchange("other", free(), registry(), false);
-		LoadExchange owner = exchange("owner", free(), registry(), true);
+		LoadExchange otherEntry = exchange("other", Loopback.free(), registry(), false);
+		LoadExchange owner = exchange("owner", Loopback.free(), registry(), true);
 		owner.backlog(owned::get);
 		otherEntry.accepted(() -> Map.of(7, 40L));
 		assertThat(entry.waiting(7)).isEqualTo(new WaitingTokens(false, 0));
 		otherEntry.introduce(first);
 		owner.introduce(first);
-		until(() -> entry.waiting(7).equals(new WaitingTokens(false, 40)));
+		Loopback.until(() -> entry.waiting(7).equals(new WaitingTokens(false, 40)));
 		owned.set(Optional.of(Map.of(7, 60L, 8, 1L)));
-		until(() -> entry.waiting(7).equals(new WaitingTokens(true, 100)));
+		Loopback.until(() -> entry.waiting(7).equals(new WaitingTokens(true, 100)));
 		assertThat(entry.waiting(8).tokens()).isEqualTo(1);
 		assertThat(owner.waiting(8)).isEqualTo(new WaitingTokens(true, 1));
 	}
@@ -125,8 +102,8 @@
 	 */
 	@Test
 	void shouldLeaveOutWhoLostTheStoreUnlessAllHave() throws InterruptedException {
-		Address first = free();
-		Address second = free();
+		Address first = Loopback.free();
+		Address second = Loopback.free();
 		AtomicBoolean firstLost = new AtomicBoolean();
 		AtomicBoolean secondLost = new AtomicBoolean();
 		LoadExchange a = exchange("a", first, registry(), true);
@@ -134,11 +111,11 @@
 		a.fleet().storeLost(firstLost::get);
 		b.fleet().storeLost(secondLost::get);
 		b.introduce(first);
-		until(() -> a.fleet().jobRunners().size() == 2);
+		Loopback.until(() -> a.fleet().jobRunners().size() == 2);
 		secondLost.set(true);
-		until(() -> a.fleet().jobRunners().equals(List.of("a")));
+		Loopback.until(() -> a.fleet().jobRunners().equals(List.of("a")));
 		firstLost.set(true);
-		until(() -> a.fleet().jobRunners().size() == 2);
+		Loopback.until(() -> a.fleet().jobRunners().size() == 2);
 	}
 
 	/**
@@ -147,13 +124,13 @@
 	 */
 	@Test
 	void shouldLeaveOutWhoLeaves() throws InterruptedException {
-		Address first = free();
+		Address first = Loopback.free();
 		LoadExchange a = exchange("a", first, registry(), true);
-		LoadExchange b = exchange("b", free(), registry(), true);
+		LoadExchange b = exchange("b", Loopback.free(), registry(), true);
 		b.introduce(first);
-		until(() -> a.fleet().jobRunners().size() == 2);
+		Loopback.until(() -> a.fleet().jobRunners().size() == 2);
 		b.leave();
-		until(() -> a.fleet().jobRunners().equals(List.of("a")));
+		Loopback.until(() -> a.fleet().jobRunners().equals(List.of("a")));
 	}
 
 	/**
@@ -163,15 +140,15 @@
 	@Test
 	void shouldNotBeSettledBeforeItsPeersAreHeard() throws InterruptedException {
 		ManualTime time = ManualTime.of();
-		Address first = free();
-		Address second = free();
+		Address first = Loopback.free();
+		Address second = Loopback.free();
 		LoadExchange late = this.closer.add(LoadExchange.start(this.loop, time, registry(), SuspectRequests.none(time),
 				new PeerSettings("a", 1, first, true)));
 		assertThat(late.fleet().settled()).isFalse();
 		late.introduce(second);
 		late.introduced();
 		exchange("b", second, registry(), true).introduce(first);
-		until(late.fleet()::settled);
+		Loopback.until(late.fleet()::settled);
 		assertThat(late.fleet().jobRunners()).containsExactly("a", "b");
 	}
 
@@ -182,8 +159,8 @@
 	void shouldBeSettledAfterAWhileThoughAPeerIsSilent() {
 		ManualTime time = ManualTime.of();
 		LoadExchange late = this.closer.add(LoadExchange.start(this.loop, time, registry(), SuspectRequests.none(time),
-				new PeerSettings("a", 1, free(), true)));
-		late.introduce(free());
+				new PeerSettings("a", 1, Loopback.free(), true)));
+		late.introduce(Loopback.free());
 		late.introduced();
 		time.advance(Duration.ofMillis(1_400));
 		assertThat(late.fleet().settled()).isFalse();
