--- a/modules/gateway/src/main/java/org/ragworthook/gateway/feed/FeedFollower.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/feed/FeedFollower.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.function.Supplier;
 
@@ -42,6 +43,9 @@
 
 	private boolean stopped;
 
+	/** Ends the pause in which changes gather, or empty while there is none. */
+	private Optional<Runnable> pauseEnd = Optional.empty();
+
 	private FeedFollower(Feed<T> feed, FeedListener<T> listener, Timers timers, Executor loop, Duration wait,
 			StoreHealth health, Supplier<Duration> gathering) {
 		this.feed = Objects.requireNonNull(feed, "feed is null");
@@ -123,10 +127,28 @@
 			watch(seen.version());
 		}
 		else {
-			this.timers.schedule(pause, () -> watch(seen.version()));
+			Runnable end = () -> endPause(seen.version());
+			Timers.Timer timer = this.timers.schedule(pause, end);
+			this.pauseEnd = Optional.of(() -> {
+				timer.cancel();
+				end.run();
+			});
 		}
 	}
 
+	private void endPause(long version) {
+		this.pauseEnd = Optional.empty();
+		watch(version);
+	}
+
+	/**
+	 * Learns that there is a change that is not to wait for others: the pause in which
+	 * changes gather is over.
+	 */
+	public void hurry() {
+		this.pauseEnd.ifPresent(Runnable::run);
+	}
+
 	private void answered() {
 		this.failures = 0;
 		this.health.answered();
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/feed/GatheringRule.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/feed/GatheringRule.java
@@ -27,6 +27,21 @@
 	 */
 	static final Duration MOST = Duration.ofMillis(400);
 
+	/**
+	 * How much each process that runs jobs adds to the pause between two looks for jobs:
+	 * all together then make some ten calls a second at most. Each new job was a call by
+	 * each of 15 such processes, an eighth of all calls of the store.
+	 */
+	private static final Duration PER_RUNNER = Duration.ofMillis(100);
+
+	/**
+	 * The longest pause between two looks for jobs. A job is run by one process, which is
+	 * told of it by the entry that accepted it, and looks at once. Where that news is
+	 * lost, a job begins this much later, a tenth of the time that a usual one has; the
+	 * end of a job has to be known within three seconds.
+	 */
+	static final Duration MOST_JOBS = Duration.ofMillis(1_500);
+
 	private GatheringRule() {
 	}
 
@@ -36,8 +51,21 @@
 	 * @return the pause
 	 */
 	public static Duration pause(int processes) {
-		Duration pause = PER_PROCESS.multipliedBy(Math.max(0, processes - 1));
-		return (pause.compareTo(MOST) < 0) ? pause : MOST;
+		return pause(PER_PROCESS, processes, MOST);
+	}
+
+	/**
+	 * Returns the pause after new jobs were seen.
+	 * @param runners how many processes run jobs, this one included
+	 * @return the pause
+	 */
+	public static Duration pauseForJobs(int runners) {
+		return pause(PER_RUNNER, runners, MOST_JOBS);
+	}
+
+	private static Duration pause(Duration each, int processes, Duration most) {
+		Duration pause = each.multipliedBy(Math.max(0, processes - 1));
+		return (pause.compareTo(most) < 0) ? pause : most;
 	}
 
 }
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobLoading.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobLoading.java
@@ -22,17 +22,21 @@
 
 	private final ProgressKeeper progress;
 
+	private final ListingClaims claims;
+
 	private final Runnable loaded;
 
 	/**
 	 * Makes what loads jobs.
 	 * @param parts the store and the loop
 	 * @param progress how far items are
+	 * @param claims learns what was read
 	 * @param loaded runs when a job is ready
 	 */
-	JobLoading(JobRunner.Parts parts, ProgressKeeper progress, Runnable loaded) {
+	JobLoading(JobRunner.Parts parts, ProgressKeeper progress, ListingClaims claims, Runnable loaded) {
 		this.parts = Objects.requireNonNull(parts, "parts is null");
 		this.progress = Objects.requireNonNull(progress, "progress is null");
+		this.claims = Objects.requireNonNull(claims, "claims is null");
 		this.loaded = Objects.requireNonNull(loaded, "loaded is null");
 	}
 
@@ -52,6 +56,7 @@
 			else {
 				job.resultsKnown();
 				job.open();
+				this.claims.read(job.job().id(), false);
 				ready(job);
 			}
 		}, this.parts.loop()).exceptionally((failure) -> later(job, failure));
@@ -65,6 +70,7 @@
 				segments(job);
 				return;
 			}
+			this.claims.read(job.job().id(), true);
 			goOn(job);
 		}, this.parts.loop()).exceptionally((failure) -> later(job, failure));
 	}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobReader.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobReader.java
@@ -3,10 +3,12 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
 import org.ragworthook.core.log.EventLog;
@@ -15,7 +17,8 @@
 /**
  * Reads jobs and their results for callers. What was read once never changes and is kept;
  * what is not known here is asked of the store, so that no process shows less than
- * another one has shown. Used on the event loop.
+ * another one has shown, unless the processes that run jobs tell for sure that there is
+ * nothing yet. Used on the event loop.
  */
 public final class JobReader {
 
@@ -29,25 +32,39 @@
 
 	private final JobStore store;
 
+	private final ListingNews news;
+
 	private final Timers timers;
 
+	private final Set<WaitingRead> waiting = new LinkedHashSet<>();
+
 	private final Map<String, View> views = new LinkedHashMap<>(16, 0.75f, true);
 
 	private long keptChars;
 
-	private JobReader(JobStore store, Timers timers) {
+	private JobReader(JobStore store, ListingNews news, Timers timers) {
 		this.store = Objects.requireNonNull(store, "store is null");
+		this.news = Objects.requireNonNull(news, "news is null");
 		this.timers = Objects.requireNonNull(timers, "timers is null");
 	}
 
 	/**
 	 * Returns a reader that has read nothing.
 	 * @param store the jobs
+	 * @param news what is told of results that are listed
 	 * @param timers runs tasks later, on the event loop
 	 * @return the reader
 	 */
-	public static JobReader of(JobStore store, Timers timers) {
-		return new JobReader(store, timers);
+	public static JobReader of(JobStore store, ListingNews news, Timers timers) {
+		return new JobReader(store, news, timers);
+	}
+
+	/**
+	 * Learns that there is news of listings. Callers that wait for a result which is
+	 * listed now get it at once, and not when their wait is over.
+	 */
+	public void newsCame() {
+		List.copyOf(this.waiting).forEach(WaitingRead::look);
 	}
 
 	/**
@@ -74,9 +91,10 @@
 	}
 
 	private CompletableFuture<Optional<Page>> later(View view, int position, Duration wait) {
-		CompletableFuture<Optional<Page>> answer = new CompletableFuture<>();
-		this.timers.schedule(wait, () -> answer.complete(Optional.of(view.page(position))));
-		return answer;
+		WaitingRead read = new WaitingRead(view, position);
+		this.waiting.add(read);
+		this.timers.schedule(wait, read::end);
+		return read.answer;
 	}
 
 	/**
@@ -86,9 +104,12 @@
 	 * @return whether there is a result there, or never will be
 	 */
 	private CompletableFuture<Boolean> more(View view, int position) {
-		if (position < view.outcomes.size() || view.outcomes.size() >= view.job.itemCount()) {
+		if (position < view.outcomes.size() || view.outcomes.size() >= view.itemCount) {
 			return CompletableFuture.completedFuture(true);
 		}
+		if (this.news.sure(view.jobId).filter((told) -> told.segmentsAtMost() <= view.segments).isPresent()) {
+			return CompletableFuture.completedFuture(false);
+		}
 		int number = view.segments;
 		return segment(view, position).thenCompose((segment) -> {
 			if (segment.isEmpty()) {
@@ -109,8 +130,8 @@
 	 * @return the segment, or empty if there is none yet
 	 */
 	private CompletableFuture<Optional<List<ItemOutcome>>> segment(View view, int position) {
-		return (position > view.outcomes.size()) ? this.store.olderSegment(view.job.id(), view.segments)
-				: this.store.segment(view.job.id(), view.segments);
+		return (position > view.outcomes.size()) ? this.store.olderSegment(view.jobId, view.segments)
+				: this.store.segment(view.jobId, view.segments);
 	}
 
 	private void add(View view, List<ItemOutcome> segment) {
@@ -119,8 +140,8 @@
 		long chars = segment.stream().mapToLong((outcome) -> outcome.output().length()).sum();
 		view.chars += chars;
 		this.keptChars += chars;
-		LOG.info("results_read", "job", view.job.id(), "segment", view.segments - 1, "listed", view.outcomes.size(),
-				"total", view.job.itemCount());
+		LOG.info("results_read", "job", view.jobId, "segment", view.segments - 1, "listed", view.outcomes.size(),
+				"total", view.itemCount);
 		trim(view);
 	}
 
@@ -140,14 +161,22 @@
 		if (known != null) {
 			return CompletableFuture.completedFuture(Optional.of(known));
 		}
+		Optional<ResultListing> told = this.news.sure(jobId);
+		if (told.isPresent()) {
+			return CompletableFuture.completedFuture(Optional.of(view(jobId, told.get().items())));
+		}
 		return this.store.readOlder(jobId).thenApply((found) -> {
 			if (found.isEmpty()) {
 				return Optional.<View>empty();
 			}
-			return Optional.of(this.views.computeIfAbsent(jobId, (id) -> new View(found.get().withItems(List.of()))));
+			return Optional.of(view(jobId, found.get().itemCount()));
 		});
 	}
 
+	private View view(String jobId, int itemCount) {
+		return this.views.computeIfAbsent(jobId, (id) -> new View(id, itemCount));
+	}
+
 	/**
 	 * Reads the body of an item.
 	 * @param jobId the job
@@ -181,7 +210,9 @@
 
 	private static final class View {
 
-		private final Job job;
+		private final String jobId;
+
+		private final int itemCount;
 
 		private final List<ItemOutcome> outcomes = new ArrayList<>();
 
@@ -189,8 +220,9 @@
 
 		private long chars;
 
-		View(Job job) {
-			this.job = job;
+		View(String jobId, int itemCount) {
+			this.jobId = jobId;
+			this.itemCount = itemCount;
 		}
 
 		Page page(int position) {
@@ -204,7 +236,52 @@
 				}
 				page.add(outcome);
 			}
-			return new Page(this.job.itemCount(), position, page);
+			return new Page(this.itemCount, position, page);
+		}
+
+	}
+
+	/**
+	 * A read whose caller waits for a result.
+	 */
+	private final class WaitingRead {
+
+		private final View view;
+
+		private final int position;
+
+		private final CompletableFuture<Optional<Page>> answer = new CompletableFuture<>();
+
+		private boolean reading;
+
+		WaitingRead(View view, int position) {
+			this.view = view;
+			this.position = position;
+		}
+
+		/**
+		 * Reads on if news tells of more than was read.
+		 */
+		void look() {
+			boolean more = JobReader.this.news.sure(this.view.jobId)
+				.filter((told) -> told.segmentsAtMost() > this.view.segments)
+				.isPresent();
+			if (!more || this.reading) {
+				return;
+			}
+			this.reading = true;
+			more(this.view, this.position).whenComplete((ready, failure) -> {
+				this.reading = false;
+				if (failure == null && ready) {
+					end();
+				}
+			});
+		}
+
+		void end() {
+			if (JobReader.this.waiting.remove(this)) {
+				this.answer.complete(Optional.of(this.view.page(this.position)));
+			}
 		}
 
 	}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
@@ -8,10 +8,12 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.function.BooleanSupplier;
 import java.util.function.DoubleSupplier;
+import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 
 import org.ragworthook.core.log.EventLog;
@@ -59,6 +61,8 @@
 
 	private final ResultLister lister;
 
+	private final ListingClaims claims;
+
 	private boolean stopped;
 
 	private volatile boolean wanting;
@@ -69,8 +73,9 @@
 		this.parts = parts;
 		this.placing = new ItemPlacing(parts, this.order, new Runs());
 		this.progress = new ProgressKeeper(parts.progress(), parts.ticker(), parts.loop());
-		this.loading = new JobLoading(parts, this.progress, this::pump);
-		this.lister = new ResultLister(parts, this::pump);
+		this.claims = new ListingClaims(parts.ticker(), parts.pauses(), parts.processes());
+		this.loading = new JobLoading(parts, this.progress, this.claims, this::pump);
+		this.lister = new ResultLister(parts, this.claims, this::pump);
 	}
 
 	/**
@@ -175,6 +180,16 @@
 		return Optional.of(tokens);
 	}
 
+	/**
+	 * Returns what entries are to know of the results that are listed.
+	 * @return the listings of the jobs that this process runs, and of those that it has
+	 * listed results of lately
+	 */
+	public List<ResultListing> listings() {
+		this.claims.look();
+		return this.jobs.values().stream().flatMap((job) -> this.claims.listing(job).stream()).toList();
+	}
+
 	/**
 	 * Tells whether items wait for a slot.
 	 * @return whether some did when it was last looked
@@ -334,12 +349,15 @@
 	 * @param loop the event loop
 	 * @param metrics counts what happens
 	 * @param queuePatience how long an item may be without an answer at an engine
+	 * @param pauses how often this process was paused so far
+	 * @param processes the runs of processes that may own jobs, as far as this one hears
+	 * @param tellListings tells the peers what has changed of the listings
 	 */
 	public record Parts(JobStore store, ProgressStore progress, JobOwners owners, BooleanSupplier settled,
 			Supplier<BatchTurns> turns, ConfigurationInForce configuration, UpstreamRegistry upstreams,
 			Placement placement, ConnectionPool connections, HeaderNames headers, Ticker ticker,
 			Supplier<Long> wallMillis, Timers timers, DoubleSupplier draw, Executor loop, GatewayMetrics metrics,
-			Duration queuePatience) {
+			Duration queuePatience, IntSupplier pauses, Supplier<Set<String>> processes, Runnable tellListings) {
 	}
 
 }
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/OwnedJob.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/OwnedJob.java
@@ -82,6 +82,14 @@
 		return this.segments;
 	}
 
+	/**
+	 * Returns how many segments the store may have from this process.
+	 * @return those that it has for sure, and the one that is being written
+	 */
+	int segmentsAtMost() {
+		return this.segments + (this.writing ? 1 : 0);
+	}
+
 	/**
 	 * Takes in a segment of results that the store has. One can be seen twice: its
 	 * writing is answered late, and it is read meanwhile.
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ResultLister.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ResultLister.java
@@ -20,15 +20,19 @@
 
 	private final JobRunner.Parts parts;
 
+	private final ListingClaims claims;
+
 	private final Runnable listed;
 
 	/**
 	 * Makes what lists results.
 	 * @param parts the store, the time and the loop
+	 * @param claims learns what is written
 	 * @param listed runs when results were listed
 	 */
-	ResultLister(JobRunner.Parts parts, Runnable listed) {
+	ResultLister(JobRunner.Parts parts, ListingClaims claims, Runnable listed) {
 		this.parts = Objects.requireNonNull(parts, "parts is null");
+		this.claims = Objects.requireNonNull(claims, "claims is null");
 		this.listed = Objects.requireNonNull(listed, "listed is null");
 	}
 
@@ -56,6 +60,8 @@
 			return;
 		}
 		job.writing(true);
+		this.claims.writing(job.job().id());
+		this.parts.tellListings().run();
 		int number = job.segments();
 		List<ItemOutcome> outcomes = job.unlisted();
 		this.parts.store().append(job.job().id(), number, outcomes).thenAcceptAsync((written) -> {
@@ -64,9 +70,12 @@
 					written, "open_items", job.openCount());
 			if (written) {
 				job.listed(number, outcomes);
+				this.claims.written(job.job().id());
+				this.parts.tellListings().run();
 				this.listed.run();
 			}
 			else {
+				this.claims.forget(job.job().id());
 				job.stopRuns();
 				job.phase(OwnedJob.Phase.KNOWN);
 			}
@@ -75,6 +84,7 @@
 					Failures.root(failure));
 			this.parts.timers().schedule(AGAIN, () -> {
 				job.writing(false);
+				this.claims.forget(job.job().id());
 				if (job.phase() == OwnedJob.Phase.READY) {
 					job.stopRuns();
 					job.phase(OwnedJob.Phase.KNOWN);
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/Backlog.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/Backlog.java
@@ -9,7 +9,7 @@
 
 /**
  * What all processes have accepted and not finished of batch jobs, for the decision
- * whether another one fits.
+ * whether another one fits, and what this process tells them of jobs.
  */
 public interface Backlog {
 
@@ -39,4 +39,11 @@
 	 */
 	void tell();
 
+	/**
+	 * Tells the process that runs a job that the store has it anew, or as ended.
+	 * @param jobId the job
+	 * @param ended whether it was ended
+	 */
+	void changed(String jobId, boolean ended);
+
 }
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/JobAdmission.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/JobAdmission.java
@@ -83,6 +83,14 @@
 		decide(submission, this.backlog.reported(route));
 	}
 
+	/**
+	 * Learns that a caller has ended a job.
+	 * @param jobId the job
+	 */
+	void ended(String jobId) {
+		this.backlog.changed(jobId, true);
+	}
+
 	private void decide(Submission submission, WaitingTokens others) {
 		switch (this.quota.decide(submission.route, submission.job.tokens(), others)) {
 			case FITS -> {
@@ -172,6 +180,7 @@
 		this.store.create(job).whenCompleteAsync((fresh, failure) -> {
 			if (failure == null) {
 				LOG.info("job_accepted", "job", job.id(), "items", job.itemCount(), "fresh", fresh);
+				this.backlog.changed(job.id(), false);
 				reply.status(202, "", Optional.empty());
 				return;
 			}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/JobDesk.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/JobDesk.java
@@ -154,6 +154,7 @@
 			}
 			else if (found) {
 				LOG.info("job_end_accepted", "job", call.jobId());
+				this.admission.ended(call.jobId());
 				reply.status(200, "", Optional.empty());
 			}
 			else {
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/peer/FleetView.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/peer/FleetView.java
@@ -1,8 +1,11 @@
 package org.ragworthook.gateway.peer;
 
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
 
@@ -15,7 +18,7 @@
  */
 public final class FleetView {
 
-	/** How long a list of the owners of jobs is used: the time between two reports. */
+	/** How long what is put together of reports is used: the time between two. */
 	private static final Duration KEPT = Duration.ofMillis(100);
 
 	private final Ticker ticker;
@@ -35,6 +38,11 @@
 
 	private long runnersNanos;
 
+	/** The runs of the owners of jobs as they were put together last. */
+	private Set<String> runs = Set.of();
+
+	private long runsNanos;
+
 	FleetView(Ticker ticker, PeerTable peers, PeerSettings self) {
 		this.ticker = Objects.requireNonNull(ticker, "ticker is null");
 		this.peers = Objects.requireNonNull(peers, "peers is null");
@@ -126,6 +134,43 @@
 		return Stream.concat(heard, Stream.of(this.self.instance()).filter((name) -> self)).toList();
 	}
 
+	/**
+	 * Returns what all processes that may run jobs tell. One that has never been heard
+	 * may be such a process; one that has said that it leaves is none any longer.
+	 * @param age how old the newest report of each may be
+	 * @return the reports, or empty if one of the processes was not heard in that time
+	 */
+	public Optional<List<LoadReport>> allRunners(Duration age) {
+		return this.peers.allRunners(age);
+	}
+
+	/**
+	 * Returns the runs of the processes that may own jobs: those that this one hears, and
+	 * those that it is told of. They are put together anew once a round.
+	 * @return a text for each run
+	 */
+	public Set<String> runnerRuns() {
+		long now = this.ticker.nanos();
+		if (this.runs.isEmpty() || now - this.runsNanos >= KEPT.toNanos()) {
+			this.runs = runs();
+			this.runsNanos = now;
+		}
+		return this.runs;
+	}
+
+	private Set<String> runs() {
+		Set<String> runs = new HashSet<>();
+		for (LoadReport report : this.peers.fresh()) {
+			if (report.getRunsJobs()) {
+				runs.add(report.getInstance() + '@' + report.getStartedMillis() + report.getLeaving()
+						+ report.getStoreLost());
+			}
+			report.getHeardRunnersList().forEach((told) -> runs.add(told.getInstance()));
+		}
+		runs.add(this.self.instance() + hasLostStore());
+		return runs;
+	}
+
 	/**
 	 * Tells whether this process knows what its peers do; until then it leaves jobs
 	 * alone.
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/peer/LoadExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/peer/LoadExchange.java
@@ -229,7 +229,7 @@
 	private void round() {
 		List<UpstreamLoad> now = loads();
 		boolean same = now.equals(this.lastSent) && this.lastWanting == this.wantsSlots.getAsBoolean()
-				&& !this.backlogs.changed();
+				&& !this.backlogs.changed() && this.parts.stream().noneMatch(ReportPart::news);
 		if (same && ++this.quietRounds < QUIET_ROUNDS) {
 			return;
 		}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/peer/PeerTable.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/peer/PeerTable.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -108,6 +109,30 @@
 		return this.peers.values().stream().flatMap((peer) -> peer.report(since).stream()).toList();
 	}
 
+	/**
+	 * Returns what all peers that may run jobs tell.
+	 * @param age how old the newest report of each may be
+	 * @return the reports, or empty if one of the peers was not heard in that time
+	 */
+	Optional<List<LoadReport>> allRunners(Duration age) {
+		long since = this.ticker.nanos() - age.toNanos();
+		List<LoadReport> reports = new ArrayList<>();
+		for (Peer peer : this.peers.values()) {
+			Optional<LoadReport> newest = peer.newest();
+			boolean entry = newest.isPresent() && !newest.get().getRunsJobs();
+			boolean left = newest.isPresent() && newest.get().getLeaving();
+			if (entry || left) {
+				continue;
+			}
+			Optional<LoadReport> heard = peer.report(since);
+			if (heard.isEmpty()) {
+				return Optional.empty();
+			}
+			reports.add(heard.get());
+		}
+		return Optional.of(reports);
+	}
+
 	/**
 	 * Returns what a peer has told, if it is heard.
 	 * @param peer the peer
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/peer/ReportPart.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/peer/ReportPart.java
@@ -7,6 +7,14 @@
  */
 public interface ReportPart {
 
+	/**
+	 * Tells whether the next round is to send a report though the loads are as before.
+	 * @return whether there is news
+	 */
+	default boolean news() {
+		return false;
+	}
+
 	/**
 	 * Adds to a report that is about to be sent.
 	 * @param report the report
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
@@ -34,6 +34,7 @@
 import org.ragworthook.gateway.feed.UpstreamFeedListener;
 import org.ragworthook.gateway.http.ConnectionPool;
 import org.ragworthook.gateway.job.Job;
+import org.ragworthook.gateway.job.JobOwners;
 import org.ragworthook.gateway.job.JobReader;
 import org.ragworthook.gateway.job.JobRunner;
 import org.ragworthook.gateway.job.JobStore;
@@ -42,6 +43,8 @@
 import org.ragworthook.gateway.online.Frontend;
 import org.ragworthook.gateway.online.OnlineContext;
 import org.ragworthook.gateway.online.OnlinePart;
+import org.ragworthook.gateway.peer.ChangedJobs;
+import org.ragworthook.gateway.peer.ListingReports;
 import org.ragworthook.gateway.peer.LoadExchange;
 import org.ragworthook.gateway.peer.PeerDirectory;
 import org.ragworthook.gateway.peer.PeerSettings;
@@ -112,6 +115,12 @@
 
 	private final LoadExchange loads;
 
+	private final PauseWatch pauses;
+
+	private final ListingReports listings;
+
+	private final ChangedJobs changedJobs;
+
 	private final DispatchReports dispatch;
 
 	private final DispatchClient slots;
@@ -144,6 +153,9 @@
 		this.jobs = JobStore.of(this.platform.store(), this.writer);
 		PeerSettings self = new PeerSettings(settings.instance(), started, settings.peers(), settings.runsJobs());
 		this.loads = LoadExchange.start(this.loop, this.ticker, this.upstreams, this.suspects, self);
+		this.pauses = PauseWatch.start(this.ticker, this.timers);
+		this.listings = ListingReports.on(this.loads, this.pauses::steady);
+		this.changedJobs = ChangedJobs.on(this.loads, this.ticker);
 		this.dispatch = DispatchReports.on(this.loads, this.loop, this.ticker, settings.instance(),
 				settings.failureDomain());
 		this.slots = DispatchClient.of(this.ticker, this.timers, this.dispatch);
@@ -176,12 +188,12 @@
 		this.loads.fleet().storeLost(() -> this.health.lostFor().compareTo(IsolationRule.STORE_LOST) >= 0);
 		follow(this.platform.upstreams(), this.upstreamFeed, this::gathering);
 		follow(this.platform.configuration(), new ConfigurationListener(), AT_ONCE);
-		if (this.settings.front().isPresent()) {
-			serveCallers(placement, connections);
-		}
 		if (this.settings.runsJobs()) {
 			runJobs(placement, connections);
 		}
+		if (this.settings.front().isPresent()) {
+			serveCallers(placement, connections);
+		}
 	}
 
 	/**
@@ -212,8 +224,11 @@
 		return GatheringRule.pause(this.loads.fleet().peerView().known() + 1);
 	}
 
-	private <T> void follow(Feed<T> feed, FeedListener<T> listener, Supplier<Duration> gathering) {
-		this.followers.add(FeedFollower.start(feed, listener, this.timers, this.loop, WATCH, this.health, gathering));
+	private <T> FeedFollower<T> follow(Feed<T> feed, FeedListener<T> listener, Supplier<Duration> gathering) {
+		FeedFollower<T> follower = FeedFollower.start(feed, listener, this.timers, this.loop, WATCH, this.health,
+				gathering);
+		this.followers.add(follower);
+		return follower;
 	}
 
 	private void serveCallers(Placement placement, ConnectionPool connections) {
@@ -221,8 +236,10 @@
 				UnheardRequests.of(this.ticker, LoadExchange.MEAN_AGE, this.loads.fleet()::otherEntries), connections,
 				this.platform.headers(), this.ticker, this.timers, ThreadLocalRandom.current(), this.suspects,
 				this.metrics, this.slots, this.dispatch::loadChanged, this.loads::urge);
-		Frontend front = OnlinePart.of(this.vertx, context, this.jobs, JobReader.of(this.jobs, this.timers),
-				this.platform.jobFormat(), this.loop, this.health::up, new JobBacklog(this.loads, this.platform::jobs));
+		JobReader reader = JobReader.of(this.jobs, this.listings, this.timers);
+		this.listings.onNews(reader::newsCame);
+		Frontend front = OnlinePart.of(this.vertx, context, this.jobs, reader, this.platform.jobFormat(), this.loop,
+				this.health::up, new JobBacklog(this.loads, this.changedJobs, this.platform::jobs));
 		this.frontend = Optional.of(front);
 		this.loads.onReport(front::roomChanged);
 		Address address = this.settings.front().orElseThrow();
@@ -239,23 +256,35 @@
 	private void runJobs(Placement placement, ConnectionPool connections) {
 		ProgressStore progress = ProgressStore.of(this.platform.store(), this.writer, this.platform.progress(),
 				this.settings.instance());
-		JobRunner jobRunner = JobRunner.of(new JobRunner.Parts(this.jobs, progress,
-				RendezvousOwners.of(this.settings.instance(), this.loads.fleet()::jobRunners),
-				this.loads.fleet()::settled, this.loads.fleet()::turns, this.configuration, this.upstreams, placement,
-				connections, this.platform.headers(), this.ticker, System::currentTimeMillis, this.timers,
-				ThreadLocalRandom.current()::nextDouble, this.loop, this.metrics, this.settings.queuePatience()));
+		JobOwners owners = RendezvousOwners.of(this.settings.instance(), this.loads.fleet()::jobRunners);
+		JobRunner jobRunner = JobRunner.of(new JobRunner.Parts(this.jobs, progress, owners, this.loads.fleet()::settled,
+				this.loads.fleet()::turns, this.configuration, this.upstreams, placement, connections,
+				this.platform.headers(), this.ticker, System::currentTimeMillis, this.timers,
+				ThreadLocalRandom.current()::nextDouble, this.loop, this.metrics, this.settings.queuePatience(),
+				this.pauses::pauses, this.loads.fleet()::runnerRuns, this.loads::urge));
 		this.runner = Optional.of(jobRunner);
 		this.dispatch.dispatcher(
 				Dispatcher.of(this.upstreams, this.ticker, ThreadLocalRandom.current(), firstGrant(), this.dispatch));
 		this.loads.wantsSlots(jobRunner::wanting);
 		this.loads.backlog(jobRunner::backlog);
+		this.listings.own(jobRunner::listings);
 		this.loads.onReport(jobRunner::giveWay);
-		follow(this.platform.jobs(), new JobListener(jobRunner), this::gathering);
+		followJobs(jobRunner, owners);
 		follow(this.platform.retirements(), new Retirement(this.settings.instance(), this.loads, jobRunner,
 				this.platform::retired, this.timers, this.loop), AT_ONCE);
 		jobRunner.start();
 	}
 
+	private void followJobs(JobRunner jobRunner, JobOwners owners) {
+		FeedFollower<Job> follower = follow(this.platform.jobs(), new JobListener(jobRunner),
+				() -> GatheringRule.pauseForJobs(this.loads.fleet().heardRunners().size()));
+		this.changedJobs.onChange((jobId) -> {
+			if (owners.own(jobId)) {
+				follower.hurry();
+			}
+		});
+	}
+
 	/**
 	 * Returns a number above those of an earlier run's grants, of which there were fewer
 	 * than one in a microsecond.
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/JobBacklog.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/JobBacklog.java
@@ -8,6 +8,7 @@
 import org.ragworthook.gateway.feed.Feed;
 import org.ragworthook.gateway.job.Job;
 import org.ragworthook.gateway.online.Backlog;
+import org.ragworthook.gateway.peer.ChangedJobs;
 import org.ragworthook.gateway.peer.LoadExchange;
 import org.ragworthook.gateway.peer.WaitingTokens;
 import org.ragworthook.gateway.route.Route;
@@ -20,10 +21,13 @@
 
 	private final LoadExchange loads;
 
+	private final ChangedJobs changes;
+
 	private final Supplier<Feed<Job>> jobs;
 
-	JobBacklog(LoadExchange loads, Supplier<Feed<Job>> jobs) {
+	JobBacklog(LoadExchange loads, ChangedJobs changes, Supplier<Feed<Job>> jobs) {
 		this.loads = Objects.requireNonNull(loads, "loads is null");
+		this.changes = Objects.requireNonNull(changes, "changes is null");
 		this.jobs = Objects.requireNonNull(jobs, "jobs is null");
 	}
 
@@ -54,4 +58,9 @@
 		this.loads.urge();
 	}
 
+	@Override
+	public void changed(String jobId, boolean ended) {
+		this.changes.changed(jobId, ended);
+	}
+
 }
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/feed/FeedFollowerTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/feed/FeedFollowerTests.java
@@ -70,8 +70,47 @@
 		assertThat(this.seen).containsExactly("first", "second").inOrder();
 	}
 
-	private void follow(int processes) {
+	/**
+	 * Every process that runs jobs watches them, and each job is run by one. Looked at by
+	 * all at once, each new job was as many calls as there are such processes.
+	 * @param runners how many processes run jobs
+	 * @param mostCalls how many calls one of them may make for 30 jobs in 18 seconds
+	 */
+	@ParameterizedTest
+	@CsvSource({ "1, 31", "4, 31", "15, 13", "300, 13" })
+	void shouldLookForJobsSeldomInALargeFleet(int runners, int mostCalls) {
 		FeedFollower.start(this.collection, new Listener(), this.time, Runnable::run, WAIT,
+				StoreHealth.unknown(this.time), () -> GatheringRule.pauseForJobs(runners));
+		int before = this.collection.calls;
+		for (int i = 0; i < 30; i++) {
+			this.collection.change("job" + i);
+			this.time.advance(Duration.ofMillis(600));
+		}
+		this.time.advance(GatheringRule.MOST_JOBS);
+		assertThat(this.seen).hasSize(30);
+		assertThat(this.collection.calls - before).isAtMost(mostCalls);
+	}
+
+	/**
+	 * A job is accepted while its owner lets jobs gather. The entry that accepted it
+	 * tells the owner, and its items need not wait.
+	 */
+	@Test
+	void shouldLookAtOnceWhenToldOfAJob() {
+		FeedFollower<String> follower = follow(300);
+		this.collection.change("first");
+		this.collection.change("second");
+		assertThat(this.seen).containsExactly("first");
+		follower.hurry();
+		assertThat(this.seen).containsExactly("first", "second").inOrder();
+		follower.hurry();
+		this.time.advance(GatheringRule.MOST);
+		this.collection.change("third");
+		assertThat(this.seen).containsExactly("first", "second", "third").inOrder();
+	}
+
+	private FeedFollower<String> follow(int processes) {
+		return FeedFollower.start(this.collection, new Listener(), this.time, Runnable::run, WAIT,
 				StoreHealth.unknown(this.time), () -> GatheringRule.pause(processes));
 	}
 
--- a/modules/wire/src/main/java/org/ragworthook/wire/load/Load.java
+++ b/modules/wire/src/main/java/org/ragworthook/wire/load/Load.java
@@ -31,6 +31,16 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_ragworthook_LoadReport_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ragworthook_ChangedJob_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ragworthook_ChangedJob_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ragworthook_JobListing_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ragworthook_JobListing_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_ragworthook_SlotAsk_descriptor;
   static final 
@@ -70,7 +80,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\nload.proto\022\013ragworthook\"\366\003\n\nLoadReport" +
+      "\n\nload.proto\022\013ragworthook\"\320\004\n\nLoadReport" +
       "\022\020\n\010instance\030\001 \001(\t\022\026\n\016started_millis\030\002 \001" +
       "(\004\022\020\n\010sequence\030\003 \001(\004\022\014\n\004host\030\004 \001(\t\022\014\n\004po" +
       "rt\030\005 \001(\r\022\021\n\truns_jobs\030\006 \001(\010\022\017\n\007leaving\030\007" +
@@ -83,19 +93,24 @@
       "known\030\016 \001(\010\022\"\n\004asks\030\017 \003(\0132\024.ragworthook." +
       "SlotAsk\022(\n\007answers\030\020 \003(\0132\027.ragworthook.S" +
       "lotAnswer\022\022\n\ndispatcher\030\021 \001(\t\022\023\n\013grants_" +
-      "seen\030\022 \001(\004\"x\n\007SlotAsk\022\016\n\006number\030\001 \001(\004\022\017\n" +
-      "\007service\030\002 \001(\t\022\026\n\016failure_domain\030\003 \001(\t\022\016" +
-      "\n\006except\030\004 \003(\007\022\023\n\013goal_millis\030\005 \001(\021\022\017\n\007r" +
-      "equest\030\006 \001(\t\"\\\n\nSlotAnswer\022\016\n\006number\030\001 \001" +
-      "(\004\022\r\n\005waits\030\002 \001(\010\022\020\n\010upstream\030\003 \001(\007\022\016\n\006y" +
-      "ields\030\004 \001(\010\022\r\n\005grant\030\005 \001(\004\"3\n\013HeardRunne" +
-      "r\022\020\n\010instance\030\001 \001(\t\022\022\n\nstore_lost\030\002 \001(\010\"" +
-      "-\n\014RouteBacklog\022\r\n\005route\030\001 \001(\007\022\016\n\006tokens" +
-      "\030\002 \001(\004\"?\n\014UpstreamLoad\022\020\n\010upstream\030\001 \001(\007" +
-      "\022\016\n\006online\030\002 \001(\r\022\r\n\005batch\030\003 \001(\r\"5\n\016Suspe" +
-      "ctRequest\022\023\n\013fingerprint\030\001 \001(\006\022\016\n\006breaks" +
-      "\030\002 \001(\rB\035\n\031org.ragworthook.wire.loadP\001b\006p" +
-      "roto3"
+      "seen\030\022 \001(\004\022)\n\010listings\030\023 \003(\0132\027.ragwortho" +
+      "ok.JobListing\022-\n\014changed_jobs\030\024 \003(\0132\027.ra" +
+      "gworthook.ChangedJob\"(\n\nChangedJob\022\013\n\003jo" +
+      "b\030\001 \001(\t\022\r\n\005ended\030\002 \001(\010\"G\n\nJobListing\022\013\n\003" +
+      "job\030\001 \001(\t\022\r\n\005items\030\002 \001(\r\022\020\n\010segments\030\003 \001" +
+      "(\r\022\013\n\003all\030\004 \001(\010\"x\n\007SlotAsk\022\016\n\006number\030\001 \001" +
+      "(\004\022\017\n\007service\030\002 \001(\t\022\026\n\016failure_domain\030\003 " +
+      "\001(\t\022\016\n\006except\030\004 \003(\007\022\023\n\013goal_millis\030\005 \001(\021" +
+      "\022\017\n\007request\030\006 \001(\t\"\\\n\nSlotAnswer\022\016\n\006numbe" +
+      "r\030\001 \001(\004\022\r\n\005waits\030\002 \001(\010\022\020\n\010upstream\030\003 \001(\007" +
+      "\022\016\n\006yields\030\004 \001(\010\022\r\n\005grant\030\005 \001(\004\"3\n\013Heard" +
+      "Runner\022\020\n\010instance\030\001 \001(\t\022\022\n\nstore_lost\030\002" +
+      " \001(\010\"-\n\014RouteBacklog\022\r\n\005route\030\001 \001(\007\022\016\n\006t" +
+      "okens\030\002 \001(\004\"?\n\014UpstreamLoad\022\020\n\010upstream\030" +
+      "\001 \001(\007\022\016\n\006online\030\002 \001(\r\022\r\n\005batch\030\003 \001(\r\"5\n\016" +
+      "SuspectRequest\022\023\n\013fingerprint\030\001 \001(\006\022\016\n\006b" +
+      "reaks\030\002 \001(\rB\035\n\031org.ragworthook.wire.load" +
+      "P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -106,39 +121,51 @@
     internal_static_ragworthook_LoadReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragworthook_LoadReport_descriptor,
-        new java.lang.String[] { "Instance", "StartedMillis", "Sequence", "Host", "Port", "RunsJobs", "Leaving", "Loads", "Suspects", "StoreLost", "HeardRunners", "WantsSlots", "Backlogs", "BacklogKnown", "Asks", "Answers", "Dispatcher", "GrantsSeen", });
-    internal_static_ragworthook_SlotAsk_descriptor =
+        new java.lang.String[] { "Instance", "StartedMillis", "Sequence", "Host", "Port", "RunsJobs", "Leaving", "Loads", "Suspects", "StoreLost", "HeardRunners", "WantsSlots", "Backlogs", "BacklogKnown", "Asks", "Answers", "Dispatcher", "GrantsSeen", "Listings", "ChangedJobs", });
+    internal_static_ragworthook_ChangedJob_descriptor =
       getDescriptor().getMessageType(1);
+    internal_static_ragworthook_ChangedJob_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ragworthook_ChangedJob_descriptor,
+        new java.lang.String[] { "Job", "Ended", });
+    internal_static_ragworthook_JobListing_descriptor =
+      getDescriptor().getMessageType(2);
+    internal_static_ragworthook_JobListing_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ragworthook_JobListing_descriptor,
+        new java.lang.String[] { "Job", "Items", "Segments", "All", });
+    internal_static_ragworthook_SlotAsk_descriptor =
+      getDescriptor().getMessageType(3);
     internal_static_ragworthook_SlotAsk_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragworthook_SlotAsk_descriptor,
         new java.lang.String[] { "Number", "Service", "FailureDomain", "Except", "GoalMillis", "Request", });
     internal_static_ragworthook_SlotAnswer_descriptor =
-      getDescriptor().getMessageType(2);
+      getDescriptor().getMessageType(4);
     internal_static_ragworthook_SlotAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragworthook_SlotAnswer_descriptor,
         new java.lang.String[] { "Number", "Waits", "Upstream", "Yields", "Grant", });
     internal_static_ragworthook_HeardRunner_descriptor =
-      getDescriptor().getMessageType(3);
+      getDescriptor().getMessageType(5);
     internal_static_ragworthook_HeardRunner_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragworthook_HeardRunner_descriptor,
         new java.lang.String[] { "Instance", "StoreLost", });
     internal_static_ragworthook_RouteBacklog_descriptor =
-      getDescriptor().getMessageType(4);
+      getDescriptor().getMessageType(6);
     internal_static_ragworthook_RouteBacklog_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragworthook_RouteBacklog_descriptor,
         new java.lang.String[] { "Route", "Tokens", });
     internal_static_ragworthook_UpstreamLoad_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(7);
     internal_static_ragworthook_UpstreamLoad_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragworthook_UpstreamLoad_descriptor,
         new java.lang.String[] { "Upstream", "Online", "Batch", });
     internal_static_ragworthook_SuspectRequest_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(8);
     internal_static_ragworthook_SuspectRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragworthook_SuspectRequest_descriptor,
--- a/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReport.java
+++ b/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReport.java
@@ -42,6 +42,8 @@
     asks_ = java.util.Collections.emptyList();
     answers_ = java.util.Collections.emptyList();
     dispatcher_ = "";
+    listings_ = java.util.Collections.emptyList();
+    changedJobs_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -629,6 +631,128 @@
     return grantsSeen_;
   }
 
+  public static final int LISTINGS_FIELD_NUMBER = 19;
+  @SuppressWarnings("serial")
+  private java.util.List<org.ragworthook.wire.load.JobListing> listings_;
+  /**
+   * <pre>
+   * of a process that runs jobs
+   * </pre>
+   *
+   * <code>repeated .ragworthook.JobListing listings = 19;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.ragworthook.wire.load.JobListing> getListingsList() {
+    return listings_;
+  }
+  /**
+   * <pre>
+   * of a process that runs jobs
+   * </pre>
+   *
+   * <code>repeated .ragworthook.JobListing listings = 19;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.ragworthook.wire.load.JobListingOrBuilder> 
+      getListingsOrBuilderList() {
+    return listings_;
+  }
+  /**
+   * <pre>
+   * of a process that runs jobs
+   * </pre>
+   *
+   * <code>repeated .ragworthook.JobListing listings = 19;</code>
+   */
+  @java.lang.Override
+  public int getListingsCount() {
+    return listings_.size();
+  }
+  /**
+   * <pre>
+   * of a process that runs jobs
+   * </pre>
+   *
+   * <code>repeated .ragworthook.JobListing listings = 19;</code>
+   */
+  @java.lang.Override
+  public org.ragworthook.wire.load.JobListing getListings(int index) {
+    return listings_.get(index);
+  }
+  /**
+   * <pre>
+   * of a process that runs jobs
+   * </pre>
+   *
+   * <code>repeated .ragworthook.JobListing listings = 19;</code>
+   */
+  @java.lang.Override
+  public org.ragworthook.wire.load.JobListingOrBuilder getListingsOrBuilder(
+      int index) {
+    return listings_.get(index);
+  }
+
+  public static final int CHANGED_JOBS_FIELD_NUMBER = 20;
+  @SuppressWarnings("serial")
+  private java.util.List<org.ragworthook.wire.load.ChangedJob> changedJobs_;
+  /**
+   * <pre>
+   * by the sender, a moment ago
+   * </pre>
+   *
+   * <code>repeated .ragworthook.ChangedJob changed_jobs = 20;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.ragworthook.wire.load.ChangedJob> getChangedJobsList() {
+    return changedJobs_;
+  }
+  /**
+   * <pre>
+   * by the sender, a moment ago
+   * </pre>
+   *
+   * <code>repeated .ragworthook.ChangedJob changed_jobs = 20;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.ragworthook.wire.load.ChangedJobOrBuilder> 
+      getChangedJobsOrBuilderList() {
+    return changedJobs_;
+  }
+  /**
+   * <pre>
+   * by the sender, a moment ago
+   * </pre>
+   *
+   * <code>repeated .ragworthook.ChangedJob changed_jobs = 20;</code>
+   */
+  @java.lang.Override
+  public int getChangedJobsCount() {
+    return changedJobs_.size();
+  }
+  /**
+   * <pre>
+   * by the sender, a moment ago
+   * </pre>
+   *
+   * <code>repeated .ragworthook.ChangedJob changed_jobs = 20;</code>
+   */
+  @java.lang.Override
+  public org.ragworthook.wire.load.ChangedJob getChangedJobs(int index) {
+    return changedJobs_.get(index);
+  }
+  /**
+   * <pre>
+   * by the sender, a moment ago
+   * </pre>
+   *
+   * <code>repeated .ragworthook.ChangedJob changed_jobs = 20;</code>
+   */
+  @java.lang.Override
+  public org.ragworthook.wire.load.ChangedJobOrBuilder getChangedJobsOrBuilder(
+      int index) {
+    return changedJobs_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -697,6 +821,12 @@
     if (grantsSeen_ != 0L) {
       output.writeUInt64(18, grantsSeen_);
     }
+    for (int i = 0; i < listings_.size(); i++) {
+      output.writeMessage(19, listings_.get(i));
+    }
+    for (int i = 0; i < changedJobs_.size(); i++) {
+      output.writeMessage(20, changedJobs_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -800,6 +930,24 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(18, grantsSeen_);
     }
+
+        {
+          final int count = listings_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(listings_.get(i));
+          }
+          size += 2 * count;
+        }
+
+        {
+          final int count = changedJobs_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(changedJobs_.get(i));
+          }
+          size += 2 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -860,6 +1008,10 @@
         .equals(other.getDispatcher())) return false;
     if (getGrantsSeen()
         != other.getGrantsSeen()) return false;
+    if (!getListingsList()
+        .equals(other.getListingsList())) return false;
+    if (!getChangedJobsList()
+        .equals(other.getChangedJobsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -927,6 +1079,14 @@
     hash = (37 * hash) + GRANTS_SEEN_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getGrantsSeen());
+    if (getListingsCount() > 0) {
+      hash = (37 * hash) + LISTINGS_FIELD_NUMBER;
+      hash = (53 * hash) + getListingsList().hashCode();
+    }
+    if (getChangedJobsCount() > 0) {
+      hash = (37 * hash) + CHANGED_JOBS_FIELD_NUMBER;
+      hash = (53 * hash) + getChangedJobsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1117,6 +1277,20 @@
       bitField0_ = (bitField0_ & ~0x00008000);
       dispatcher_ = "";
       grantsSeen_ = 0L;
+      if (listingsBuilder_ == null) {
+        listings_ = java.util.Collections.emptyList();
+      } else {
+        listings_ = null;
+        listingsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00040000);
+      if (changedJobsBuilder_ == null) {
+        changedJobs_ = java.util.Collections.emptyList();
+      } else {
+        changedJobs_ = null;
+        changedJobsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00080000);
       return this;
     }
 
@@ -1204,6 +1378,24 @@
       } else {
         result.answers_ = answersBuilder_.build();
       }
+      if (listingsBuilder_ == null) {
+        if (((bitField0_ & 0x00040000) != 0)) {
+          listings_ = java.util.Collections.unmodifiableList(listings_);
+          bitField0_ = (bitField0_ & ~0x00040000);
+        }
+        result.listings_ = listings_;
+      } else {
+        result.listings_ = listingsBuilder_.build();
+      }
+      if (changedJobsBuilder_ == null) {
+        if (((bitField0_ & 0x00080000) != 0)) {
+          changedJobs_ = java.util.Collections.unmodifiableList(changedJobs_);
+          bitField0_ = (bitField0_ & ~0x00080000);
+        }
+        result.changedJobs_ = changedJobs_;
+      } else {
+        result.changedJobs_ = changedJobsBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.ragworthook.wire.load.LoadReport result) {
@@ -1456,6 +1648,58 @@
       if (other.getGrantsSeen() != 0L) {
         setGrantsSeen(other.getGrantsSeen());
       }
+      if (listingsBuilder_ == null) {
+        if (!other.listings_.isEmpty()) {
+          if (listings_.isEmpty()) {
+            listings_ = other.listings_;
+            bitField0_ = (bitField0_ & ~0x00040000);
+          } else {
+            ensureListingsIsMutable();
+            listings_.addAll(other.listings_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.listings_.isEmpty()) {
+          if (listingsBuilder_.isEmpty()) {
+            listingsBuilder_.dispose();
+            listingsBuilder_ = null;
+            listings_ = other.listings_;
+            bitField0_ = (bitField0_ & ~0x00040000);
+            listingsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetListingsFieldBuilder() : null;
+          } else {
+            listingsBuilder_.addAllMessages(other.listings_);
+          }
+        }
+      }
+      if (changedJobsBuilder_ == null) {
+        if (!other.changedJobs_.isEmpty()) {
+          if (changedJobs_.isEmpty()) {
+            changedJobs_ = other.changedJobs_;
+            bitField0_ = (bitField0_ & ~0x00080000);
+          } else {
+            ensureChangedJobsIsMutable();
+            changedJobs_.addAll(other.changedJobs_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.changedJobs_.isEmpty()) {
+          if (changedJobsBuilder_.isEmpty()) {
+            changedJobsBuilder_.dispose();
+            changedJobsBuilder_ = null;
+            changedJobs_ = other.changedJobs_;
+            bitField0_ = (bitField0_ & ~0x00080000);
+            changedJobsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetChangedJobsFieldBuilder() : null;
+          } else {
+            changedJobsBuilder_.addAllMessages(other.changedJobs_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1618,6 +1862,32 @@
               bitField0_ |= 0x00020000;
               break;
             } // case 144
+            case 154: {
+              org.ragworthook.wire.load.JobListing m =
+                  input.readMessage(
+                      org.ragworthook.wire.load.JobListing.parser(),
+                      extensionRegistry);
+              if (listingsBuilder_ == null) {
+                ensureListingsIsMutable();
+                listings_.add(m);
+              } else {
+                listingsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 154
+            case 162: {
+              org.ragworthook.wire.load.ChangedJob m =
+                  input.readMessage(
+                      org.ragworthook.wire.load.ChangedJob.parser(),
+                      extensionRegistry);
+              if (changedJobsBuilder_ == null) {
+                ensureChangedJobsIsMutable();
+                changedJobs_.add(m);
+              } else {
+                changedJobsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 162
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3889,6 +4159,618 @@
       return this;
     }
 
+    private java.util.List<org.ragworthook.wire.load.JobListing> listings_ =
+      java.util.Collections.emptyList();
+    private void ensureListingsIsMutable() {
+      if (!((bitField0_ & 0x00040000) != 0)) {
+        listings_ = new java.util.ArrayList<org.ragworthook.wire.load.JobListing>(listings_);
+        bitField0_ |= 0x00040000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.ragworthook.wire.load.JobListing, org.ragworthook.wire.load.JobListing.Builder, org.ragworthook.wire.load.JobListingOrBuilder> listingsBuilder_;
+
+    /**
+     * <pre>
+     * of a process that runs jobs
+     * </pre>
+     *
+     * <code>repeated .ragworthook.JobListing listings = 19;</code>
+     */
+    public java.util.List<org.ragworthook.wire.load.JobListing> getListingsList() {
+      if (listingsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(listings_);
+      } else {
+        return listingsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * of a process that runs jobs
+     * </pre>
+     *
+     * <code>repeated .ragworthook.JobListing listings = 19;</code>
+     */
+    public int getListingsCount() {
+      if (listingsBuilder_ == null) {
+        return listings_.size();
+      } else {
+        return listingsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * of a process that runs jobs
+     * </pre>
+     *
+     * <code>repeated .ragworthook.JobListing listings = 19;</code>
+     */
+    public org.ragworthook.wire.load.JobListing getListings(int index) {
+      if (listingsBuilder_ == null) {
+        return listings_.get(index);
+      } else {
+        return listingsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * of a process that runs jobs
+     * </pre>
+     *
+     * <code>repeated .ragworthook.JobListing listings = 19;</code>
+     */
+    public Builder setListings(
+        int index, org.ragworthook.wire.load.JobListing value) {
+      if (listingsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureListingsIsMutable();
+        listings_.set(index, value);
+        onChanged();
+      } else {
+        listingsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * of a process that runs jobs
+     * </pre>
+     *
+     * <code>repeated .ragworthook.JobListing listings = 19;</code>
+     */
+    public Builder setListings(
+        int index, org.ragworthook.wire.load.JobListing.Builder builderForValue) {
+      if (listingsBuilder_ == null) {
+        ensureListingsIsMutable();
+        listings_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        listingsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * of a process that runs jobs
+     * </pre>
+     *
+     * <code>repeated .ragworthook.JobListing listings = 19;</code>
+     */
+    public Builder addListings(org.ragworthook.wire.load.JobListing value) {
+      if (listingsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureListingsIsMutable();
+        listings_.add(value);
+        onChanged();
+      } else {
+        listingsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * of a process that runs jobs
+     * </pre>
+     *
+     * <code>repeated .ragworthook.JobListing listings = 19;</code>
+     */
+    public Builder addListings(
+        int index, org.ragworthook.wire.load.JobListing value) {
+      if (listingsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureListingsIsMutable();
+        listings_.add(index, value);
+        onChanged();
+      } else {
+        listingsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * of a process that runs jobs
+     * </pre>
+     *
+     * <code>repeated .ragworthook.JobListing listings = 19;</code>
+     */
+    public Builder addListings(
+        org.ragworthook.wire.load.JobListing.Builder builderForValue) {
+      if (listingsBuilder_ == null) {
+        ensureListingsIsMutable();
+        listings_.add(builderForValue.build());
+        onChanged();
+      } else {
+        listingsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * of a process that runs jobs
+     * </pre>
+     *
+     * <code>repeated .ragworthook.JobListing listings = 19;</code>
+     */
+    public Builder addListings(
+        int index, org.ragworthook.wire.load.JobListing.Builder builderForValue) {
+      if (listingsBuilder_ == null) {
+        ensureListingsIsMutable();
+        listings_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        listingsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * of a process that runs jobs
+     * </pre>
+     *
+     * <code>repeated .ragworthook.JobListing listings = 19;</code>
+     */
+    public Builder addAllListings(
+        java.lang.Iterable<? extends org.ragworthook.wire.load.JobListing> values) {
+      if (listingsBuilder_ == null) {
+        ensureListingsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, listings_);
+        onChanged();
+      } else {
+        listingsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * of a process that runs jobs
+     * </pre>
+     *
+     * <code>repeated .ragworthook.JobListing listings = 19;</code>
+     */
+    public Builder clearListings() {
+      if (listingsBuilder_ == null) {
+        listings_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00040000);
+        onChanged();
+      } else {
+        listingsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * of a process that runs jobs
+     * </pre>
+     *
+     * <code>repeated .ragworthook.JobListing listings = 19;</code>
+     */
+    public Builder removeListings(int index) {
+      if (listingsBuilder_ == null) {
+        ensureListingsIsMutable();
+        listings_.remove(index);
+        onChanged();
+      } else {
+        listingsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * of a process that runs jobs
+     * </pre>
+     *
+     * <code>repeated .ragworthook.JobListing listings = 19;</code>
+     */
+    public org.ragworthook.wire.load.JobListing.Builder getListingsBuilder(
+        int index) {
+      return internalGetListingsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * of a process that runs jobs
+     * </pre>
+     *
+     * <code>repeated .ragworthook.JobListing listings = 19;</code>
+     */
+    public org.ragworthook.wire.load.JobListingOrBuilder getListingsOrBuilder(
+        int index) {
+      if (listingsBuilder_ == null) {
+        return listings_.get(index);  } else {
+        return listingsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * of a process that runs jobs
+     * </pre>
+     *
+     * <code>repeated .ragworthook.JobListing listings = 19;</code>
+     */
+    public java.util.List<? extends org.ragworthook.wire.load.JobListingOrBuilder> 
+         getListingsOrBuilderList() {
+      if (listingsBuilder_ != null) {
+        return listingsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(listings_);
+      }
+    }
+    /**
+     * <pre>
+     * of a process that runs jobs
+     * </pre>
+     *
+     * <code>repeated .ragworthook.JobListing listings = 19;</code>
+     */
+    public org.ragworthook.wire.load.JobListing.Builder addListingsBuilder() {
+      return internalGetListingsFieldBuilder().addBuilder(
+          org.ragworthook.wire.load.JobListing.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * of a process that runs jobs
+     * </pre>
+     *
+     * <code>repeated .ragworthook.JobListing listings = 19;</code>
+     */
+    public org.ragworthook.wire.load.JobListing.Builder addListingsBuilder(
+        int index) {
+      return internalGetListingsFieldBuilder().addBuilder(
+          index, org.ragworthook.wire.load.JobListing.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * of a process that runs jobs
+     * </pre>
+     *
+     * <code>repeated .ragworthook.JobListing listings = 19;</code>
+     */
+    public java.util.List<org.ragworthook.wire.load.JobListing.Builder> 
+         getListingsBuilderList() {
+      return internalGetListingsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.ragworthook.wire.load.JobListing, org.ragworthook.wire.load.JobListing.Builder, org.ragworthook.wire.load.JobListingOrBuilder> 
+        internalGetListingsFieldBuilder() {
+      if (listingsBuilder_ == null) {
+        listingsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.ragworthook.wire.load.JobListing, org.ragworthook.wire.load.JobListing.Builder, org.ragworthook.wire.load.JobListingOrBuilder>(
+                listings_,
+                ((bitField0_ & 0x00040000) != 0),
+                getParentForChildren(),
+                isClean());
+        listings_ = null;
+      }
+      return listingsBuilder_;
+    }
+
+    private java.util.List<org.ragworthook.wire.load.ChangedJob> changedJobs_ =
+      java.util.Collections.emptyList();
+    private void ensureChangedJobsIsMutable() {
+      if (!((bitField0_ & 0x00080000) != 0)) {
+        changedJobs_ = new java.util.ArrayList<org.ragworthook.wire.load.ChangedJob>(changedJobs_);
+        bitField0_ |= 0x00080000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.ragworthook.wire.load.ChangedJob, org.ragworthook.wire.load.ChangedJob.Builder, org.ragworthook.wire.load.ChangedJobOrBuilder> changedJobsBuilder_;
+
+    /**
+     * <pre>
+     * by the sender, a moment ago
+     * </pre>
+     *
+     * <code>repeated .ragworthook.ChangedJob changed_jobs = 20;</code>
+     */
+    public java.util.List<org.ragworthook.wire.load.ChangedJob> getChangedJobsList() {
+      if (changedJobsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(changedJobs_);
+      } else {
+        return changedJobsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * by the sender, a moment ago
+     * </pre>
+     *
+     * <code>repeated .ragworthook.ChangedJob changed_jobs = 20;</code>
+     */
+    public int getChangedJobsCount() {
+      if (changedJobsBuilder_ == null) {
+        return changedJobs_.size();
+      } else {
+        return changedJobsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * by the sender, a moment ago
+     * </pre>
+     *
+     * <code>repeated .ragworthook.ChangedJob changed_jobs = 20;</code>
+     */
+    public org.ragworthook.wire.load.ChangedJob getChangedJobs(int index) {
+      if (changedJobsBuilder_ == null) {
+        return changedJobs_.get(index);
+      } else {
+        return changedJobsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * by the sender, a moment ago
+     * </pre>
+     *
+     * <code>repeated .ragworthook.ChangedJob changed_jobs = 20;</code>
+     */
+    public Builder setChangedJobs(
+        int index, org.ragworthook.wire.load.ChangedJob value) {
+      if (changedJobsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureChangedJobsIsMutable();
+        changedJobs_.set(index, value);
+        onChanged();
+      } else {
+        changedJobsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * by the sender, a moment ago
+     * </pre>
+     *
+     * <code>repeated .ragworthook.ChangedJob changed_jobs = 20;</code>
+     */
+    public Builder setChangedJobs(
+        int index, org.ragworthook.wire.load.ChangedJob.Builder builderForValue) {
+      if (changedJobsBuilder_ == null) {
+        ensureChangedJobsIsMutable();
+        changedJobs_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        changedJobsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * by the sender, a moment ago
+     * </pre>
+     *
+     * <code>repeated .ragworthook.ChangedJob changed_jobs = 20;</code>
+     */
+    public Builder addChangedJobs(org.ragworthook.wire.load.ChangedJob value) {
+      if (changedJobsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureChangedJobsIsMutable();
+        changedJobs_.add(value);
+        onChanged();
+      } else {
+        changedJobsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * by the sender, a moment ago
+     * </pre>
+     *
+     * <code>repeated .ragworthook.ChangedJob changed_jobs = 20;</code>
+     */
+    public Builder addChangedJobs(
+        int index, org.ragworthook.wire.load.ChangedJob value) {
+      if (changedJobsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureChangedJobsIsMutable();
+        changedJobs_.add(index, value);
+        onChanged();
+      } else {
+        changedJobsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * by the sender, a moment ago
+     * </pre>
+     *
+     * <code>repeated .ragworthook.ChangedJob changed_jobs = 20;</code>
+     */
+    public Builder addChangedJobs(
+        org.ragworthook.wire.load.ChangedJob.Builder builderForValue) {
+      if (changedJobsBuilder_ == null) {
+        ensureChangedJobsIsMutable();
+        changedJobs_.add(builderForValue.build());
+        onChanged();
+      } else {
+        changedJobsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * by the sender, a moment ago
+     * </pre>
+     *
+     * <code>repeated .ragworthook.ChangedJob changed_jobs = 20;</code>
+     */
+    public Builder addChangedJobs(
+        int index, org.ragworthook.wire.load.ChangedJob.Builder builderForValue) {
+      if (changedJobsBuilder_ == null) {
+        ensureChangedJobsIsMutable();
+        changedJobs_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        changedJobsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * by the sender, a moment ago
+     * </pre>
+     *
+     * <code>repeated .ragworthook.ChangedJob changed_jobs = 20;</code>
+     */
+    public Builder addAllChangedJobs(
+        java.lang.Iterable<? extends org.ragworthook.wire.load.ChangedJob> values) {
+      if (changedJobsBuilder_ == null) {
+        ensureChangedJobsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, changedJobs_);
+        onChanged();
+      } else {
+        changedJobsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * by the sender, a moment ago
+     * </pre>
+     *
+     * <code>repeated .ragworthook.ChangedJob changed_jobs = 20;</code>
+     */
+    public Builder clearChangedJobs() {
+      if (changedJobsBuilder_ == null) {
+        changedJobs_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00080000);
+        onChanged();
+      } else {
+        changedJobsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * by the sender, a moment ago
+     * </pre>
+     *
+     * <code>repeated .ragworthook.ChangedJob changed_jobs = 20;</code>
+     */
+    public Builder removeChangedJobs(int index) {
+      if (changedJobsBuilder_ == null) {
+        ensureChangedJobsIsMutable();
+        changedJobs_.remove(index);
+        onChanged();
+      } else {
+        changedJobsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * by the sender, a moment ago
+     * </pre>
+     *
+     * <code>repeated .ragworthook.ChangedJob changed_jobs = 20;</code>
+     */
+    public org.ragworthook.wire.load.ChangedJob.Builder getChangedJobsBuilder(
+        int index) {
+      return internalGetChangedJobsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * by the sender, a moment ago
+     * </pre>
+     *
+     * <code>repeated .ragworthook.ChangedJob changed_jobs = 20;</code>
+     */
+    public org.ragworthook.wire.load.ChangedJobOrBuilder getChangedJobsOrBuilder(
+        int index) {
+      if (changedJobsBuilder_ == null) {
+        return changedJobs_.get(index);  } else {
+        return changedJobsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * by the sender, a moment ago
+     * </pre>
+     *
+     * <code>repeated .ragworthook.ChangedJob changed_jobs = 20;</code>
+     */
+    public java.util.List<? extends org.ragworthook.wire.load.ChangedJobOrBuilder> 
+         getChangedJobsOrBuilderList() {
+      if (changedJobsBuilder_ != null) {
+        return changedJobsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(changedJobs_);
+      }
+    }
+    /**
+     * <pre>
+     * by the sender, a moment ago
+     * </pre>
+     *
+     * <code>repeated .ragworthook.ChangedJob changed_jobs = 20;</code>
+     */
+    public org.ragworthook.wire.load.ChangedJob.Builder addChangedJobsBuilder() {
+      return internalGetChangedJobsFieldBuilder().addBuilder(
+          org.ragworthook.wire.load.ChangedJob.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * by the sender, a moment ago
+     * </pre>
+     *
+     * <code>repeated .ragworthook.ChangedJob changed_jobs = 20;</code>
+     */
+    public org.ragworthook.wire.load.ChangedJob.Builder addChangedJobsBuilder(
+        int index) {
+      return internalGetChangedJobsFieldBuilder().addBuilder(
+          index, org.ragworthook.wire.load.ChangedJob.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * by the sender, a moment ago
+     * </pre>
+     *
+     * <code>repeated .ragworthook.ChangedJob changed_jobs = 20;</code>
+     */
+    public java.util.List<org.ragworthook.wire.load.ChangedJob.Builder> 
+         getChangedJobsBuilderList() {
+      return internalGetChangedJobsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.ragworthook.wire.load.ChangedJob, org.ragworthook.wire.load.ChangedJob.Builder, org.ragworthook.wire.load.ChangedJobOrBuilder> 
+        internalGetChangedJobsFieldBuilder() {
+      if (changedJobsBuilder_ == null) {
+        changedJobsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.ragworthook.wire.load.ChangedJob, org.ragworthook.wire.load.ChangedJob.Builder, org.ragworthook.wire.load.ChangedJobOrBuilder>(
+                changedJobs_,
+                ((bitField0_ & 0x00080000) != 0),
+                getParentForChildren(),
+                isClean());
+        changedJobs_ = null;
+      }
+      return changedJobsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:ragworthook.LoadReport)
   }
 
--- a/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReportOrBuilder.java
+++ b/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReportOrBuilder.java
@@ -348,4 +348,92 @@
    * @return The grantsSeen.
    */
   long getGrantsSeen();
+
+  /**
+   * <pre>
+   * of a process that runs jobs
+   * </pre>
+   *
+   * <code>repeated .ragworthook.JobListing listings = 19;</code>
+   */
+  java.util.List<org.ragworthook.wire.load.JobListing> 
+      getListingsList();
+  /**
+   * <pre>
+   * of a process that runs jobs
+   * </pre>
+   *
+   * <code>repeated .ragworthook.JobListing listings = 19;</code>
+   */
+  org.ragworthook.wire.load.JobListing getListings(int index);
+  /**
+   * <pre>
+   * of a process that runs jobs
+   * </pre>
+   *
+   * <code>repeated .ragworthook.JobListing listings = 19;</code>
+   */
+  int getListingsCount();
+  /**
+   * <pre>
+   * of a process that runs jobs
+   * </pre>
+   *
+   * <code>repeated .ragworthook.JobListing listings = 19;</code>
+   */
+  java.util.List<? extends org.ragworthook.wire.load.JobListingOrBuilder> 
+      getListingsOrBuilderList();
+  /**
+   * <pre>
+   * of a process that runs jobs
+   * </pre>
+   *
+   * <code>repeated .ragworthook.JobListing listings = 19;</code>
+   */
+  org.ragworthook.wire.load.JobListingOrBuilder getListingsOrBuilder(
+      int index);
+
+  /**
+   * <pre>
+   * by the sender, a moment ago
+   * </pre>
+   *
+   * <code>repeated .ragworthook.ChangedJob changed_jobs = 20;</code>
+   */
+  java.util.List<org.ragworthook.wire.load.ChangedJob> 
+      getChangedJobsList();
+  /**
+   * <pre>
+   * by the sender, a moment ago
+   * </pre>
+   *
+   * <code>repeated .ragworthook.ChangedJob changed_jobs = 20;</code>
+   */
+  org.ragworthook.wire.load.ChangedJob getChangedJobs(int index);
+  /**
+   * <pre>
+   * by the sender, a moment ago
+   * </pre>
+   *
+   * <code>repeated .ragworthook.ChangedJob changed_jobs = 20;</code>
+   */
+  int getChangedJobsCount();
+  /**
+   * <pre>
+   * by the sender, a moment ago
+   * </pre>
+   *
+   * <code>repeated .ragworthook.ChangedJob changed_jobs = 20;</code>
+   */
+  java.util.List<? extends org.ragworthook.wire.load.ChangedJobOrBuilder> 
+      getChangedJobsOrBuilderList();
+  /**
+   * <pre>
+   * by the sender, a moment ago
+   * </pre>
+   *
+   * <code>repeated .ragworthook.ChangedJob changed_jobs = 20;</code>
+   */
+  org.ragworthook.wire.load.ChangedJobOrBuilder getChangedJobsOrBuilder(
+      int index);
 }
