Send prompts that share long parts where these are kept; put the links to peers together

Cause: the gateway knows the parts of a prompt and did not use them. Ruled out: to remember at each entry what it sent where; an entry sees one request in 28.

Change: each long part (1,600 tokens and more) has four homes among the upstreams by rendezvous hashing, which all entries and the dispatcher agree on; a home with a slot free, or one that a batch item leaves, is preferred by what reading the part weighs against running requests (PromptHomes, Placement).

Deployments with short parts are not touched.

Parts are still pushed out of engines by the prompts that run there.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/dispatch/DispatchClient.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/dispatch/DispatchClient.java
@@ -12,6 +12,7 @@
 import org.ragworthook.core.log.EventLog;
 import org.ragworthook.core.time.Ticker;
 import org.ragworthook.core.time.Timers;
+import org.ragworthook.gateway.upstream.PromptHomes;
 
 /**
  * Asks the dispatcher of a service for slots, on behalf of the requests of an entry. Used
@@ -180,8 +181,8 @@
 		void send() {
 			DispatchClient client = DispatchClient.this;
 			Duration left = Duration.ofNanos(this.goalNanos - client.ticker.nanos());
-			client.channel.ask(this.dispatcher,
-					new Question(this.number, this.asker.requestId(), this.service, this.except, left));
+			client.channel.ask(this.dispatcher, new Question(this.number, this.asker.requestId(), this.service,
+					this.except, this.asker.prompt(), left));
 			after(ANSWER, () -> client.unanswered(this));
 		}
 
@@ -210,10 +211,12 @@
 	 * @param requestId the caller's id of the request, for the log
 	 * @param service the service
 	 * @param except keys of upstreams that are not to be chosen
+	 * @param prompt where the parts of its prompt are kept
 	 * @param toGoal how soon the request has to begin to run to be in time; negative if
 	 * it is late
 	 */
-	public record Question(long number, String requestId, String service, Set<Integer> except, Duration toGoal) {
+	public record Question(long number, String requestId, String service, Set<Integer> except, PromptHomes prompt,
+			Duration toGoal) {
 	}
 
 	/**
@@ -227,6 +230,12 @@
 		 */
 		String requestId();
 
+		/**
+		 * Returns where the parts of its prompt are kept.
+		 * @return the homes
+		 */
+		PromptHomes prompt();
+
 		/**
 		 * The request has a slot.
 		 * @param upstreamKey the key of the upstream
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/dispatch/DispatchReports.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/dispatch/DispatchReports.java
@@ -14,8 +14,10 @@
 import org.ragworthook.core.time.Ticker;
 import org.ragworthook.gateway.peer.LoadExchange;
 import org.ragworthook.gateway.peer.ReportPart;
+import org.ragworthook.gateway.upstream.PromptHomes;
 import org.ragworthook.gateway.upstream.RendezvousScore;
 import org.ragworthook.wire.load.LoadReport;
+import org.ragworthook.wire.load.SharedPart;
 import org.ragworthook.wire.load.SlotAnswer;
 import org.ragworthook.wire.load.SlotAsk;
 
@@ -119,8 +121,11 @@
 	@Override
 	public void ask(String name, DispatchClient.Question question) {
 		this.askedNanos.put(name, this.ticker.nanos());
-		report(name).addAsks(SlotAsk.newBuilder()
-			.setNumber(question.number())
+		SlotAsk.Builder ask = SlotAsk.newBuilder();
+		question.prompt()
+			.parts()
+			.forEach((part) -> ask.addPrompt(SharedPart.newBuilder().setHash(part.hash()).setTokens(part.tokens())));
+		report(name).addAsks(ask.setNumber(question.number())
 			.setRequest(question.requestId())
 			.setService(question.service())
 			.setFailureDomain(this.failureDomain)
@@ -183,11 +188,18 @@
 		for (SlotAsk ask : report.getAsksList()) {
 			long goal = now + Duration.ofMillis(ask.getGoalMillis()).toNanos();
 			requests.add(new SlotRequest(report.getInstance(), ask.getNumber(), ask.getRequest(), ask.getService(),
-					ask.getFailureDomain(), new HashSet<>(ask.getExceptList()), now, goal));
+					ask.getFailureDomain(), new HashSet<>(ask.getExceptList()), prompt(ask), now, goal));
 		}
 		return requests;
 	}
 
+	private static PromptHomes prompt(SlotAsk ask) {
+		return PromptHomes.ofParts(ask.getPromptList()
+			.stream()
+			.map((part) -> new PromptHomes.Part(part.getHash(), part.getTokens()))
+			.toList());
+	}
+
 	private void answered(DispatchClient asking, LoadReport report) {
 		for (SlotAnswer answer : report.getAnswersList()) {
 			if (answer.getWaits()) {
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/dispatch/Dispatcher.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/dispatch/Dispatcher.java
@@ -134,7 +134,7 @@
 		Set<TrackedUpstream> except = new HashSet<>();
 		request.except().forEach((key) -> this.upstreams.byKey(key).ifPresent(except::add));
 		Optional<TrackedUpstream> choice = placement(request.failureDomain()).choose(serving, except,
-				SlotSharing::onlineSlotFree);
+				SlotSharing::onlineSlotFree, request.prompt(), 0);
 		choice.ifPresent((upstream) -> grant(request, upstream));
 		return choice.isPresent();
 	}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/dispatch/SlotRequest.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/dispatch/SlotRequest.java
@@ -3,6 +3,8 @@
 import java.util.Objects;
 import java.util.Set;
 
+import org.ragworthook.gateway.upstream.PromptHomes;
+
 /**
  * A request of an entry for a slot.
  *
@@ -12,17 +14,19 @@
  * @param service the service
  * @param failureDomain the entry's failure domain
  * @param except keys of upstreams that are not to be chosen
+ * @param prompt where the parts of its prompt are kept
  * @param askedNanos when it was asked for, the ticker's reading
  * @param goalNanos the ticker's reading by which it has to begin to run to be in time
  */
 record SlotRequest(String entry, long number, String id, String service, String failureDomain, Set<Integer> except,
-		long askedNanos, long goalNanos) {
+		PromptHomes prompt, long askedNanos, long goalNanos) {
 
 	SlotRequest {
 		Objects.requireNonNull(entry, "entry is null");
 		Objects.requireNonNull(id, "id is null");
 		Objects.requireNonNull(service, "service is null");
 		Objects.requireNonNull(failureDomain, "failureDomain is null");
+		Objects.requireNonNull(prompt, "prompt is null");
 		except = Set.copyOf(except);
 	}
 
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/Frontend.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/Frontend.java
@@ -19,6 +19,7 @@
 import org.ragworthook.gateway.route.Configuration;
 import org.ragworthook.gateway.route.Route;
 import org.ragworthook.gateway.route.RouteKind;
+import org.ragworthook.gateway.upstream.PromptHomes;
 
 /**
  * Takes the requests of callers: reads each whole, finds its route and hands it to the
@@ -299,12 +300,18 @@
 			.flatMap(Frontend::number);
 		OnlineRequest online = new OnlineRequest(id, request.method().name(), request.uri(),
 				HopHeaders.endToEnd(request.headers()), body, route, configuration.version(),
-				Deadline.after(this.context.ticker(), left), lastEvent);
+				Deadline.after(this.context.ticker(), left), lastEvent, prompt(request));
 		OnlineExchange exchange = new OnlineExchange(this.context, online, response, this.queues);
 		arrival.ending.exchange = exchange;
 		exchange.start();
 	}
 
+	private PromptHomes prompt(HttpServerRequest request) {
+		return Optional.ofNullable(request.getHeader(this.context.headers().promptParts()))
+			.map((parts) -> PromptHomes.of(this.context.prompts().parts(parts)))
+			.orElse(PromptHomes.none());
+	}
+
 	private static Optional<Long> number(String text) {
 		try {
 			return Optional.of(Long.parseLong(text.trim()));
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineContext.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineContext.java
@@ -6,6 +6,7 @@
 import org.ragworthook.core.time.Ticker;
 import org.ragworthook.core.time.Timers;
 import org.ragworthook.gateway.dialect.HeaderNames;
+import org.ragworthook.gateway.dialect.PromptFormat;
 import org.ragworthook.gateway.dispatch.DispatchClient;
 import org.ragworthook.gateway.http.ConnectionPool;
 import org.ragworthook.gateway.metrics.GatewayMetrics;
@@ -24,6 +25,7 @@
  * @param unheard estimates what other entries have placed since they were heard
  * @param connections leads to them
  * @param headers the names of headers
+ * @param prompts the format of the parts of a prompt
  * @param ticker the time
  * @param timers runs tasks later, on the event loop of the connections
  * @param random draws for weights and delays
@@ -34,9 +36,9 @@
  * @param urge tells the peers at once what this process has at upstreams
  */
 public record OnlineContext(ConfigurationInForce configuration, UpstreamRegistry upstreams, Placement placement,
-		UnheardRequests unheard, ConnectionPool connections, HeaderNames headers, Ticker ticker, Timers timers,
-		RandomGenerator random, SuspectRequests suspects, GatewayMetrics metrics, DispatchClient dispatch,
-		Runnable loadChanged, Runnable urge) {
+		UnheardRequests unheard, ConnectionPool connections, HeaderNames headers, PromptFormat prompts, Ticker ticker,
+		Timers timers, RandomGenerator random, SuspectRequests suspects, GatewayMetrics metrics,
+		DispatchClient dispatch, Runnable loadChanged, Runnable urge) {
 
 	/**
 	 * Checks that all parts are there.
@@ -48,6 +50,7 @@
 		Objects.requireNonNull(unheard, "unheard is null");
 		Objects.requireNonNull(connections, "connections is null");
 		Objects.requireNonNull(headers, "headers is null");
+		Objects.requireNonNull(prompts, "prompts is null");
 		Objects.requireNonNull(ticker, "ticker is null");
 		Objects.requireNonNull(timers, "timers is null");
 		Objects.requireNonNull(random, "random is null");
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
@@ -16,6 +16,7 @@
 import org.ragworthook.gateway.http.SendFailure;
 import org.ragworthook.gateway.suspect.SuspectRequests;
 import org.ragworthook.gateway.upstream.Placement;
+import org.ragworthook.gateway.upstream.PromptHomes;
 import org.ragworthook.gateway.upstream.SlotSharing;
 import org.ragworthook.gateway.upstream.TrackedUpstream;
 import org.ragworthook.gateway.upstream.WorkClass;
@@ -144,7 +145,7 @@
 	private Optional<TrackedUpstream> choice(Placement.Room room) {
 		List<TrackedUpstream> serving = this.context.upstreams().serving(this.service);
 		return this.context.placement()
-			.choose(serving, this.tried.except(serving), room, this.context.unheard().count());
+			.choose(serving, this.tried.except(serving), room, this.request.prompt(), this.context.unheard().count());
 	}
 
 	/**
@@ -351,6 +352,11 @@
 			return OnlineExchange.this.request.id();
 		}
 
+		@Override
+		public PromptHomes prompt() {
+			return OnlineExchange.this.request.prompt();
+		}
+
 		@Override
 		public void granted(int upstreamKey, boolean yields) {
 			OnlineExchange exchange = OnlineExchange.this;
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineRequest.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineRequest.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import org.ragworthook.core.retry.Deadline;
 import org.ragworthook.gateway.route.Route;
+import org.ragworthook.gateway.upstream.PromptHomes;
 
 /**
  * A request that was read whole.
@@ -19,9 +20,10 @@
  * @param configurationVersion the version that the route is from
  * @param deadline when its answer is of no use any longer
  * @param lastEvent for a resumed stream: the event after which to go on
+ * @param prompt where the parts of its prompt are kept
  */
 record OnlineRequest(String id, String method, String uri, HttpHeaders headers, byte[] body, Route route,
-		long configurationVersion, Deadline deadline, Optional<Long> lastEvent) {
+		long configurationVersion, Deadline deadline, Optional<Long> lastEvent, PromptHomes prompt) {
 
 	OnlineRequest {
 		Objects.requireNonNull(id, "id is null");
@@ -32,6 +34,7 @@
 		Objects.requireNonNull(route, "route is null");
 		Objects.requireNonNull(deadline, "deadline is null");
 		Objects.requireNonNull(lastEvent, "lastEvent is null");
+		Objects.requireNonNull(prompt, "prompt is null");
 	}
 
 }
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
@@ -22,8 +22,6 @@
 import org.ragworthook.core.store.Stamps;
 import org.ragworthook.core.time.Ticker;
 import org.ragworthook.core.time.Timers;
-import org.ragworthook.gateway.dispatch.DispatchClient;
-import org.ragworthook.gateway.dispatch.DispatchReports;
 import org.ragworthook.gateway.dispatch.Dispatcher;
 import org.ragworthook.gateway.feed.Change;
 import org.ragworthook.gateway.feed.Feed;
@@ -43,8 +41,6 @@
 import org.ragworthook.gateway.online.Frontend;
 import org.ragworthook.gateway.online.OnlineContext;
 import org.ragworthook.gateway.online.OnlinePart;
-import org.ragworthook.gateway.peer.ChangedJobs;
-import org.ragworthook.gateway.peer.ListingReports;
 import org.ragworthook.gateway.peer.LoadExchange;
 import org.ragworthook.gateway.peer.PeerDirectory;
 import org.ragworthook.gateway.peer.PeerSettings;
@@ -113,17 +109,7 @@
 
 	private final ConditionalWriter writer;
 
-	private final LoadExchange loads;
-
-	private final PauseWatch pauses;
-
-	private final ListingReports listings;
-
-	private final ChangedJobs changedJobs;
-
-	private final DispatchReports dispatch;
-
-	private final DispatchClient slots;
+	private final PeerLinks peers;
 
 	private final UpstreamFeedListener upstreamFeed;
 
@@ -152,16 +138,11 @@
 				Stamps.of(settings.instance() + "-" + started + "-" + ThreadLocalRandom.current().nextInt()));
 		this.jobs = JobStore.of(this.platform.store(), this.writer);
 		PeerSettings self = new PeerSettings(settings.instance(), started, settings.peers(), settings.runsJobs());
-		this.loads = LoadExchange.start(this.loop, this.ticker, this.upstreams, this.suspects, self);
-		this.pauses = PauseWatch.start(this.ticker, this.timers);
-		this.listings = ListingReports.on(this.loads, this.pauses::steady);
-		this.changedJobs = ChangedJobs.on(this.loads, this.ticker);
-		this.dispatch = DispatchReports.on(this.loads, this.loop, this.ticker, settings.instance(),
-				settings.failureDomain());
-		this.slots = DispatchClient.of(this.ticker, this.timers, this.dispatch);
-		this.dispatch.client(this.slots);
+		this.peers = PeerLinks.start(self, settings.failureDomain(), this.upstreams, this.suspects, this.loop,
+				this.ticker, this.timers);
 		this.upstreamFeed = UpstreamFeedListener.of(this.upstreams, this.health, this.timers);
-		PeerDirectory.join(this.platform.store(), this.writer, this.platform.peers(), this.loads, self, this.timers);
+		PeerDirectory.join(this.platform.store(), this.writer, this.platform.peers(), this.peers.loads(), self,
+				this.timers);
 	}
 
 	/**
@@ -185,7 +166,7 @@
 				this.platform.headers().requestId());
 		showMetrics();
 		this.timers.schedule(STORE_CALLS_SHOWN, this::showStoreCalls);
-		this.loads.fleet().storeLost(() -> this.health.lostFor().compareTo(IsolationRule.STORE_LOST) >= 0);
+		this.peers.fleet().storeLost(() -> this.health.lostFor().compareTo(IsolationRule.STORE_LOST) >= 0);
 		follow(this.platform.upstreams(), this.upstreamFeed, this::gathering);
 		follow(this.platform.configuration(), new ConfigurationListener(), AT_ONCE);
 		if (this.settings.runsJobs()) {
@@ -221,7 +202,7 @@
 	 * @return the pause
 	 */
 	private Duration gathering() {
-		return GatheringRule.pause(this.loads.fleet().peerView().known() + 1);
+		return GatheringRule.pause(this.peers.fleet().peerView().known() + 1);
 	}
 
 	private <T> FeedFollower<T> follow(Feed<T> feed, FeedListener<T> listener, Supplier<Duration> gathering) {
@@ -233,15 +214,16 @@
 
 	private void serveCallers(Placement placement, ConnectionPool connections) {
 		OnlineContext context = new OnlineContext(this.configuration, this.upstreams, placement,
-				UnheardRequests.of(this.ticker, LoadExchange.MEAN_AGE, this.loads.fleet()::otherEntries), connections,
-				this.platform.headers(), this.ticker, this.timers, ThreadLocalRandom.current(), this.suspects,
-				this.metrics, this.slots, this.dispatch::loadChanged, this.loads::urge);
-		JobReader reader = JobReader.of(this.jobs, this.listings, this.timers);
-		this.listings.onNews(reader::newsCame);
+				UnheardRequests.of(this.ticker, LoadExchange.MEAN_AGE, this.peers.fleet()::otherEntries), connections,
+				this.platform.headers(), this.platform.promptFormat(), this.ticker, this.timers,
+				ThreadLocalRandom.current(), this.suspects, this.metrics, this.peers.slots(),
+				this.peers.dispatch()::loadChanged, this.peers.loads()::urge);
+		JobReader reader = JobReader.of(this.jobs, this.peers.listings(), this.timers);
+		this.peers.listings().onNews(reader::newsCame);
 		Frontend front = OnlinePart.of(this.vertx, context, this.jobs, reader, this.platform.jobFormat(), this.loop,
-				this.health::up, new JobBacklog(this.loads, this.changedJobs, this.platform::jobs));
+				this.health::up, new JobBacklog(this.peers.loads(), this.peers.changedJobs(), this.platform::jobs));
 		this.frontend = Optional.of(front);
-		this.loads.onReport(front::roomChanged);
+		this.peers.loads().onReport(front::roomChanged);
 		Address address = this.settings.front().orElseThrow();
 		this.listening.start("callers", () -> front.listen(address));
 		this.settings.readiness()
@@ -250,35 +232,36 @@
 
 	private boolean ready() {
 		return !this.leaving && this.configuration.present().isPresent() && this.upstreamFeed.listed()
-				&& !IsolationRule.isolated(this.health.lostFor(), this.loads.fleet().peerView());
+				&& !IsolationRule.isolated(this.health.lostFor(), this.peers.fleet().peerView());
 	}
 
 	private void runJobs(Placement placement, ConnectionPool connections) {
 		ProgressStore progress = ProgressStore.of(this.platform.store(), this.writer, this.platform.progress(),
 				this.settings.instance());
-		JobOwners owners = RendezvousOwners.of(this.settings.instance(), this.loads.fleet()::jobRunners);
-		JobRunner jobRunner = JobRunner.of(new JobRunner.Parts(this.jobs, progress, owners, this.loads.fleet()::settled,
-				this.loads.fleet()::turns, this.configuration, this.upstreams, placement, connections,
+		JobOwners owners = RendezvousOwners.of(this.settings.instance(), this.peers.fleet()::jobRunners);
+		JobRunner jobRunner = JobRunner.of(new JobRunner.Parts(this.jobs, progress, owners, this.peers.fleet()::settled,
+				this.peers.fleet()::turns, this.configuration, this.upstreams, placement, connections,
 				this.platform.headers(), this.ticker, System::currentTimeMillis, this.timers,
 				ThreadLocalRandom.current()::nextDouble, this.loop, this.metrics, this.settings.queuePatience(),
-				this.pauses::pauses, this.loads.fleet()::runnerRuns, this.loads::urge));
+				this.peers.pauses()::pauses, this.peers.fleet()::runnerRuns, this.peers.loads()::urge));
 		this.runner = Optional.of(jobRunner);
-		this.dispatch.dispatcher(
-				Dispatcher.of(this.upstreams, this.ticker, ThreadLocalRandom.current(), firstGrant(), this.dispatch));
-		this.loads.wantsSlots(jobRunner::wanting);
-		this.loads.backlog(jobRunner::backlog);
-		this.listings.own(jobRunner::listings);
-		this.loads.onReport(jobRunner::giveWay);
+		this.peers.dispatch()
+			.dispatcher(Dispatcher.of(this.upstreams, this.ticker, ThreadLocalRandom.current(), firstGrant(),
+					this.peers.dispatch()));
+		this.peers.loads().wantsSlots(jobRunner::wanting);
+		this.peers.loads().backlog(jobRunner::backlog);
+		this.peers.listings().own(jobRunner::listings);
+		this.peers.loads().onReport(jobRunner::giveWay);
 		followJobs(jobRunner, owners);
-		follow(this.platform.retirements(), new Retirement(this.settings.instance(), this.loads, jobRunner,
+		follow(this.platform.retirements(), new Retirement(this.settings.instance(), this.peers.loads(), jobRunner,
 				this.platform::retired, this.timers, this.loop), AT_ONCE);
 		jobRunner.start();
 	}
 
 	private void followJobs(JobRunner jobRunner, JobOwners owners) {
 		FeedFollower<Job> follower = follow(this.platform.jobs(), new JobListener(jobRunner),
-				() -> GatheringRule.pauseForJobs(this.loads.fleet().heardRunners().size()));
-		this.changedJobs.onChange((jobId) -> {
+				() -> GatheringRule.pauseForJobs(this.peers.fleet().heardRunners().size()));
+		this.peers.changedJobs().onChange((jobId) -> {
 			if (owners.own(jobId)) {
 				follower.hurry();
 			}
@@ -317,7 +300,7 @@
 			this.frontend.ifPresent(Frontend::leave);
 			this.runner.map(JobRunner::stop)
 				.orElse(CompletableFuture.completedFuture(null))
-				.whenComplete((saved, failure) -> this.loads.leave());
+				.whenComplete((saved, failure) -> this.peers.loads().leave());
 		});
 		Duration most = this.settings.grace().minus(MARGIN);
 		Duration least = this.frontend.isPresent() ? STAY : Duration.ZERO;
@@ -342,7 +325,7 @@
 	public void close() {
 		this.leaving = true;
 		this.followers.forEach(FeedFollower::stop);
-		this.loads.close();
+		this.peers.close();
 		this.vertx.close().toCompletionStage().toCompletableFuture().join();
 	}
 
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/Platform.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/Platform.java
@@ -6,6 +6,7 @@
 import org.ragworthook.core.store.RecordStore;
 import org.ragworthook.gateway.dialect.HeaderNames;
 import org.ragworthook.gateway.dialect.JobFormat;
+import org.ragworthook.gateway.dialect.PromptFormat;
 import org.ragworthook.gateway.feed.Feed;
 import org.ragworthook.gateway.job.ItemProgress;
 import org.ragworthook.gateway.job.Job;
@@ -24,6 +25,12 @@
 	 */
 	HeaderNames headers();
 
+	/**
+	 * Returns the format of the parts of a prompt.
+	 * @return the format
+	 */
+	PromptFormat promptFormat();
+
 	/**
 	 * Returns the format of the calls about batch jobs.
 	 * @return the format
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/upstream/Placement.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/upstream/Placement.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
@@ -69,7 +70,7 @@
 	 */
 	public Optional<TrackedUpstream> choose(List<TrackedUpstream> candidates, Collection<TrackedUpstream> except,
 			Room room) {
-		return choose(candidates, except, room, 0);
+		return choose(candidates, except, room, PromptHomes.none(), 0);
 	}
 
 	/**
@@ -77,17 +78,19 @@
 	 * @param candidates the upstreams of the service
 	 * @param except upstreams that are not to be chosen
 	 * @param room which upstreams have room for the request
+	 * @param prompt where the parts of its prompt are kept
 	 * @param unheard requests that other processes are likely to have placed since they
 	 * were heard, at least 0
 	 * @return the choice, or empty if none has room
 	 */
 	public Optional<TrackedUpstream> choose(List<TrackedUpstream> candidates, Collection<TrackedUpstream> except,
-			Room room, double unheard) {
+			Room room, PromptHomes prompt, double unheard) {
 		long now = this.ticker.nanos();
+		Map<TrackedUpstream, Integer> kept = prompt.weights(candidates);
 		List<Choice> choices = new ArrayList<>();
 		for (TrackedUpstream candidate : candidates) {
 			if (room.has(candidate) && !except.contains(candidate)) {
-				choices.add(new Choice(candidate, cost(candidate, now)));
+				choices.add(new Choice(candidate, cost(candidate, now) - weight(candidate, kept)));
 			}
 		}
 		if (choices.isEmpty()) {
@@ -126,6 +129,18 @@
 		return costs[filled - 1] + left / filled;
 	}
 
+	/**
+	 * Returns what speaks for an upstream because it keeps parts of the prompt. That
+	 * counts only while it has a slot free, or one that a batch item leaves: to wait for
+	 * the end of another request takes longer than to read the parts elsewhere.
+	 * @param candidate the upstream
+	 * @param kept the weight of those that keep parts
+	 * @return the weight
+	 */
+	private static int weight(TrackedUpstream candidate, Map<TrackedUpstream, Integer> kept) {
+		return SlotSharing.onlineSlotFree(candidate) ? kept.getOrDefault(candidate, 0) : 0;
+	}
+
 	private int cost(TrackedUpstream candidate, long now) {
 		int slots = candidate.entry().slots();
 		int load = candidate.load();
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/dispatch/DispatchClientTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/dispatch/DispatchClientTests.java
@@ -9,6 +9,7 @@
 
 import org.junit.jupiter.api.Test;
 import org.ragworthook.core.time.ManualTime;
+import org.ragworthook.gateway.upstream.PromptHomes;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -107,6 +108,11 @@
 			return "r";
 		}
 
+		@Override
+		public PromptHomes prompt() {
+			return PromptHomes.none();
+		}
+
 		@Override
 		public void granted(int upstreamKey, boolean yields) {
 			this.outcomes.add("granted " + upstreamKey);
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/dispatch/DispatchReportsTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/dispatch/DispatchReportsTests.java
@@ -18,6 +18,7 @@
 import org.ragworthook.gateway.peer.Loopback;
 import org.ragworthook.gateway.peer.PeerSettings;
 import org.ragworthook.gateway.suspect.SuspectRequests;
+import org.ragworthook.gateway.upstream.PromptHomes;
 import org.ragworthook.gateway.upstream.TrackedUpstream;
 import org.ragworthook.gateway.upstream.UpstreamEntry;
 import org.ragworthook.gateway.upstream.UpstreamRegistry;
@@ -113,6 +114,11 @@
 			return "r";
 		}
 
+		@Override
+		public PromptHomes prompt() {
+			return PromptHomes.none();
+		}
+
 		@Override
 		public void granted(int upstreamKey, boolean yields) {
 			assertThat(upstreamKey).isEqualTo(this.upstream.key());
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/dispatch/DispatcherTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/dispatch/DispatcherTests.java
@@ -10,6 +10,7 @@
 import org.ragworthook.core.fleet.Address;
 import org.ragworthook.core.time.ManualTime;
 import org.ragworthook.gateway.upstream.PeerLoad;
+import org.ragworthook.gateway.upstream.PromptHomes;
 import org.ragworthook.gateway.upstream.TrackedUpstream;
 import org.ragworthook.gateway.upstream.UpstreamEntry;
 import org.ragworthook.gateway.upstream.UpstreamRegistry;
@@ -32,7 +33,7 @@
 	}
 
 	private SlotRequest request(String entry, long number, Integer... except) {
-		return new SlotRequest(entry, number, "r", "svc", "d1", Set.of(except), this.time.nanos(),
+		return new SlotRequest(entry, number, "r", "svc", "d1", Set.of(except), PromptHomes.none(), this.time.nanos(),
 				this.time.nanos() + 1_000_000);
 	}
 
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/dispatch/FleetPlay.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/dispatch/FleetPlay.java
@@ -17,6 +17,7 @@
 import org.ragworthook.core.time.ManualTime;
 import org.ragworthook.gateway.upstream.PeerLoad;
 import org.ragworthook.gateway.upstream.Placement;
+import org.ragworthook.gateway.upstream.PromptHomes;
 import org.ragworthook.gateway.upstream.SlotSharing;
 import org.ragworthook.gateway.upstream.TrackedUpstream;
 import org.ragworthook.gateway.upstream.UnheardRequests;
@@ -272,6 +273,11 @@
 			return "r" + this.arrived;
 		}
 
+		@Override
+		public PromptHomes prompt() {
+			return PromptHomes.none();
+		}
+
 		@Override
 		public void granted(int upstreamKey, boolean yields) {
 			send(this.entry.registry.byKey(upstreamKey).orElseThrow());
@@ -349,7 +355,7 @@
 
 		private boolean tryPlace(Request request) {
 			Optional<TrackedUpstream> choice = this.placement.choose(this.registry.serving(SERVICE), Set.of(),
-					SlotSharing::onlineRoom, this.unheard.count());
+					SlotSharing::onlineRoom, PromptHomes.none(), this.unheard.count());
 			choice.ifPresent(request::send);
 			return choice.isPresent();
 		}
@@ -380,7 +386,7 @@
 		@Override
 		public void ask(String to, DispatchClient.Question question) {
 			SlotRequest request = new SlotRequest(this.name, question.number(), question.requestId(),
-					question.service(), "d0", question.except(), FleetPlay.this.time.nanos(),
+					question.service(), "d0", question.except(), question.prompt(), FleetPlay.this.time.nanos(),
 					FleetPlay.this.time.nanos() + question.toGoal().toNanos());
 			FleetPlay.this.time.schedule(WAY, () -> FleetPlay.this.dispatcher.ask(request));
 		}
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/upstream/PlacementPlayTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/upstream/PlacementPlayTests.java
@@ -189,7 +189,8 @@
 				int entries = Play.this.views.size();
 				double unheard = perMilli * NEWS_MILLIS / 2 * (entries - 1) / entries;
 				TrackedUpstream choice = this.placement
-					.choose(this.fleet, Set.of(), SlotSharing::onlineRoom, Play.this.spreading ? unheard : 0)
+					.choose(this.fleet, Set.of(), SlotSharing::onlineRoom, PromptHomes.none(),
+							Play.this.spreading ? unheard : 0)
 					.orElse(this.fleet.get(Play.this.random.nextInt(ENGINES)));
 				choice.begin(WorkClass.ONLINE);
 				Play.this.requests++;
--- a/modules/wire/src/main/java/org/ragworthook/wire/load/SlotAsk.java
+++ b/modules/wire/src/main/java/org/ragworthook/wire/load/SlotAsk.java
@@ -36,6 +36,7 @@
     failureDomain_ = "";
     except_ = emptyIntList();
     request_ = "";
+    prompt_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -261,6 +262,67 @@
     }
   }
 
+  public static final int PROMPT_FIELD_NUMBER = 7;
+  @SuppressWarnings("serial")
+  private java.util.List<org.ragworthook.wire.load.SharedPart> prompt_;
+  /**
+   * <pre>
+   * the long parts of its prompt
+   * </pre>
+   *
+   * <code>repeated .ragworthook.SharedPart prompt = 7;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.ragworthook.wire.load.SharedPart> getPromptList() {
+    return prompt_;
+  }
+  /**
+   * <pre>
+   * the long parts of its prompt
+   * </pre>
+   *
+   * <code>repeated .ragworthook.SharedPart prompt = 7;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.ragworthook.wire.load.SharedPartOrBuilder> 
+      getPromptOrBuilderList() {
+    return prompt_;
+  }
+  /**
+   * <pre>
+   * the long parts of its prompt
+   * </pre>
+   *
+   * <code>repeated .ragworthook.SharedPart prompt = 7;</code>
+   */
+  @java.lang.Override
+  public int getPromptCount() {
+    return prompt_.size();
+  }
+  /**
+   * <pre>
+   * the long parts of its prompt
+   * </pre>
+   *
+   * <code>repeated .ragworthook.SharedPart prompt = 7;</code>
+   */
+  @java.lang.Override
+  public org.ragworthook.wire.load.SharedPart getPrompt(int index) {
+    return prompt_.get(index);
+  }
+  /**
+   * <pre>
+   * the long parts of its prompt
+   * </pre>
+   *
+   * <code>repeated .ragworthook.SharedPart prompt = 7;</code>
+   */
+  @java.lang.Override
+  public org.ragworthook.wire.load.SharedPartOrBuilder getPromptOrBuilder(
+      int index) {
+    return prompt_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -298,6 +360,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(request_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 6, request_);
     }
+    for (int i = 0; i < prompt_.size(); i++) {
+      output.writeMessage(7, prompt_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -330,6 +395,15 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(request_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(6, request_);
     }
+
+        {
+          final int count = prompt_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(prompt_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -366,6 +440,8 @@
         != other.getGoalMillis()) return false;
     if (!getRequest()
         .equals(other.getRequest())) return false;
+    if (!getPromptList()
+        .equals(other.getPromptList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -392,6 +468,10 @@
     hash = (53 * hash) + getGoalMillis();
     hash = (37 * hash) + REQUEST_FIELD_NUMBER;
     hash = (53 * hash) + getRequest().hashCode();
+    if (getPromptCount() > 0) {
+      hash = (37 * hash) + PROMPT_FIELD_NUMBER;
+      hash = (53 * hash) + getPromptList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -533,6 +613,13 @@
       except_ = emptyIntList();
       goalMillis_ = 0;
       request_ = "";
+      if (promptBuilder_ == null) {
+        prompt_ = java.util.Collections.emptyList();
+      } else {
+        prompt_ = null;
+        promptBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000040);
       return this;
     }
 
@@ -559,11 +646,24 @@
     @java.lang.Override
     public org.ragworthook.wire.load.SlotAsk buildPartial() {
       org.ragworthook.wire.load.SlotAsk result = new org.ragworthook.wire.load.SlotAsk(this);
+      buildPartialRepeatedFields(result);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
+    private void buildPartialRepeatedFields(org.ragworthook.wire.load.SlotAsk result) {
+      if (promptBuilder_ == null) {
+        if (((bitField0_ & 0x00000040) != 0)) {
+          prompt_ = java.util.Collections.unmodifiableList(prompt_);
+          bitField0_ = (bitField0_ & ~0x00000040);
+        }
+        result.prompt_ = prompt_;
+      } else {
+        result.prompt_ = promptBuilder_.build();
+      }
+    }
+
     private void buildPartial0(org.ragworthook.wire.load.SlotAsk result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
@@ -631,6 +731,32 @@
         bitField0_ |= 0x00000020;
         onChanged();
       }
+      if (promptBuilder_ == null) {
+        if (!other.prompt_.isEmpty()) {
+          if (prompt_.isEmpty()) {
+            prompt_ = other.prompt_;
+            bitField0_ = (bitField0_ & ~0x00000040);
+          } else {
+            ensurePromptIsMutable();
+            prompt_.addAll(other.prompt_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.prompt_.isEmpty()) {
+          if (promptBuilder_.isEmpty()) {
+            promptBuilder_.dispose();
+            promptBuilder_ = null;
+            prompt_ = other.prompt_;
+            bitField0_ = (bitField0_ & ~0x00000040);
+            promptBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetPromptFieldBuilder() : null;
+          } else {
+            promptBuilder_.addAllMessages(other.prompt_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -697,6 +823,19 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 50
+            case 58: {
+              org.ragworthook.wire.load.SharedPart m =
+                  input.readMessage(
+                      org.ragworthook.wire.load.SharedPart.parser(),
+                      extensionRegistry);
+              if (promptBuilder_ == null) {
+                ensurePromptIsMutable();
+                prompt_.add(m);
+              } else {
+                promptBuilder_.addMessage(m);
+              }
+              break;
+            } // case 58
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1176,6 +1315,312 @@
       return this;
     }
 
+    private java.util.List<org.ragworthook.wire.load.SharedPart> prompt_ =
+      java.util.Collections.emptyList();
+    private void ensurePromptIsMutable() {
+      if (!((bitField0_ & 0x00000040) != 0)) {
+        prompt_ = new java.util.ArrayList<org.ragworthook.wire.load.SharedPart>(prompt_);
+        bitField0_ |= 0x00000040;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.ragworthook.wire.load.SharedPart, org.ragworthook.wire.load.SharedPart.Builder, org.ragworthook.wire.load.SharedPartOrBuilder> promptBuilder_;
+
+    /**
+     * <pre>
+     * the long parts of its prompt
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SharedPart prompt = 7;</code>
+     */
+    public java.util.List<org.ragworthook.wire.load.SharedPart> getPromptList() {
+      if (promptBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(prompt_);
+      } else {
+        return promptBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * the long parts of its prompt
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SharedPart prompt = 7;</code>
+     */
+    public int getPromptCount() {
+      if (promptBuilder_ == null) {
+        return prompt_.size();
+      } else {
+        return promptBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * the long parts of its prompt
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SharedPart prompt = 7;</code>
+     */
+    public org.ragworthook.wire.load.SharedPart getPrompt(int index) {
+      if (promptBuilder_ == null) {
+        return prompt_.get(index);
+      } else {
+        return promptBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * the long parts of its prompt
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SharedPart prompt = 7;</code>
+     */
+    public Builder setPrompt(
+        int index, org.ragworthook.wire.load.SharedPart value) {
+      if (promptBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensurePromptIsMutable();
+        prompt_.set(index, value);
+        onChanged();
+      } else {
+        promptBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * the long parts of its prompt
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SharedPart prompt = 7;</code>
+     */
+    public Builder setPrompt(
+        int index, org.ragworthook.wire.load.SharedPart.Builder builderForValue) {
+      if (promptBuilder_ == null) {
+        ensurePromptIsMutable();
+        prompt_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        promptBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * the long parts of its prompt
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SharedPart prompt = 7;</code>
+     */
+    public Builder addPrompt(org.ragworthook.wire.load.SharedPart value) {
+      if (promptBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensurePromptIsMutable();
+        prompt_.add(value);
+        onChanged();
+      } else {
+        promptBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * the long parts of its prompt
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SharedPart prompt = 7;</code>
+     */
+    public Builder addPrompt(
+        int index, org.ragworthook.wire.load.SharedPart value) {
+      if (promptBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensurePromptIsMutable();
+        prompt_.add(index, value);
+        onChanged();
+      } else {
+        promptBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * the long parts of its prompt
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SharedPart prompt = 7;</code>
+     */
+    public Builder addPrompt(
+        org.ragworthook.wire.load.SharedPart.Builder builderForValue) {
+      if (promptBuilder_ == null) {
+        ensurePromptIsMutable();
+        prompt_.add(builderForValue.build());
+        onChanged();
+      } else {
+        promptBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * the long parts of its prompt
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SharedPart prompt = 7;</code>
+     */
+    public Builder addPrompt(
+        int index, org.ragworthook.wire.load.SharedPart.Builder builderForValue) {
+      if (promptBuilder_ == null) {
+        ensurePromptIsMutable();
+        prompt_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        promptBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * the long parts of its prompt
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SharedPart prompt = 7;</code>
+     */
+    public Builder addAllPrompt(
+        java.lang.Iterable<? extends org.ragworthook.wire.load.SharedPart> values) {
+      if (promptBuilder_ == null) {
+        ensurePromptIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, prompt_);
+        onChanged();
+      } else {
+        promptBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * the long parts of its prompt
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SharedPart prompt = 7;</code>
+     */
+    public Builder clearPrompt() {
+      if (promptBuilder_ == null) {
+        prompt_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000040);
+        onChanged();
+      } else {
+        promptBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * the long parts of its prompt
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SharedPart prompt = 7;</code>
+     */
+    public Builder removePrompt(int index) {
+      if (promptBuilder_ == null) {
+        ensurePromptIsMutable();
+        prompt_.remove(index);
+        onChanged();
+      } else {
+        promptBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * the long parts of its prompt
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SharedPart prompt = 7;</code>
+     */
+    public org.ragworthook.wire.load.SharedPart.Builder getPromptBuilder(
+        int index) {
+      return internalGetPromptFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * the long parts of its prompt
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SharedPart prompt = 7;</code>
+     */
+    public org.ragworthook.wire.load.SharedPartOrBuilder getPromptOrBuilder(
+        int index) {
+      if (promptBuilder_ == null) {
+        return prompt_.get(index);  } else {
+        return promptBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * the long parts of its prompt
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SharedPart prompt = 7;</code>
+     */
+    public java.util.List<? extends org.ragworthook.wire.load.SharedPartOrBuilder> 
+         getPromptOrBuilderList() {
+      if (promptBuilder_ != null) {
+        return promptBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(prompt_);
+      }
+    }
+    /**
+     * <pre>
+     * the long parts of its prompt
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SharedPart prompt = 7;</code>
+     */
+    public org.ragworthook.wire.load.SharedPart.Builder addPromptBuilder() {
+      return internalGetPromptFieldBuilder().addBuilder(
+          org.ragworthook.wire.load.SharedPart.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * the long parts of its prompt
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SharedPart prompt = 7;</code>
+     */
+    public org.ragworthook.wire.load.SharedPart.Builder addPromptBuilder(
+        int index) {
+      return internalGetPromptFieldBuilder().addBuilder(
+          index, org.ragworthook.wire.load.SharedPart.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * the long parts of its prompt
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SharedPart prompt = 7;</code>
+     */
+    public java.util.List<org.ragworthook.wire.load.SharedPart.Builder> 
+         getPromptBuilderList() {
+      return internalGetPromptFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.ragworthook.wire.load.SharedPart, org.ragworthook.wire.load.SharedPart.Builder, org.ragworthook.wire.load.SharedPartOrBuilder> 
+        internalGetPromptFieldBuilder() {
+      if (promptBuilder_ == null) {
+        promptBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.ragworthook.wire.load.SharedPart, org.ragworthook.wire.load.SharedPart.Builder, org.ragworthook.wire.load.SharedPartOrBuilder>(
+                prompt_,
+                ((bitField0_ & 0x00000040) != 0),
+                getParentForChildren(),
+                isClean());
+        prompt_ = null;
+      }
+      return promptBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:ragworthook.SlotAsk)
   }
 
--- a/modules/wire/src/main/java/org/ragworthook/wire/load/SlotAskOrBuilder.java
+++ b/modules/wire/src/main/java/org/ragworthook/wire/load/SlotAskOrBuilder.java
@@ -110,4 +110,48 @@
    */
   com.google.protobuf.ByteString
       getRequestBytes();
+
+  /**
+   * <pre>
+   * the long parts of its prompt
+   * </pre>
+   *
+   * <code>repeated .ragworthook.SharedPart prompt = 7;</code>
+   */
+  java.util.List<org.ragworthook.wire.load.SharedPart> 
+      getPromptList();
+  /**
+   * <pre>
+   * the long parts of its prompt
+   * </pre>
+   *
+   * <code>repeated .ragworthook.SharedPart prompt = 7;</code>
+   */
+  org.ragworthook.wire.load.SharedPart getPrompt(int index);
+  /**
+   * <pre>
+   * the long parts of its prompt
+   * </pre>
+   *
+   * <code>repeated .ragworthook.SharedPart prompt = 7;</code>
+   */
+  int getPromptCount();
+  /**
+   * <pre>
+   * the long parts of its prompt
+   * </pre>
+   *
+   * <code>repeated .ragworthook.SharedPart prompt = 7;</code>
+   */
+  java.util.List<? extends org.ragworthook.wire.load.SharedPartOrBuilder> 
+      getPromptOrBuilderList();
+  /**
+   * <pre>
+   * the long parts of its prompt
+   * </pre>
+   *
+   * <code>repeated .ragworthook.SharedPart prompt = 7;</code>
+   */
+  org.ragworthook.wire.load.SharedPartOrBuilder getPromptOrBuilder(
+      int index);
 }
