Speak for a job that others have run only after a write of one's own

A new owner that had read the listing to its end spoke for it 5 s after the read; a write of the owner before, carried out in that time, was not in what it had read, and an entry would have denied the position that another one showed. Ruled out: a longer wait, since waiting makes no reading newer.

Change: such a job is spoken for after the first write of the new owner that meets no conflict; whatever was on its way then has that number and cannot be carried out. Until then entries ask the store.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobLoading.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobLoading.java
@@ -56,7 +56,7 @@
 			else {
 				job.resultsKnown();
 				job.open();
-				this.claims.read(job.job().id(), false);
+				this.claims.accepted(job.job().id());
 				ready(job);
 			}
 		}, this.parts.loop()).exceptionally((failure) -> later(job, failure));
@@ -70,7 +70,7 @@
 				segments(job);
 				return;
 			}
-			this.claims.read(job.job().id(), true);
+			this.claims.forget(job.job().id());
 			goOn(job);
 		}, this.parts.loop()).exceptionally((failure) -> later(job, failure));
 	}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ListingClaims.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ListingClaims.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -17,19 +18,15 @@
  * Entries believe it instead of asking the store. If another process had listed results
  * unseen, an entry would deny a position that a caller was shown before by another entry.
  * That comes about when a process was paused, or cut off, and its jobs were run by others
- * meanwhile. So what was read or written of a job counts only as long as this process was
- * not paused and hears the same processes as then; the next writing that meets no
- * conflict shows that nobody else has written, and it counts again. Used on the event
- * loop.
+ * meanwhile, or when the store carries out a write of an earlier owner seconds after the
+ * new one has read that there is nothing. So a job is spoken for if it was accepted a
+ * moment ago and nobody has run it, or after a write of this process that met no
+ * conflict: whatever others had on the way before has that number, and will meet one. And
+ * only as long as this process was not paused and hears the same processes as then. Used
+ * on the event loop.
  */
 final class ListingClaims {
 
-	/**
-	 * How long a write of an earlier owner may be on its way to the store after that
-	 * owner is gone: twice the time after which its calls are given up, and some more.
-	 */
-	static final Duration OTHERS_WRITES = Duration.ofSeconds(5);
-
 	/**
 	 * For how long a process tells of a segment that it wrote, though the job is another
 	 * one's by now: until the write has long ended and the other has met it.
@@ -42,7 +39,7 @@
 
 	private final Supplier<Set<String>> processes;
 
-	private final Map<String, Claim> claims = new HashMap<>();
+	private final Set<String> claims = new HashSet<>();
 
 	private final Map<String, Long> lastWrites = new HashMap<>();
 
@@ -75,13 +72,11 @@
 	}
 
 	/**
-	 * Learns that the listing of a job was read to its end.
+	 * Learns of a job that was accepted a moment ago and that nobody has run.
 	 * @param jobId the job
-	 * @param othersBefore whether another process may have run the job before
 	 */
-	void read(String jobId, boolean othersBefore) {
-		long wait = othersBefore ? OTHERS_WRITES.toNanos() : 0;
-		this.claims.put(jobId, new Claim(this.ticker.nanos() + wait));
+	void accepted(String jobId) {
+		this.claims.add(jobId);
 	}
 
 	/**
@@ -97,11 +92,12 @@
 	 * @param jobId the job
 	 */
 	void written(String jobId) {
-		this.claims.putIfAbsent(jobId, new Claim(this.ticker.nanos()));
+		this.claims.add(jobId);
 	}
 
 	/**
-	 * Forgets what was read of a job.
+	 * Learns that others may have listed results of a job, or that the outcome of a write
+	 * is unknown.
 	 * @param jobId the job
 	 */
 	void forget(String jobId) {
@@ -115,9 +111,7 @@
 	 */
 	Optional<ResultListing> listing(OwnedJob job) {
 		String id = job.job().id();
-		Claim claim = this.claims.get(id);
-		boolean all = job.phase() == OwnedJob.Phase.READY && claim != null
-				&& this.ticker.nanos() - claim.fromNanos >= 0;
+		boolean all = job.phase() == OwnedJob.Phase.READY && this.claims.contains(id);
 		if (!all && !this.lastWrites.containsKey(id)) {
 			return Optional.empty();
 		}
@@ -133,12 +127,4 @@
 	private record Surroundings(int pauses, Set<String> processes) {
 	}
 
-	/**
-	 * What was read or written of a job.
-	 *
-	 * @param fromNanos from when on it may be told, the ticker's reading
-	 */
-	private record Claim(long fromNanos) {
-	}
-
 }
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/job/ListingClaimsTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/job/ListingClaimsTests.java
@@ -50,20 +50,24 @@
 	void shouldTellOfAJobThatNobodyElseCanHaveRun() {
 		this.claims.look();
 		assertThat(told()).isEmpty();
-		this.claims.read("job", false);
+		this.claims.accepted("job");
 		assertThat(told()).isEqualTo(listing(0, true));
 	}
 
 	/**
 	 * The owner before was killed while it wrote a segment. The store may carry the write
-	 * out seconds later, after the new owner has read that there is no such segment.
+	 * out seconds later, after the new owner has read that there is no such segment; once
+	 * the new owner has written it, it cannot.
 	 */
 	@Test
-	void shouldWaitForWritesOfTheOwnerBefore() {
+	void shouldNotSpeakForWhatOthersHaveRunBeforeItHasWritten() {
 		this.claims.look();
-		this.claims.read("job", true);
+		this.claims.accepted("job");
+		this.claims.forget("job");
+		this.nanos.addAndGet(Duration.ofMinutes(1).toNanos());
 		assertThat(told()).isEmpty();
-		this.nanos.addAndGet(ListingClaims.OTHERS_WRITES.toNanos());
+		this.claims.writing("job");
+		this.claims.written("job");
 		assertThat(told()).isEqualTo(listing(0, true));
 	}
 
@@ -76,7 +80,7 @@
 	@ValueSource(strings = { "paused", "one has come", "one has gone" })
 	void shouldNotTellOnceOthersMayHaveListed(String what) {
 		this.claims.look();
-		this.claims.read("job", false);
+		this.claims.accepted("job");
 		if (what.equals("paused")) {
 			this.pauses.incrementAndGet();
 		}
@@ -100,7 +104,7 @@
 	@Test
 	void shouldNotTellAfterAConflict() {
 		this.claims.look();
-		this.claims.read("job", false);
+		this.claims.accepted("job");
 		this.claims.writing("job");
 		this.claims.forget("job");
 		assertThat(told()).isEqualTo(listing(0, false));
@@ -111,7 +115,7 @@
 	@Test
 	void shouldNotTellAsAllWhatIsNotItsOwnAnyLonger() {
 		this.claims.look();
-		this.claims.read("job", false);
+		this.claims.accepted("job");
 		this.job.phase(OwnedJob.Phase.KNOWN);
 		assertThat(told()).isEmpty();
 	}
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/job/PlayedOwner.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/job/PlayedOwner.java
@@ -60,7 +60,7 @@
 		while (this.job.segments() < segments) {
 			this.job.listed(this.job.segments(), List.of());
 		}
-		this.claims.read(this.job.job().id(), true);
+		this.claims.forget(this.job.job().id());
 		this.job.phase(OwnedJob.Phase.READY);
 	}
 
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/peer/ListingPlay.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/peer/ListingPlay.java
@@ -38,6 +38,9 @@
 
 	private final Random random;
 
+	/** How many segments a second an owner writes, drawn for each play. */
+	private final double writes;
+
 	private final Troubles troubles;
 
 	private final List<Process> processes = new ArrayList<>();
@@ -62,6 +65,7 @@
 
 	private ListingPlay(long seed, Troubles troubles) {
 		this.random = new Random(seed);
+		this.writes = 0.1 + this.random.nextDouble();
 		this.troubles = troubles;
 		for (int n = 0; n < OWNERS + ENTRIES; n++) {
 			this.processes.add(new Process(n));
@@ -314,7 +318,7 @@
 			if (!this.owned.ready()) {
 				this.owned.read(ListingPlay.this.storedSegments);
 			}
-			else if (happens(0.7)) {
+			else if (happens(ListingPlay.this.writes)) {
 				write();
 			}
 		}
@@ -325,7 +329,7 @@
 			int segment = writer.segments();
 			writer.writes();
 			boolean answerLost = play.random.nextDouble() < play.troubles.lostAnswers;
-			long taken = answerLost ? between(2, 3_000) : between(2, 20);
+			long taken = answerLost ? between(2, 6_000) : between(2, 20);
 			boolean[] written = new boolean[1];
 			after(taken, () -> {
 				written[0] = play.storedSegments == segment;
