Do not speak for a new job while the processes that run jobs have just changed

Cause, found in a last reading: looks for jobs gather for up to 1.5 s, so a job that a watch brings as new may have been run, and short items of it listed, by an owner that has stopped meanwhile. Its next owner took it for one that nobody had run and spoke for it.

Test: shouldNotSpeakForAJobThatItsOwnerBeforeMayHaveRun (fails without the condition).

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ListingClaims.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ListingClaims.java
@@ -33,6 +33,13 @@
 	 */
 	static final Duration OWN_WRITES = Duration.ofSeconds(30);
 
+	/**
+	 * How long a new job may have been in the store before this process saw it: the
+	 * longest pause between two looks for jobs, and some more. If the processes have
+	 * changed in that time, the owner before may have run the job and listed results.
+	 */
+	static final Duration SEEN_AFTER = Duration.ofSeconds(2);
+
 	private final Ticker ticker;
 
 	private final IntSupplier pauses;
@@ -45,6 +52,8 @@
 
 	private Surroundings surroundings;
 
+	private long changedNanos;
+
 	/**
 	 * Makes claims of no job.
 	 * @param ticker the time
@@ -56,6 +65,7 @@
 		this.pauses = Objects.requireNonNull(pauses, "pauses is null");
 		this.processes = Objects.requireNonNull(processes, "processes is null");
 		this.surroundings = new Surroundings(0, Set.of());
+		this.changedNanos = ticker.nanos();
 	}
 
 	/**
@@ -65,6 +75,7 @@
 		Surroundings now = new Surroundings(this.pauses.getAsInt(), this.processes.get());
 		if (!now.equals(this.surroundings)) {
 			this.surroundings = now;
+			this.changedNanos = this.ticker.nanos();
 			this.claims.clear();
 		}
 		long old = this.ticker.nanos() - OWN_WRITES.toNanos();
@@ -72,11 +83,14 @@
 	}
 
 	/**
-	 * Learns of a job that was accepted a moment ago and that nobody has run.
+	 * Learns of a job that was accepted a moment ago and that belongs to this process.
 	 * @param jobId the job
 	 */
 	void accepted(String jobId) {
-		this.claims.add(jobId);
+		look();
+		if (this.ticker.nanos() - this.changedNanos >= SEEN_AFTER.toNanos()) {
+			this.claims.add(jobId);
+		}
 	}
 
 	/**
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/job/ListingClaimsTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/job/ListingClaimsTests.java
@@ -37,6 +37,13 @@
 		return job;
 	}
 
+	/** For long this process has heard the same processes; then it is given the job. */
+	private void accepted() {
+		this.claims.look();
+		this.nanos.addAndGet(ListingClaims.SEEN_AFTER.toNanos());
+		this.claims.accepted("job");
+	}
+
 	private Optional<ResultListing> told() {
 		this.claims.look();
 		return this.claims.listing(this.job);
@@ -48,12 +55,23 @@
 
 	@Test
 	void shouldTellOfAJobThatNobodyElseCanHaveRun() {
-		this.claims.look();
 		assertThat(told()).isEmpty();
-		this.claims.accepted("job");
+		accepted();
 		assertThat(told()).isEqualTo(listing(0, true));
 	}
 
+	/**
+	 * A job is accepted, its owner runs it, lists a short item and is stopped, all before
+	 * this process looks for jobs. To this process the job looks as if it were new.
+	 */
+	@Test
+	void shouldNotSpeakForAJobThatItsOwnerBeforeMayHaveRun() {
+		accepted();
+		this.processes.set(Set.of("one"));
+		this.claims.accepted("job");
+		assertThat(told()).isEmpty();
+	}
+
 	/**
 	 * The owner before was killed while it wrote a segment. The store may carry the write
 	 * out seconds later, after the new owner has read that there is no such segment; once
@@ -61,8 +79,7 @@
 	 */
 	@Test
 	void shouldNotSpeakForWhatOthersHaveRunBeforeItHasWritten() {
-		this.claims.look();
-		this.claims.accepted("job");
+		accepted();
 		this.claims.forget("job");
 		this.nanos.addAndGet(Duration.ofMinutes(1).toNanos());
 		assertThat(told()).isEmpty();
@@ -79,8 +96,7 @@
 	@ParameterizedTest
 	@ValueSource(strings = { "paused", "one has come", "one has gone" })
 	void shouldNotTellOnceOthersMayHaveListed(String what) {
-		this.claims.look();
-		this.claims.accepted("job");
+		accepted();
 		if (what.equals("paused")) {
 			this.pauses.incrementAndGet();
 		}
@@ -103,8 +119,7 @@
 	 */
 	@Test
 	void shouldNotTellAfterAConflict() {
-		this.claims.look();
-		this.claims.accepted("job");
+		accepted();
 		this.claims.writing("job");
 		this.claims.forget("job");
 		assertThat(told()).isEqualTo(listing(0, false));
@@ -114,8 +129,7 @@
 
 	@Test
 	void shouldNotTellAsAllWhatIsNotItsOwnAnyLonger() {
-		this.claims.look();
-		this.claims.accepted("job");
+		accepted();
 		this.job.phase(OwnedJob.Phase.KNOWN);
 		assertThat(told()).isEmpty();
 	}
