Take out what stood twice in the news of listings and the homes of prompts

No behaviour changes but one: a job that is done is no longer remembered as spoken for. It was told of no longer anyway; its id stayed until the processes that run jobs changed, which in a calm fleet is never.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/dispatch/DispatchReports.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/dispatch/DispatchReports.java
@@ -194,7 +194,7 @@
 	}
 
 	private static PromptHomes prompt(SlotAsk ask) {
-		return PromptHomes.ofParts(ask.getPromptList()
+		return new PromptHomes(ask.getPromptList()
 			.stream()
 			.map((part) -> new PromptHomes.Part(part.getHash(), part.getTokens()))
 			.toList());
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobLoading.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobLoading.java
@@ -1,6 +1,5 @@
 package org.ragworthook.gateway.job;
 
-import java.time.Duration;
 import java.util.Objects;
 import java.util.Optional;
 
@@ -15,9 +14,6 @@
 
 	private static final EventLog LOG = EventLog.of(JobLoading.class);
 
-	/** The pause after the store did not answer. */
-	private static final Duration AGAIN = Duration.ofMillis(300);
-
 	private final JobRunner.Parts parts;
 
 	private final ProgressKeeper progress;
@@ -105,7 +101,7 @@
 
 	private Void later(OwnedJob job, Throwable failure) {
 		LOG.warning("job_not_read", "job", job.job().id(), "error", Failures.root(failure));
-		this.parts.timers().schedule(AGAIN, () -> {
+		this.parts.timers().schedule(JobStore.AGAIN, () -> {
 			if (job.phase() == OwnedJob.Phase.READING) {
 				job.phase(OwnedJob.Phase.KNOWN);
 			}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
@@ -118,8 +118,7 @@
 		}
 		else if (job.ended() && !known.job().ended()) {
 			known.job(job);
-			known.stopRuns();
-			known.phase(OwnedJob.Phase.DONE);
+			done(known);
 			LOG.info("job_ended", "job", job.id(), "open_items", known.openCount());
 		}
 		pump();
@@ -232,8 +231,7 @@
 			return;
 		}
 		if (job.job().ended() || job.complete()) {
-			job.phase(OwnedJob.Phase.DONE);
-			job.stopRuns();
+			done(job);
 			LOG.info("job_done", "job", job.job().id(), "ended", job.job().ended(), "listed", job.complete());
 			return;
 		}
@@ -261,6 +259,12 @@
 		}
 	}
 
+	private void done(OwnedJob job) {
+		job.phase(OwnedJob.Phase.DONE);
+		job.stopRuns();
+		this.claims.forget(job.job().id());
+	}
+
 	/**
 	 * Gives up items that have used up their time or their attempts, or whose route is
 	 * gone. A process that has not seen the configuration by which the job was accepted
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobStore.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobStore.java
@@ -1,6 +1,7 @@
 package org.ragworthook.gateway.job;
 
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
@@ -36,6 +37,9 @@
 	 */
 	static final int CHUNK_CHARS = 600_000;
 
+	/** The pause after the store did not answer, or did not take a call. */
+	static final Duration AGAIN = Duration.ofMillis(300);
+
 	private static final Pattern PLAIN = Pattern.compile("[a-z0-9]{1,64}");
 
 	private final RecordStore store;
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ListingClaims.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ListingClaims.java
@@ -110,8 +110,8 @@
 	}
 
 	/**
-	 * Learns that others may have listed results of a job, or that the outcome of a write
-	 * is unknown.
+	 * Learns that a job is done, that others may have listed results of it, or that the
+	 * outcome of a write is unknown.
 	 * @param jobId the job
 	 */
 	void forget(String jobId) {
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ResultLister.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ResultLister.java
@@ -15,9 +15,6 @@
 
 	private static final EventLog LOG = EventLog.of(ResultLister.class);
 
-	/** The pause after the store did not take a call. */
-	private static final Duration AGAIN = Duration.ofMillis(300);
-
 	private final JobRunner.Parts parts;
 
 	private final ListingClaims claims;
@@ -82,7 +79,7 @@
 		}, this.parts.loop()).exceptionally((failure) -> {
 			LOG.warning("results_not_listed", "job", job.job().id(), "segment", number, "error",
 					Failures.root(failure));
-			this.parts.timers().schedule(AGAIN, () -> {
+			this.parts.timers().schedule(JobStore.AGAIN, () -> {
 				job.writing(false);
 				this.claims.forget(job.job().id());
 				if (job.phase() == OwnedJob.Phase.READY) {
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/upstream/PromptHomes.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/upstream/PromptHomes.java
@@ -2,10 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 
 /**
  * Where prompts that share long parts are sent, so that an engine which has read a part
@@ -18,8 +18,10 @@
  * memories: played with 75 parts of 13,300 tokens before 20 engines that have memory for
  * 8, half of their slots taken, 88 of 100 shared parts were read again, and 3 with this
  * ({@code PromptHomesPlayTests}).
+ *
+ * @param parts the parts of a prompt that are long enough to decide
  */
-public final class PromptHomes {
+public record PromptHomes(List<Part> parts) {
 
 	/**
 	 * The shortest part that decides where a prompt goes. An engine reads it in about the
@@ -39,10 +41,11 @@
 
 	private static final PromptHomes NONE = new PromptHomes(List.of());
 
-	private final List<Part> parts;
-
-	private PromptHomes(List<Part> parts) {
-		this.parts = List.copyOf(parts);
+	/**
+	 * Keeps the parts.
+	 */
+	public PromptHomes {
+		parts = List.copyOf(parts);
 	}
 
 	/**
@@ -70,23 +73,6 @@
 		return parts.isEmpty() ? NONE : new PromptHomes(parts);
 	}
 
-	/**
-	 * Returns the homes that another process has found.
-	 * @param parts the long parts
-	 * @return the homes
-	 */
-	public static PromptHomes ofParts(List<Part> parts) {
-		return parts.isEmpty() ? NONE : new PromptHomes(parts);
-	}
-
-	/**
-	 * Returns the parts that are long enough to decide.
-	 * @return the parts
-	 */
-	public List<Part> parts() {
-		return this.parts;
-	}
-
 	/**
 	 * Returns what speaks for upstreams because they keep parts of the prompt.
 	 * @param serving all upstreams of the service, with or without room, so that the
@@ -101,43 +87,17 @@
 		for (Part part : this.parts) {
 			List<TrackedUpstream> homes = homes(part, serving);
 			for (int rank = 0; rank < homes.size(); rank++) {
-				int weight = part.tokens() / TOKENS_PER_COST * (HOMES - rank) / HOMES;
+				int weight = Math.min(MOST, part.tokens() / TOKENS_PER_COST * (HOMES - rank) / HOMES);
 				weights.merge(homes.get(rank), weight, (one, other) -> Math.min(MOST, one + other));
 			}
 		}
-		weights.replaceAll((upstream, weight) -> Math.min(MOST, weight));
 		return weights;
 	}
 
 	private static List<TrackedUpstream> homes(Part part, Collection<TrackedUpstream> serving) {
-		List<TrackedUpstream> homes = new ArrayList<>(HOMES + 1);
-		List<Long> scores = new ArrayList<>(HOMES + 1);
-		for (TrackedUpstream upstream : serving) {
-			long score = RendezvousScore.of(upstream.entry().id(), part.hash());
-			int at = scores.size();
-			while (at > 0 && scores.get(at - 1) < score) {
-				at--;
-			}
-			if (at < HOMES) {
-				homes.add(at, upstream);
-				scores.add(at, score);
-				if (homes.size() > HOMES) {
-					homes.remove(HOMES);
-					scores.remove(HOMES);
-				}
-			}
-		}
-		return homes;
-	}
-
-	@Override
-	public boolean equals(Object other) {
-		return other instanceof PromptHomes that && this.parts.equals(that.parts);
-	}
-
-	@Override
-	public int hashCode() {
-		return Objects.hash(this.parts);
+		Comparator<TrackedUpstream> byScore = Comparator
+			.comparingLong((upstream) -> RendezvousScore.of(upstream.entry().id(), part.hash()));
+		return serving.stream().sorted(byScore.reversed()).limit(HOMES).toList();
 	}
 
 	/**
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/feed/FeedFollowerTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/feed/FeedFollowerTests.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -79,8 +80,7 @@
 	@ParameterizedTest
 	@CsvSource({ "1, 31", "4, 31", "15, 13", "300, 13" })
 	void shouldLookForJobsSeldomInALargeFleet(int runners, int mostCalls) {
-		FeedFollower.start(this.collection, new Listener(), this.time, Runnable::run, WAIT,
-				StoreHealth.unknown(this.time), () -> GatheringRule.pauseForJobs(runners));
+		follow(() -> GatheringRule.pauseForJobs(runners));
 		int before = this.collection.calls;
 		for (int i = 0; i < 30; i++) {
 			this.collection.change("job" + i);
@@ -110,8 +110,12 @@
 	}
 
 	private FeedFollower<String> follow(int processes) {
+		return follow(() -> GatheringRule.pause(processes));
+	}
+
+	private FeedFollower<String> follow(Supplier<Duration> gathering) {
 		return FeedFollower.start(this.collection, new Listener(), this.time, Runnable::run, WAIT,
-				StoreHealth.unknown(this.time), () -> GatheringRule.pause(processes));
+				StoreHealth.unknown(this.time), gathering);
 	}
 
 	private final class Listener implements FeedListener<String> {
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/upstream/PromptHomesTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/upstream/PromptHomesTests.java
@@ -47,7 +47,7 @@
 		PromptHomes alone = PromptHomes.of(List.of(new PromptPart("b", LONG)));
 		PromptHomes after = PromptHomes.of(List.of(new PromptPart("a", 10), new PromptPart("b", LONG)));
 		assertThat(alone.parts()).isNotEqualTo(after.parts());
-		assertThat(PromptHomes.ofParts(after.parts())).isEqualTo(after);
+		assertThat(new PromptHomes(after.parts())).isEqualTo(after);
 	}
 
 	/**
