Log how the response of each attempt ended, and with which status

A caller took a broken-off stream for complete. The log could not say why: every response that was not broken off had request_ended outcome=answered status=200, whatever the upstream's status was, and nothing named what its end was taken from or which part of it an attempt had sent.

attempt_ended has the mark of the end (last chunk, stated length, close of the connection) or the failure, the upstream's status, whether it was a stream, the event after which the attempt was asked to go on and the last event received; request_ended has the status that the caller got; a counter has the ends. No decision depends on any of it.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/attempt/Attempt.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/attempt/Attempt.java
@@ -18,6 +18,7 @@
 import org.ragworthook.gateway.event.SseFrameDecoder;
 import org.ragworthook.gateway.http.ClientConnection;
 import org.ragworthook.gateway.http.ConnectionPool;
+import org.ragworthook.gateway.http.ResponseEnd;
 import org.ragworthook.gateway.http.ResponseListener;
 import org.ragworthook.gateway.http.SendFailure;
 import org.ragworthook.gateway.upstream.TrackedUpstream;
@@ -63,14 +64,17 @@
 
 	private boolean sent;
 
+	/** The HTTP status of the response, or 0 before its head was received. */
+	private int status;
+
+	/** The id of the last event that was received before this attempt, or 0. */
+	private final long resumedFrom;
+
 	private long lastEventId;
 
 	/** Whether an event was missing; no event after it may be forwarded. */
 	private boolean gap;
 
-	/** The status of a response that states that the request was not executed. */
-	private int rejectionStatus;
-
 	private Attempt(TrackedUpstream upstream, WorkClass work, ConnectionPool pool, HeaderNames names, long lastEventId,
 			AttemptListener listener) {
 		this.upstream = upstream;
@@ -78,6 +82,7 @@
 		this.pool = pool;
 		this.address = upstream.descriptor().address();
 		this.names = names;
+		this.resumedFrom = lastEventId;
 		this.lastEventId = lastEventId;
 		this.listener = listener;
 	}
@@ -165,6 +170,30 @@
 		return this.lastEventId;
 	}
 
+	/**
+	 * Returns the id of the event after which the stream was resumed.
+	 * @return the id, or 0 if the request was sent for the first time
+	 */
+	public long resumedFrom() {
+		return this.resumedFrom;
+	}
+
+	/**
+	 * Returns the status of the response.
+	 * @return the HTTP status, or 0 if no head was received
+	 */
+	public int status() {
+		return this.status;
+	}
+
+	/**
+	 * Returns whether the response is a stream of server-sent events.
+	 * @return false before its head was received
+	 */
+	public boolean eventStream() {
+		return this.eventStream;
+	}
+
 	/**
 	 * Resumes or pauses reading the response.
 	 * @param on whether to read
@@ -192,10 +221,10 @@
 
 	@Override
 	public void head(HttpResponse head) {
-		boolean notExecuted = head.status().code() == MISDIRECTED || head.headers().contains(this.names.notExecuted());
+		this.status = head.status().code();
+		boolean notExecuted = this.status == MISDIRECTED || head.headers().contains(this.names.notExecuted());
 		if (notExecuted) {
 			this.state = State.REFUSED;
-			this.rejectionStatus = head.status().code();
 			return;
 		}
 		if (!head.headers().contains(this.names.signature())) {
@@ -206,7 +235,7 @@
 		this.upstream.recordSuccess();
 		this.state = State.ANSWERING;
 		String type = head.headers().get(HttpHeaderNames.CONTENT_TYPE);
-		this.eventStream = head.status().code() == OK && type != null && type.startsWith(EVENT_STREAM);
+		this.eventStream = this.status == OK && type != null && type.startsWith(EVENT_STREAM);
 		this.listener.head(head);
 	}
 
@@ -243,10 +272,10 @@
 	}
 
 	@Override
-	public void complete() {
+	public void complete(ResponseEnd end) {
 		if (this.state == State.REFUSED) {
 			releaseConnection();
-			this.listener.notExecuted(this.rejectionStatus);
+			this.listener.notExecuted(this.status);
 			return;
 		}
 		if (this.state != State.ANSWERING) {
@@ -258,7 +287,7 @@
 			return;
 		}
 		releaseConnection();
-		this.listener.complete();
+		this.listener.complete(end);
 	}
 
 	@Override
@@ -269,7 +298,7 @@
 		}
 		finish();
 		if (rejected) {
-			this.listener.notExecuted(this.rejectionStatus);
+			this.listener.notExecuted(this.status);
 		}
 		else {
 			this.listener.failed(failure);
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/attempt/AttemptListener.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/attempt/AttemptListener.java
@@ -1,6 +1,7 @@
 package org.ragworthook.gateway.attempt;
 
 import io.netty.handler.codec.http.HttpResponse;
+import org.ragworthook.gateway.http.ResponseEnd;
 import org.ragworthook.gateway.http.SendFailure;
 
 /**
@@ -24,8 +25,9 @@
 
 	/**
 	 * Called when the response is complete.
+	 * @param end what marked its end
 	 */
-	void complete();
+	void complete(ResponseEnd end);
 
 	/**
 	 * Called when the upstream has stated that it did not execute the request.
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/http/ClientConnection.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/http/ClientConnection.java
@@ -152,6 +152,7 @@
 			return;
 		}
 		this.exchange.headReceived = true;
+		this.exchange.end = ResponseEnd.statedBy(head);
 		if (!HttpUtil.isKeepAlive(head)) {
 			this.reusable = false;
 		}
@@ -179,7 +180,7 @@
 		}
 		if (last && this.exchange == current) {
 			this.exchange = null;
-			current.listener.complete();
+			current.listener.complete(current.end);
 		}
 	}
 
@@ -216,6 +217,9 @@
 
 		private boolean headReceived;
 
+		/** What marks the end of the response; known once its head was received. */
+		private ResponseEnd end;
+
 		Exchange(ResponseListener listener, String expectedId) {
 			this.listener = listener;
 			this.expectedId = expectedId;
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/http/PooledHttpClient.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/http/PooledHttpClient.java
@@ -118,7 +118,7 @@
 		}
 
 		@Override
-		public void complete() {
+		public void complete(ResponseEnd end) {
 			this.timer.cancel(false);
 			PooledHttpClient.this.pool.release(this.address, this.connection);
 			this.result.complete(new BufferedResponse(this.status, this.headers, this.body.toByteArray()));
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/http/ResponseListener.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/http/ResponseListener.java
@@ -24,8 +24,9 @@
 
 	/**
 	 * Called when the response is complete.
+	 * @param end what marked its end
 	 */
-	void complete();
+	void complete(ResponseEnd end);
 
 	/**
 	 * Called when the request has ended without a complete response.
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
@@ -16,6 +16,7 @@
 import org.ragworthook.gateway.dialect.HeaderNames;
 import org.ragworthook.gateway.event.SseFrameDecoder;
 import org.ragworthook.gateway.http.ConnectionPool;
+import org.ragworthook.gateway.http.ResponseEnd;
 import org.ragworthook.gateway.http.SendFailure;
 import org.ragworthook.gateway.upstream.TrackedUpstream;
 import org.ragworthook.gateway.upstream.WorkClass;
@@ -253,7 +254,7 @@
 		}
 
 		@Override
-		public void complete() {
+		public void complete(ResponseEnd end) {
 			ItemRun run = ItemRun.this;
 			TrackedUpstream upstream = run.attempt.upstream();
 			run.attempt = null;
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/metrics/GatewayMetrics.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/metrics/GatewayMetrics.java
@@ -92,6 +92,14 @@
 		count("ragworthook.gateway.attempts.failed", "reason", reason, 1);
 	}
 
+	/**
+	 * Counts an attempt of an online request by what ended its response.
+	 * @param end the mark of a complete response, or how the attempt failed
+	 */
+	public void attemptEnded(String end) {
+		count("ragworthook.gateway.attempts.ended", "end", end, 1);
+	}
+
 	/**
 	 * Counts an item of a batch job that has ended.
 	 * @param completed whether the item ran to its end, rather than being given up
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
@@ -14,6 +14,7 @@
 import org.ragworthook.gateway.attempt.Attempt;
 import org.ragworthook.gateway.attempt.AttemptListener;
 import org.ragworthook.gateway.dispatch.DispatchClient;
+import org.ragworthook.gateway.http.ResponseEnd;
 import org.ragworthook.gateway.http.SendFailure;
 import org.ragworthook.gateway.suspect.PoisonRequestDetector;
 import org.ragworthook.gateway.upstream.Placement;
@@ -78,6 +79,9 @@
 	/** Whether the response to the caller has started. */
 	private boolean responseStarted;
 
+	/** The status that was sent to the caller, or 0 before the response has started. */
+	private int status;
+
 	private boolean ended;
 
 	/** The id of the last event that was sent to the caller, or 0. */
@@ -416,6 +420,7 @@
 				return;
 			}
 			exchange.responseStarted = true;
+			exchange.status = head.status().code();
 			exchange.clock.firstByte();
 			exchange.response.head(head);
 		}
@@ -434,10 +439,11 @@
 		}
 
 		@Override
-		public void complete() {
+		public void complete(ResponseEnd end) {
 			OnlineExchange exchange = OnlineExchange.this;
 			exchange.attempts++;
-			exchange.finish("answered", 200);
+			logAttemptEnd(end.label());
+			exchange.finish("answered", exchange.status);
 			exchange.response.end();
 		}
 
@@ -447,6 +453,7 @@
 			if (status != MISDIRECTED) {
 				exchange.attempts++;
 			}
+			logAttemptEnd("not_executed");
 			TrackedUpstream rejecting = attemptEnded();
 			exchange.tried.failed(rejecting);
 			LOG.info("not_run", "request", exchange.request.id(), "upstream", rejecting, "status", status, "sends",
@@ -460,6 +467,7 @@
 		@Override
 		public void failed(SendFailure failure) {
 			OnlineExchange exchange = OnlineExchange.this;
+			logAttemptEnd(failure.name().toLowerCase(Locale.ROOT));
 			TrackedUpstream failing = attemptEnded();
 			exchange.tried.failed(failing);
 			if (failure != SendFailure.NOT_SENT) {
@@ -475,6 +483,20 @@
 					failure));
 		}
 
+		/**
+		 * Logs how the response of an attempt ended, so that a response of several
+		 * attempts can be traced: which upstream sent which part of it, and what its end
+		 * was taken from.
+		 * @param end the mark of its end, or how the attempt failed
+		 */
+		private void logAttemptEnd(String end) {
+			Attempt ended = OnlineExchange.this.attempt;
+			OnlineExchange.this.context.metrics().attemptEnded(end);
+			LOG.info("attempt_ended", "request", OnlineExchange.this.request.id(), "upstream", ended.upstream(), "end",
+					end, "status", ended.status(), "stream", ended.eventStream(), "resumed_from", ended.resumedFrom(),
+					"last_event", ended.lastEventId());
+		}
+
 		/**
 		 * Clears the attempt and stops its stall detection. A request that waits for its
 		 * next attempt must not be checked for stalls, or it is sent twice: once by the
