Let only a stream of events continue a stream that has begun

Callers of a resumable stream got a 200 with the first events of it, ended as complete, though the upstream had broken off.

Cause: once a response had begun, the head of a later attempt was ignored, but its body was forwarded and its end ended the caller's response. An upstream that answered the resumed request with a signed 500, 504 or 422, or with another content type, so ended the stream as whole. The transport was taken for the statement that the answer is whole, and nobody checked that the later answer belongs to what the caller already has.

Remedy: an attempt has a check of the response's head; an attempt that continues a stream accepts a 200 with a stream of events and nothing else. Another answer fails the attempt as UNUSABLE before any byte of it is passed on, and what follows a failure decides: another upstream goes on, or the caller's connection is broken off.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/attempt/Attempt.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/attempt/Attempt.java
@@ -1,6 +1,7 @@
 package org.ragworthook.gateway.attempt;
 
 import java.util.Locale;
+import java.util.Objects;
 import java.util.Optional;
 
 import io.netty.buffer.ByteBuf;
@@ -37,8 +38,6 @@
 	 */
 	private static final int MISDIRECTED = 421;
 
-	private static final int OK = 200;
-
 	private static final String EVENT_STREAM = "text/event-stream";
 
 	private final TrackedUpstream upstream;
@@ -53,6 +52,8 @@
 
 	private final AttemptListener listener;
 
+	private final HeadCheck headCheck;
+
 	private final SseFrameDecoder decoder = SseFrameDecoder.create();
 
 	private ClientConnection connection;
@@ -75,15 +76,16 @@
 	/** Whether an event was missing; no event after it may be forwarded. */
 	private boolean gap;
 
-	private Attempt(TrackedUpstream upstream, WorkClass work, ConnectionPool pool, HeaderNames names, long lastEventId,
+	private Attempt(TrackedUpstream upstream, WorkClass work, ConnectionPool pool, HeaderNames names, Outgoing request,
 			AttemptListener listener) {
 		this.upstream = upstream;
 		this.work = work;
 		this.pool = pool;
 		this.address = upstream.descriptor().address();
 		this.names = names;
-		this.resumedFrom = lastEventId;
-		this.lastEventId = lastEventId;
+		this.resumedFrom = request.lastEventId();
+		this.lastEventId = request.lastEventId();
+		this.headCheck = request.headCheck();
 		this.listener = listener;
 	}
 
@@ -93,21 +95,19 @@
 	 * @param work the class of work that the request counts as in the upstream's load
 	 * @param pool the pool that the connection is taken from
 	 * @param names the names of headers
-	 * @param request creates the request, once the connection is open
-	 * @param requestId the request id, which the response must repeat
-	 * @param lastEventId the id of the last event that was received before, or 0
+	 * @param request the request
 	 * @param listener receives the response
 	 * @return the attempt
 	 */
 	public static Attempt start(TrackedUpstream upstream, WorkClass work, ConnectionPool pool, HeaderNames names,
-			RequestFactory request, String requestId, long lastEventId, AttemptListener listener) {
-		Attempt attempt = new Attempt(upstream, work, pool, names, lastEventId, listener);
+			Outgoing request, AttemptListener listener) {
+		Attempt attempt = new Attempt(upstream, work, pool, names, request, listener);
 		upstream.begin(work);
-		pool.acquire(attempt.address, (connection) -> attempt.connected(connection, request, requestId));
+		pool.acquire(attempt.address, (connection) -> attempt.connected(connection, request));
 		return attempt;
 	}
 
-	private void connected(Optional<ClientConnection> opened, RequestFactory request, String requestId) {
+	private void connected(Optional<ClientConnection> opened, Outgoing request) {
 		if (this.state != State.CONNECTING) {
 			opened.ifPresent((connection) -> this.pool.release(this.address, connection));
 			return;
@@ -120,11 +120,11 @@
 		this.connection = opened.get();
 		this.state = State.WAITING;
 		this.sent = true;
-		FullHttpRequest message = request.create();
+		FullHttpRequest message = request.message().create();
 		message.headers()
 			.set(this.names.expectedUpstream(), this.upstream.descriptor().id())
-			.set(this.names.requestId(), requestId);
-		this.connection.send(message, Optional.of(requestId), this);
+			.set(this.names.requestId(), request.id());
+		this.connection.send(message, Optional.of(request.id()), this);
 	}
 
 	/**
@@ -233,9 +233,14 @@
 			return;
 		}
 		this.upstream.recordSuccess();
-		this.state = State.ANSWERING;
 		String type = head.headers().get(HttpHeaderNames.CONTENT_TYPE);
-		this.eventStream = this.status == OK && type != null && type.startsWith(EVENT_STREAM);
+		this.eventStream = this.status == HeadCheck.OK && type != null && type.startsWith(EVENT_STREAM);
+		if (!this.headCheck.accepts(this.status, this.eventStream)) {
+			cancel();
+			this.listener.failed(SendFailure.UNUSABLE);
+			return;
+		}
+		this.state = State.ANSWERING;
 		this.listener.head(head);
 	}
 
@@ -337,6 +342,27 @@
 
 	}
 
+	/**
+	 * A request as it is sent in one attempt.
+	 *
+	 * @param message creates the HTTP request, once the connection is open
+	 * @param id the request id, which the response must repeat
+	 * @param lastEventId the id of the last event that was received before, or 0
+	 * @param headCheck decides whether the response can be used
+	 */
+	public record Outgoing(RequestFactory message, String id, long lastEventId, HeadCheck headCheck) {
+
+		/**
+		 * Checks that no component is null.
+		 */
+		public Outgoing {
+			Objects.requireNonNull(message, "message is null");
+			Objects.requireNonNull(id, "id is null");
+			Objects.requireNonNull(headCheck, "headCheck is null");
+		}
+
+	}
+
 	private enum State {
 
 		CONNECTING, WAITING, REFUSED, ANSWERING, ENDED
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/http/SendFailure.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/http/SendFailure.java
@@ -15,6 +15,12 @@
 	 * The request was sent and malformed or unexpected bytes were received; it may have
 	 * been executed.
 	 */
-	MALFORMED
+	MALFORMED,
+
+	/**
+	 * The request was sent and the response cannot be used for it, such as a failure in
+	 * place of the rest of a stream; it may have been executed.
+	 */
+	UNUSABLE
 
 }
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
@@ -13,6 +13,7 @@
 import org.ragworthook.core.log.EventLog;
 import org.ragworthook.gateway.attempt.Attempt;
 import org.ragworthook.gateway.attempt.AttemptListener;
+import org.ragworthook.gateway.attempt.HeadCheck;
 import org.ragworthook.gateway.dialect.HeaderNames;
 import org.ragworthook.gateway.event.SseFrameDecoder;
 import org.ragworthook.gateway.http.ConnectionPool;
@@ -171,8 +172,9 @@
 			this.firstStartedNanos = this.startedNanos;
 		}
 		this.resumedFromEvent = this.lastEvent;
-		this.attempt = Attempt.start(upstream, WorkClass.BATCH, pool, names, () -> request(names), this.item.id(),
-				this.lastEvent, new ResponseListener(listener));
+		this.attempt = Attempt.start(upstream, WorkClass.BATCH, pool, names,
+				new Attempt.Outgoing(() -> request(names), this.item.id(), this.lastEvent, HeadCheck.any()),
+				new ResponseListener(listener));
 	}
 
 	private FullHttpRequest request(HeaderNames names) {
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
@@ -13,6 +13,7 @@
 import org.ragworthook.gateway.account.QuotaReservation;
 import org.ragworthook.gateway.attempt.Attempt;
 import org.ragworthook.gateway.attempt.AttemptListener;
+import org.ragworthook.gateway.attempt.HeadCheck;
 import org.ragworthook.gateway.dispatch.DispatchClient;
 import org.ragworthook.gateway.http.ResponseEnd;
 import org.ragworthook.gateway.http.SendFailure;
@@ -187,7 +188,9 @@
 		this.context.unreported().recordPlacement();
 		this.quota.commit();
 		this.attempt = Attempt.start(upstream, WorkClass.ONLINE, this.context.connections(), this.context.headers(),
-				this::newMessage, this.request.id(), this.lastEvent, new UpstreamListener());
+				new Attempt.Outgoing(this::newMessage, this.request.id(), this.lastEvent,
+						this.responseStarted ? HeadCheck.eventStream() : HeadCheck.any()),
+				new UpstreamListener());
 		this.context.loadChanged().run();
 		if (preempts) {
 			this.context.flushLoadReport().run();
@@ -473,6 +476,8 @@
 			if (failure != SendFailure.NOT_SENT) {
 				exchange.attempts++;
 				exchange.mayHaveRun = true;
+			}
+			if (failure == SendFailure.BROKEN || failure == SendFailure.MALFORMED) {
 				exchange.context.poisonRequests().recordConnectionLoss(exchange.fingerprint);
 			}
 			LOG.info("attempt_failed", "request", exchange.request.id(), "upstream", failing, "failure", failure,
