Repeat no part of a response that has no place to continue at

Callers got a response of the stated length that began with bytes of one upstream and went on with those of another, or a body that was sent a second time after a part of it.

Cause: that a response had begun was a boolean. An upstream that broke off or fell silent in the middle of a body that is no stream of events was followed by another attempt, whose body was sent behind the part: on a resumable route after a break, and on an idempotent route, too, after a stall, since the move away from a silent upstream did not ask whether the response can be continued.

Remedy: ForwardedResponse holds what the caller has (nothing, events, another body) and is the only place that ends a response; RetryPolicy lets a response that has begun be continued, after a failure as after a stall, only if it consists of events and its route is resumable.

--- /dev/null
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/ForwardedResponse.java
@@ -0,0 +1,170 @@
+package org.ragworthook.gateway.online;
+
+import java.time.Duration;
+import java.util.Objects;
+import java.util.Optional;
+
+import io.netty.handler.codec.http.HttpResponse;
+import org.ragworthook.gateway.attempt.HeadCheck;
+
+/**
+ * The response to a caller, as far as it was forwarded. It may consist of parts of
+ * several attempts. Used on the event loop.
+ * <p>
+ * Its end is sent only by {@link #complete}, after an upstream has sent the whole of its
+ * own response. Every other end of a response that has begun breaks off the caller's
+ * connection.
+ */
+final class ForwardedResponse {
+
+	private final CallerResponse caller;
+
+	private Progress progress = Progress.NOT_STARTED;
+
+	private int status;
+
+	private long lastEvent;
+
+	/**
+	 * Creates a response of which nothing was forwarded.
+	 * @param caller the response to the caller
+	 * @param lastEvent the id of the last event that the caller had before its request,
+	 * or 0
+	 */
+	ForwardedResponse(CallerResponse caller, long lastEvent) {
+		this.caller = Objects.requireNonNull(caller, "caller is null");
+		this.lastEvent = lastEvent;
+	}
+
+	/**
+	 * Returns what was forwarded so far.
+	 * @return the progress
+	 */
+	Progress progress() {
+		return this.progress;
+	}
+
+	/**
+	 * Returns whether a part of an upstream's response was forwarded.
+	 * @return whether the response has begun
+	 */
+	boolean started() {
+		return this.progress != Progress.NOT_STARTED;
+	}
+
+	/**
+	 * Returns the status that was sent to the caller.
+	 * @return the HTTP status, or 0 before the response has begun
+	 */
+	int status() {
+		return this.status;
+	}
+
+	/**
+	 * Returns the id of the last event that the caller has.
+	 * @return the id, or 0 if there is none
+	 */
+	long lastEvent() {
+		return this.lastEvent;
+	}
+
+	/**
+	 * Returns the check of the head of the next attempt's response.
+	 * @return the check
+	 */
+	HeadCheck headCheck() {
+		return started() ? HeadCheck.eventStream() : HeadCheck.any();
+	}
+
+	/**
+	 * Forwards the head of an upstream's response. The caller keeps the first one, so the
+	 * head of a continuation is dropped.
+	 * @param head the head
+	 * @param eventStream whether the body is a stream of events
+	 */
+	void head(HttpResponse head, boolean eventStream) {
+		if (started()) {
+			return;
+		}
+		this.status = head.status().code();
+		this.progress = eventStream ? Progress.EVENTS : Progress.OTHER_BODY;
+		this.caller.head(head);
+	}
+
+	/**
+	 * Forwards a part of the body.
+	 * @param data the bytes; one event if the body is a stream of events
+	 * @param eventId the id of the last event up to and including this part
+	 */
+	void data(byte[] data, long eventId) {
+		this.lastEvent = eventId;
+		this.caller.write(data);
+	}
+
+	/**
+	 * Ends the response as complete.
+	 */
+	void complete() {
+		this.caller.end();
+	}
+
+	/**
+	 * Ends a response that is not complete: sends a response of the gateway's own if
+	 * nothing was forwarded, and breaks off the caller's connection otherwise.
+	 * @param failureStatus the HTTP status of the gateway's own response
+	 * @param detail a message for the caller
+	 */
+	void fail(int failureStatus, String detail) {
+		if (started()) {
+			this.caller.abort();
+		}
+		else {
+			this.caller.respond(failureStatus, detail, Optional.empty());
+		}
+	}
+
+	/**
+	 * Responds that the request was not executed; nothing may have been forwarded.
+	 * @param rejectionStatus the HTTP status
+	 * @param detail a message for the caller
+	 * @param retryAfter the time after which the caller may retry
+	 */
+	void reject(int rejectionStatus, String detail, Duration retryAfter) {
+		this.caller.respond(rejectionStatus, detail, Optional.of(retryAfter));
+	}
+
+	/**
+	 * Returns whether the write buffer is full because the caller reads slowly.
+	 * @return whether to wait for {@link #onWritable} before more is forwarded
+	 */
+	boolean writeQueueFull() {
+		return this.caller.writeQueueFull();
+	}
+
+	/**
+	 * Sets the listener that is called when the write buffer has room again.
+	 * @param listener the listener
+	 */
+	void onWritable(Runnable listener) {
+		this.caller.onWritable(listener);
+	}
+
+	/**
+	 * What was forwarded of a response.
+	 */
+	enum Progress {
+
+		/** Nothing. */
+		NOT_STARTED,
+
+		/**
+		 * The head of a stream and complete events, which another upstream can continue.
+		 */
+		EVENTS,
+
+		/** The head of another response and maybe a part of its body. */
+		OTHER_BODY
+
+	}
+
+}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
@@ -13,7 +13,6 @@
 import org.ragworthook.gateway.account.QuotaReservation;
 import org.ragworthook.gateway.attempt.Attempt;
 import org.ragworthook.gateway.attempt.AttemptListener;
-import org.ragworthook.gateway.attempt.HeadCheck;
 import org.ragworthook.gateway.dispatch.DispatchClient;
 import org.ragworthook.gateway.http.ResponseEnd;
 import org.ragworthook.gateway.http.SendFailure;
@@ -56,7 +55,7 @@
 
 	private final OnlineRequest request;
 
-	private final CallerResponse response;
+	private final ForwardedResponse response;
 
 	private final OnlineQueues queues;
 
@@ -77,17 +76,8 @@
 	/** Whether an upstream may have executed the request. */
 	private boolean mayHaveRun;
 
-	/** Whether the response to the caller has started. */
-	private boolean responseStarted;
-
-	/** The status that was sent to the caller, or 0 before the response has started. */
-	private int status;
-
 	private boolean ended;
 
-	/** The id of the last event that was sent to the caller, or 0. */
-	private long lastEvent;
-
 	/** The attempt in progress, or {@code null} if there is none. */
 	private Attempt attempt;
 
@@ -109,12 +99,11 @@
 			QuotaReservation quota) {
 		this.context = context;
 		this.request = request;
-		this.response = response;
+		this.response = new ForwardedResponse(response, request.lastEvent().orElse(0L));
 		this.queues = queues;
 		this.quota = quota;
 		this.service = request.route().pickService(context.random().nextDouble());
 		this.clock = new RequestClock(context.ticker());
-		this.lastEvent = request.lastEvent().orElse(0L);
 		this.fingerprint = PoisonRequestDetector.fingerprint(request.route().host(), request.uri(), request.body());
 	}
 
@@ -188,8 +177,8 @@
 		this.context.unreported().recordPlacement();
 		this.quota.commit();
 		this.attempt = Attempt.start(upstream, WorkClass.ONLINE, this.context.connections(), this.context.headers(),
-				new Attempt.Outgoing(this::newMessage, this.request.id(), this.lastEvent,
-						this.responseStarted ? HeadCheck.eventStream() : HeadCheck.any()),
+				new Attempt.Outgoing(this::newMessage, this.request.id(), this.response.lastEvent(),
+						this.response.headCheck()),
 				new UpstreamListener());
 		this.context.loadChanged().run();
 		if (preempts) {
@@ -201,8 +190,8 @@
 		FullHttpRequest message = Attempt.newRequest(this.request.method(), this.request.uri(), this.request.headers(),
 				this.request.body());
 		message.headers().set(this.context.headers().deadlineMillis(), this.request.deadline().remainingMillis());
-		if (this.lastEvent > 0) {
-			message.headers().set(this.context.headers().lastEventId(), this.lastEvent);
+		if (this.response.lastEvent() > 0) {
+			message.headers().set(this.context.headers().lastEventId(), this.response.lastEvent());
 		}
 		return message;
 	}
@@ -214,7 +203,7 @@
 	 * @param nowNanos the current time, a reading of the ticker
 	 */
 	void checkStall(long nowNanos) {
-		Duration timeout = StallTimeouts.timeout(this.responseStarted, this.queued);
+		Duration timeout = StallTimeouts.timeout(this.response.started(), this.queued);
 		if (this.ended || this.attempt == null || this.response.writeQueueFull()
 				|| nowNanos - this.clock.lastActivityNanos() < timeout.toNanos()) {
 			return;
@@ -224,10 +213,9 @@
 			this.stalled = true;
 			this.queues.stalled(stalledUpstream, this.clock.lastActivityNanos());
 			LOG.info("upstream_silent", "request", this.request.id(), "upstream", stalledUpstream, "answering",
-					this.responseStarted, "ms", (nowNanos - this.clock.lastActivityNanos()) / NANOS_PER_MILLI);
+					this.response.started(), "ms", (nowNanos - this.clock.lastActivityNanos()) / NANOS_PER_MILLI);
 		}
-		if (this.attempt.sent() && this.request.route().retryable()
-				&& this.attempts + 1 < this.request.route().maxAttempts()) {
+		if (this.attempt.sent() && RetryPolicy.mayMove(this.request.route(), this.attempts, this.response.progress())) {
 			move(stalledUpstream);
 		}
 	}
@@ -247,7 +235,7 @@
 		}
 		this.tried.stalled(stalledUpstream);
 		LOG.info("moves", "request", this.request.id(), "from", stalledUpstream, "to", other.get(), "last_event",
-				this.lastEvent);
+				this.response.lastEvent());
 		this.context.metrics().attemptFailed("silent");
 		this.attempt.cancel();
 		this.attempts++;
@@ -273,12 +261,12 @@
 		if (this.ended) {
 			return;
 		}
-		if (this.mayHaveRun || this.responseStarted) {
+		if (this.mayHaveRun || this.response.started()) {
 			fail(BAD_GATEWAY, "no_upstream_to_go_on");
 			return;
 		}
 		finish("refused", UNAVAILABLE);
-		this.response.respond(UNAVAILABLE, "not run: no upstream has room", Optional.of(retryAfter));
+		this.response.reject(UNAVAILABLE, "not run: no upstream has room", retryAfter);
 	}
 
 	private void timedOut() {
@@ -288,14 +276,8 @@
 	}
 
 	private void fail(int status, String outcome) {
-		boolean started = this.responseStarted;
-		finish(outcome, started ? 0 : status);
-		if (started) {
-			this.response.abort();
-		}
-		else {
-			this.response.respond(status, outcome + ": the request may have run", Optional.empty());
-		}
+		finish(outcome, this.response.started() ? 0 : status);
+		this.response.fail(status, outcome + ": the request may have run");
 	}
 
 	private void finish(String outcome, int status) {
@@ -311,7 +293,7 @@
 		LOG.info("request_ended", "request", this.request.id(), "route", this.request.route().name(), "config",
 				this.request.configurationVersion(), "outcome", outcome, "status", status, "upstream",
 				this.lastUpstream, "sends", this.attempts, "first_ms", this.clock.firstByteMillis(), "ms",
-				this.clock.ageMillis(), "last_event", this.lastEvent);
+				this.clock.ageMillis(), "last_event", this.response.lastEvent());
 		this.context.metrics().requestEnded(outcome, this.clock.firstByteMillis(), this.clock.ageMillis());
 		this.context.loadChanged().run();
 		this.queues.capacityFreed(this.service);
@@ -363,7 +345,7 @@
 	 * @return the ticker's reading
 	 */
 	long sendTargetNanos() {
-		if (this.responseStarted) {
+		if (this.response.started()) {
 			return this.context.ticker().nanos() + StallTimeouts.EVENT_TIMEOUT.toNanos();
 		}
 		return this.clock.sendTargetNanos(this.request.route().latencyTarget());
@@ -419,21 +401,17 @@
 		public void head(HttpResponse head) {
 			OnlineExchange exchange = OnlineExchange.this;
 			exchange.recordActivity();
-			if (exchange.ended || exchange.responseStarted) {
-				return;
+			if (!exchange.response.started()) {
+				exchange.clock.firstByte();
 			}
-			exchange.responseStarted = true;
-			exchange.status = head.status().code();
-			exchange.clock.firstByte();
-			exchange.response.head(head);
+			exchange.response.head(head, exchange.attempt.eventStream());
 		}
 
 		@Override
 		public void data(byte[] data) {
 			OnlineExchange exchange = OnlineExchange.this;
 			exchange.recordActivity();
-			exchange.lastEvent = exchange.attempt.lastEventId();
-			exchange.response.write(data);
+			exchange.response.data(data, exchange.attempt.lastEventId());
 			if (exchange.response.writeQueueFull()) {
 				Attempt current = exchange.attempt;
 				current.autoRead(false);
@@ -446,8 +424,8 @@
 			OnlineExchange exchange = OnlineExchange.this;
 			exchange.attempts++;
 			logAttemptEnd(end.label());
-			exchange.finish("answered", exchange.status);
-			exchange.response.end();
+			exchange.finish("answered", exchange.response.status());
+			exchange.response.complete();
 		}
 
 		@Override
@@ -464,7 +442,7 @@
 			exchange.context.metrics().attemptFailed("not_run");
 			exchange.queues.upstreamRejected(rejecting, status);
 			follow(RetryPolicy.afterRejection(exchange.request.route(), exchange.attempts, exchange.mayHaveRun,
-					exchange.responseStarted));
+					exchange.response.progress()));
 		}
 
 		@Override
@@ -481,10 +459,10 @@
 				exchange.context.poisonRequests().recordConnectionLoss(exchange.fingerprint);
 			}
 			LOG.info("attempt_failed", "request", exchange.request.id(), "upstream", failing, "failure", failure,
-					"sends", exchange.attempts, "last_event", exchange.lastEvent);
+					"sends", exchange.attempts, "last_event", exchange.response.lastEvent());
 			exchange.context.metrics().attemptFailed(failure.name().toLowerCase(Locale.ROOT));
 			exchange.queues.upstreamFailed(failing, failure);
-			follow(RetryPolicy.afterFailure(exchange.request.route(), exchange.attempts, exchange.responseStarted,
+			follow(RetryPolicy.afterFailure(exchange.request.route(), exchange.attempts, exchange.response.progress(),
 					failure));
 		}
 
