Continue a stream only if all its events had ids

Callers of a resumable stream whose events have no ids got the first of them a second time when the stream broke off.

Cause: the place at which to continue is the id of the last event. Events without one were forwarded and not counted, so that the next upstream was asked for the whole stream.

Evidence: the case BREAK_UNNUMBERED of shouldNotRepeatABodyThatHasNoPlaceToContinueAt was sent to a second upstream before. Found by reading; no upstream of the deployments sends such events.

Remedy: an event with data and without an id leaves the response with no place to continue at; a break then breaks off the caller's connection.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/ForwardedResponse.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/ForwardedResponse.java
@@ -6,6 +6,7 @@
 
 import io.netty.handler.codec.http.HttpResponse;
 import org.ragworthook.gateway.attempt.HeadCheck;
+import org.ragworthook.gateway.event.SseFrameDecoder;
 
 /**
  * The response to a caller, as far as it was forwarded. It may consist of parts of
@@ -97,6 +98,9 @@
 	 * @param eventId the id of the last event up to and including this part
 	 */
 	void data(byte[] data, long eventId) {
+		if (this.progress == Progress.EVENTS && eventId == this.lastEvent && SseFrameDecoder.data(data).isPresent()) {
+			this.progress = Progress.OTHER_BODY;
+		}
 		this.lastEvent = eventId;
 		this.caller.write(data);
 	}
@@ -158,11 +162,15 @@
 		NOT_STARTED,
 
 		/**
-		 * The head of a stream and complete events, which another upstream can continue.
+		 * The head of a stream and complete events with ids, which another upstream can
+		 * continue.
 		 */
 		EVENTS,
 
-		/** The head of another response and maybe a part of its body. */
+		/**
+		 * The head of another response and maybe a part of its body, or a stream with an
+		 * event that has no id.
+		 */
 		OTHER_BODY
 
 	}
