Take only an end by the upstream for the end of a response without a length

A caller could get a part of a response that states neither chunks nor a length, framed as complete.

Cause: the HTTP decoder reports the end of such a response on every close of the connection. A reset that was read arrived as an exception and was told apart; a close after a failed write and a close on this side, such as at the shutdown of the event loop, were not.

Evidence: of the five cases of ClientConnectionTests two failed before, with "complete connection_closed" for a connection that had been reset while the request was still being written, and for one that was closed by the shutdown of its loop.

Remedy: the channel records that it has read the end of the stream, which only the peer's orderly close causes. Without it the response has failed as BROKEN.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/http/ClientConnection.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/http/ClientConnection.java
@@ -3,7 +3,6 @@
 import java.util.Objects;
 import java.util.Optional;
 
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -30,7 +29,7 @@
 
 	private static final long NO_LIMIT = Long.MAX_VALUE;
 
-	private final Channel channel;
+	private final UpstreamSocketChannel channel;
 
 	private final String requestIdHeader;
 
@@ -43,13 +42,11 @@
 	/** Whether the response that is being read is skipped. */
 	private boolean skipping;
 
-	private boolean reset;
-
 	private boolean reusable = true;
 
 	private long idleLimitMillis = NO_LIMIT;
 
-	ClientConnection(Channel channel, String requestIdHeader) {
+	ClientConnection(UpstreamSocketChannel channel, String requestIdHeader) {
 		this.channel = channel;
 		this.requestIdHeader = requestIdHeader;
 	}
@@ -110,10 +107,6 @@
 		return (this.idleLimitMillis == NO_LIMIT) ? Optional.empty() : Optional.of(this.idleLimitMillis);
 	}
 
-	Channel channel() {
-		return this.channel;
-	}
-
 	@Override
 	public void channelRead(ChannelHandlerContext context, Object message) {
 		try {
@@ -161,6 +154,11 @@
 		this.exchange.listener.head(head);
 	}
 
+	/**
+	 * Passes on a part of the body. The HTTP decoder takes every end of the connection
+	 * for the end of a response without a length, which only an end by the upstream is.
+	 * @param content the part
+	 */
 	private void content(HttpContent content) {
 		boolean last = content instanceof LastHttpContent;
 		if (this.skipping) {
@@ -171,7 +169,7 @@
 		if (current == null || !current.headReceived) {
 			return;
 		}
-		if (last && this.reset) {
+		if (last && current.end == ResponseEnd.CONNECTION_CLOSED && !this.channel.endedByPeer()) {
 			fail(SendFailure.BROKEN);
 			return;
 		}
@@ -199,13 +197,8 @@
 		fail(SendFailure.BROKEN);
 	}
 
-	/**
-	 * Records a connection reset. The HTTP decoder takes the end of the connection for
-	 * the end of a response without a length, which it is not after a reset.
-	 */
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-		this.reset = true;
 		fail(SendFailure.BROKEN);
 	}
 
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/http/ConnectionPool.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/http/ConnectionPool.java
@@ -11,13 +11,11 @@
 import java.util.function.Consumer;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioChannelOption;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import jdk.net.ExtendedSocketOptions;
 import org.ragworthook.core.fleet.Address;
@@ -66,17 +64,17 @@
 		this.loop = Objects.requireNonNull(loop, "loop is null");
 		this.ticker = Objects.requireNonNull(ticker, "ticker is null");
 		this.bootstrap = new Bootstrap().group(loop)
-			.channel(NioSocketChannel.class)
+			.channelFactory(UpstreamSocketChannel::new)
 			.option(ChannelOption.TCP_NODELAY, true)
 			.option(ChannelOption.SO_KEEPALIVE, true)
 			.option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_PROBE_SECONDS)
 			.option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_PROBE_SECONDS)
 			.option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectTimeout.toMillis())
-			.handler(new ChannelInitializer<>() {
+			.handler(new ChannelInitializer<UpstreamSocketChannel>() {
 
 				@Override
-				protected void initChannel(Channel channel) {
+				protected void initChannel(UpstreamSocketChannel channel) {
 					channel.pipeline()
 						.addLast(new HttpClientCodec(MAX_STATUS_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
 						.addLast(new ClientConnection(channel, requestIdHeader));
--- /dev/null
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/http/ClientConnectionTests.java
@@ -0,0 +1,164 @@
+package org.ragworthook.gateway.http;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.ragworthook.core.fleet.Address;
+import org.ragworthook.core.time.Ticker;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests how the end of a connection ends a response that states no length.
+ */
+class ClientConnectionTests {
+
+	private static final String PART = "HTTP/1.1 200 OK\r\n\r\npart";
+
+	/** More than the socket buffers of both sides hold, so that writing does not end. */
+	private static final int LONG_BODY_BYTES = 64 * 1024 * 1024;
+
+	private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+	private final ExecutorService upstream = Executors.newSingleThreadExecutor();
+
+	private final Recorder recorder = new Recorder();
+
+	private ServerSocket server;
+
+	private ConnectionPool pool;
+
+	@BeforeEach
+	void start() throws IOException {
+		this.server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+		this.pool = ConnectionPool.of((EventLoop) this.group.next(), Ticker.system(), Duration.ofSeconds(30),
+				"X-Request-Id");
+	}
+
+	@AfterEach
+	void stop() throws IOException {
+		this.group.shutdownGracefully();
+		this.upstream.shutdownNow();
+		this.server.close();
+	}
+
+	private void send(int bodyBytes) {
+		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/",
+				Unpooled.wrappedBuffer(new byte[bodyBytes]));
+		request.headers().set(HttpHeaderNames.CONTENT_LENGTH, bodyBytes);
+		Address address = new Address("127.0.0.1", this.server.getLocalPort());
+		this.pool.loop().execute(() -> this.pool.acquire(address, (opened) -> {
+			this.recorder.connection = opened.orElseThrow();
+			this.recorder.connection.send(request, Optional.empty(), this.recorder);
+		}));
+	}
+
+	private Socket acceptAndSendPart() throws IOException {
+		Socket socket = this.server.accept();
+		socket.getInputStream().read();
+		socket.getOutputStream().write(PART.getBytes(StandardCharsets.US_ASCII));
+		return socket;
+	}
+
+	/** Guards against a response that is cut off and passed on as complete. */
+	@ParameterizedTest
+	@EnumSource
+	void shouldTakeOnlyAnEndByTheUpstreamForTheEndOfTheResponse(End end) throws Exception {
+		this.recorder.pauseReading = end == End.FAILED_WRITE;
+		send((end == End.FAILED_WRITE) ? LONG_BODY_BYTES : 0);
+		try (Socket socket = acceptAndSendPart()) {
+			this.recorder.partReceived.join();
+			switch (end) {
+				case UPSTREAM_CLOSES -> socket.shutdownOutput();
+				case UPSTREAM_RESETS, FAILED_WRITE -> {
+					socket.setSoLinger(true, 0);
+					socket.close();
+				}
+				case LOOP_SHUTDOWN -> this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+				default -> throw new AssertionError(end);
+			}
+			assertThat(this.recorder.outcome.join())
+				.isEqualTo((end == End.UPSTREAM_CLOSES) ? "complete connection_closed" : "failed BROKEN");
+		}
+	}
+
+	@Test
+	void shouldFailARequestWhoseConnectionEndsBeforeTheStatedLength() throws Exception {
+		send(0);
+		try (Socket socket = this.server.accept()) {
+			socket.getInputStream().read();
+			socket.getOutputStream()
+				.write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\npart".getBytes(StandardCharsets.US_ASCII));
+			socket.shutdownOutput();
+			assertThat(this.recorder.outcome.join()).isEqualTo("failed BROKEN");
+		}
+	}
+
+	/** How the connection ends in the middle of a response without a length. */
+	enum End {
+
+		UPSTREAM_CLOSES, UPSTREAM_RESETS, FAILED_WRITE, LOOP_SHUTDOWN
+
+	}
+
+	/** Records the response. */
+	private static final class Recorder implements ResponseListener {
+
+		private final CompletableFuture<Void> partReceived = new CompletableFuture<>();
+
+		private final CompletableFuture<String> outcome = new CompletableFuture<>();
+
+		private volatile boolean pauseReading;
+
+		private volatile ClientConnection connection;
+
+		@Override
+		public void head(HttpResponse head) {
+			if (this.pauseReading) {
+				this.connection.autoRead(false);
+			}
+		}
+
+		@Override
+		public void content(ByteBuf data) {
+			this.partReceived.complete(null);
+		}
+
+		@Override
+		public void complete(ResponseEnd end) {
+			this.outcome.complete("complete " + end.label());
+		}
+
+		@Override
+		public void failed(SendFailure failure) {
+			this.outcome.complete("failed " + failure);
+		}
+
+	}
+
+}
