Reset the connection of an HTTP/1.0 caller whose response breaks off

HTTP/1.0 callers took every stream that was broken off for complete.

Cause: HTTP/1.0 has no chunks, so a response without a length ends with its connection, and a response that broke off ended with the same orderly close as a whole one.

Remedy: for a response that only its close delimits, lingering is set so that any close resets the connection, from the head on until the response is complete. That covers a break as well as the end of the process. A caller that asked to keep the connection open is told that it closes.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/CallerResponse.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/CallerResponse.java
@@ -28,8 +28,8 @@
 	void end();
 
 	/**
-	 * Closes the connection without ending the response, so that the caller sees that it
-	 * is incomplete.
+	 * Ends the connection without ending the response, so that the caller sees that it is
+	 * incomplete: by a reset where an orderly close marks the end of a response.
 	 */
 	void abort();
 
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/VertxCallerResponse.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/VertxCallerResponse.java
@@ -6,11 +6,14 @@
 import java.util.Objects;
 import java.util.Optional;
 
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.http.HttpVersion;
+import io.vertx.core.net.impl.ConnectionBase;
 
 /**
  * Responds to a caller over a Vert.x HTTP server.
@@ -19,6 +22,12 @@
 
 	private static final double MILLIS_PER_SECOND = 1_000.0;
 
+	/** The linger time with which the kernel resets a connection that is closed. */
+	private static final int RESET_ON_CLOSE = 0;
+
+	/** Turns lingering off: the kernel sends what is left and ends the connection. */
+	private static final int ORDERLY_CLOSE = -1;
+
 	private final HttpServerRequest request;
 
 	private final HttpServerResponse response;
@@ -27,6 +36,9 @@
 
 	private final boolean closeConnection;
 
+	/** Whether only the end of the connection marks the end of the response. */
+	private boolean closeDelimited;
+
 	VertxCallerResponse(HttpServerRequest request, String requestIdHeader, boolean closeConnection) {
 		this.request = Objects.requireNonNull(request, "request is null");
 		this.response = request.response();
@@ -45,10 +57,28 @@
 		}
 		if (!head.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
 			this.response.setChunked(true);
+			if (this.request.version() == HttpVersion.HTTP_1_0) {
+				delimitByClose();
+			}
 		}
 		setConnectionHeader();
 	}
 
+	/**
+	 * Lets every end of the connection reset it until the response is complete, also the
+	 * end of this process. HTTP/1.0 has no chunks, so an orderly close would show its
+	 * caller a complete response.
+	 */
+	private void delimitByClose() {
+		this.closeDelimited = true;
+		lingerSeconds(RESET_ON_CLOSE);
+		this.response.putHeader("Connection", "close");
+	}
+
+	private void lingerSeconds(int seconds) {
+		((ConnectionBase) this.request.connection()).channel().config().setOption(ChannelOption.SO_LINGER, seconds);
+	}
+
 	private void setConnectionHeader() {
 		if (this.closeConnection) {
 			this.response.putHeader("Connection", "close");
@@ -64,7 +94,14 @@
 
 	@Override
 	public void end() {
-		if (!this.response.ended() && !this.response.closed()) {
+		if (this.response.ended() || this.response.closed()) {
+			return;
+		}
+		if (this.closeDelimited) {
+			lingerSeconds(ORDERLY_CLOSE);
+			this.response.end().onComplete((sent) -> this.request.connection().close());
+		}
+		else {
 			this.response.end();
 		}
 	}
