Let an item run again whose start fails at once

What was seen: an item whose attempt fails while it is being started counted as running for ever and was never run again; its job stayed open until the end of its retention.

Cause: ItemRun.failed read the field `attempt`, which Attempt.start had not returned yet. It threw a NullPointerException inside the pool's callback, and start then assigned an attempt that had already ended.

Change: each run of an item is an object of its own, which knows its upstream and is registered before the attempt starts. So an end that comes at once finds its run, and state of one run cannot be taken for that of the next.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
@@ -75,8 +75,6 @@
 	 */
 	private int runsWithoutProgress;
 
-	private long resumedFromEvent;
-
 	private long startedNanos;
 
 	/** The ticker's reading at the first start, or {@link Long#MIN_VALUE} before it. */
@@ -88,9 +86,8 @@
 	/** Consecutive withdrawals from an engine's queue. */
 	private int withdrawals;
 
-	private int statusCode;
-
-	private Attempt attempt;
+	/** The run in progress, or {@code null} if there is none. */
+	private Run current;
 
 	private long notBeforeNanos = Long.MIN_VALUE;
 
@@ -128,15 +125,15 @@
 	}
 
 	boolean running() {
-		return this.attempt != null;
+		return this.current != null;
 	}
 
 	boolean runningAt(TrackedUpstream upstream) {
-		return this.attempt != null && this.attempt.upstream() == upstream;
+		return this.current != null && this.current.upstream == upstream;
 	}
 
 	boolean mayStart(long nowNanos) {
-		return this.attempt == null && (this.notBeforeNanos == Long.MIN_VALUE || this.notBeforeNanos - nowNanos <= 0);
+		return this.current == null && (this.notBeforeNanos == Long.MIN_VALUE || this.notBeforeNanos - nowNanos <= 0);
 	}
 
 	/**
@@ -149,8 +146,9 @@
 	 */
 	Optional<TrackedUpstream> queuedTooLongAt(long nowNanos, Duration maxQueueTime) {
 		long limit = maxQueueTime.toNanos() << Math.min(this.withdrawals, MAX_QUEUE_TIME_DOUBLINGS);
-		boolean queuedTooLong = this.attempt != null && this.statusCode == 0 && nowNanos - this.startedNanos >= limit;
-		return queuedTooLong ? Optional.of(this.attempt.upstream()) : Optional.empty();
+		boolean queuedTooLong = this.current != null && this.current.statusCode == 0
+				&& nowNanos - this.startedNanos >= limit;
+		return queuedTooLong ? Optional.of(this.current.upstream) : Optional.empty();
 	}
 
 	/**
@@ -164,14 +162,14 @@
 	void start(TrackedUpstream upstream, ConnectionPool pool, HeaderNames names, RunListener listener) {
 		LOG.info("item_placed", "job", this.job.id(), "item", this.item.id(), "upstream", upstream, "load",
 				upstream.load(), "from_event", this.lastEvent, "runs_without_progress", this.runsWithoutProgress);
-		this.statusCode = 0;
 		this.startedNanos = listener.nanosAfter(Duration.ZERO);
 		if (this.firstStartedNanos == Long.MIN_VALUE) {
 			this.firstStartedNanos = this.startedNanos;
 		}
-		this.resumedFromEvent = this.lastEvent;
-		this.attempt = Attempt.start(upstream, WorkClass.BATCH, pool, names, () -> request(names), this.item.id(),
-				this.lastEvent, new ResponseListener(listener));
+		Run started = new Run(upstream, this.lastEvent, listener);
+		this.current = started;
+		started.attempt = Attempt.start(upstream, WorkClass.BATCH, pool, names, () -> request(names), this.item.id(),
+				this.lastEvent, started);
 	}
 
 	private FullHttpRequest request(HeaderNames names) {
@@ -189,9 +187,10 @@
 	 * Aborts the run in progress, if any, without an outcome.
 	 */
 	void stop() {
-		if (this.attempt != null) {
-			this.attempt.cancel();
-			this.attempt = null;
+		if (this.current != null) {
+			Run stopped = this.current;
+			this.current = null;
+			stopped.attempt.cancel();
 		}
 	}
 
@@ -211,7 +210,7 @@
 	 * @param saved the saved progress
 	 */
 	void resumeFrom(ItemProgress saved) {
-		if (this.attempt == null && saved.lastEvent() > this.lastEvent) {
+		if (this.current == null && saved.lastEvent() > this.lastEvent) {
 			this.lastEvent = saved.lastEvent();
 			this.hasOutput = true;
 			this.output.setLength(0);
@@ -223,26 +222,40 @@
 		return this.serverErrors;
 	}
 
-	private final class ResponseListener implements AttemptListener {
+	/**
+	 * One run of the item.
+	 */
+	private final class Run implements AttemptListener {
+
+		private final TrackedUpstream upstream;
+
+		/** The event after which the run was asked to resume, or 0. */
+		private final long resumedAfter;
 
 		private final RunListener listener;
 
-		ResponseListener(RunListener listener) {
+		private Attempt attempt;
+
+		private int statusCode;
+
+		Run(TrackedUpstream upstream, long resumedAfter, RunListener listener) {
+			this.upstream = upstream;
+			this.resumedAfter = resumedAfter;
 			this.listener = listener;
 		}
 
 		@Override
 		public void head(HttpResponse head) {
-			ItemRun.this.statusCode = head.status().code();
+			this.statusCode = head.status().code();
 			ItemRun.this.withdrawals = 0;
 		}
 
 		@Override
 		public void data(byte[] data) {
-			if (ItemRun.this.statusCode != OK) {
+			if (this.statusCode != OK) {
 				return;
 			}
-			ItemRun.this.lastEvent = ItemRun.this.attempt.lastEventId();
+			ItemRun.this.lastEvent = this.attempt.lastEventId();
 			SseFrameDecoder.data(data).ifPresent((text) -> {
 				if (ItemRun.this.hasOutput) {
 					ItemRun.this.output.append('\n');
@@ -255,18 +268,17 @@
 		@Override
 		public void complete() {
 			ItemRun run = ItemRun.this;
-			TrackedUpstream upstream = run.attempt.upstream();
-			run.attempt = null;
-			LOG.info("item_answered", "job", run.job.id(), "item", run.item.id(), "upstream", upstream, "status",
-					run.statusCode, "last_event", run.lastEvent, "server_errors", run.serverErrors);
-			if (run.statusCode == OK) {
+			run.current = null;
+			LOG.info("item_answered", "job", run.job.id(), "item", run.item.id(), "upstream", this.upstream, "status",
+					this.statusCode, "last_event", run.lastEvent, "server_errors", run.serverErrors);
+			if (this.statusCode == OK) {
 				this.listener.ended(run, Optional.of(new ItemOutcome(run.item.id(), true, run.output.toString())));
 			}
-			else if (run.statusCode == UNPROCESSABLE) {
+			else if (this.statusCode == UNPROCESSABLE) {
 				this.listener.ended(run, Optional.of(ItemOutcome.givenUp(run.item.id())));
 			}
 			else {
-				run.serverErrors += (run.statusCode == SERVER_ERROR) ? 1 : 0;
+				run.serverErrors += (this.statusCode == SERVER_ERROR) ? 1 : 0;
 				backOff();
 				this.listener.ended(run, Optional.empty());
 			}
@@ -275,10 +287,10 @@
 		@Override
 		public void notExecuted(int refusal) {
 			ItemRun run = ItemRun.this;
-			LOG.info("item_not_run", "job", run.job.id(), "item", run.item.id(), "upstream", run.attempt.upstream(),
-					"status", refusal);
-			this.listener.refused(run.attempt.upstream());
-			run.attempt = null;
+			LOG.info("item_not_run", "job", run.job.id(), "item", run.item.id(), "upstream", this.upstream, "status",
+					refusal);
+			this.listener.refused(this.upstream);
+			run.current = null;
 			run.notBeforeNanos = this.listener.nanosAfter(INITIAL_BACKOFF);
 			this.listener.ended(run, Optional.empty());
 		}
@@ -286,11 +298,11 @@
 		@Override
 		public void failed(SendFailure failure) {
 			ItemRun run = ItemRun.this;
-			LOG.info("item_broke_off", "job", run.job.id(), "item", run.item.id(), "upstream", run.attempt.upstream(),
-					"failure", failure, "last_event", run.lastEvent);
-			this.listener.failed(run.attempt.upstream());
-			run.attempt = null;
-			boolean ranWithoutProgress = failure != SendFailure.NOT_SENT && run.lastEvent == run.resumedFromEvent;
+			LOG.info("item_broke_off", "job", run.job.id(), "item", run.item.id(), "upstream", this.upstream, "failure",
+					failure, "last_event", run.lastEvent);
+			this.listener.failed(this.upstream);
+			run.current = null;
+			boolean ranWithoutProgress = failure != SendFailure.NOT_SENT && run.lastEvent == this.resumedAfter;
 			run.runsWithoutProgress = ranWithoutProgress ? run.runsWithoutProgress + 1 : 0;
 			backOff();
 			this.listener.ended(run, Optional.empty());
--- /dev/null
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/job/ItemRunTests.java
@@ -0,0 +1,169 @@
+package org.ragworthook.gateway.job;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Base64;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.ragworthook.core.close.Closer;
+import org.ragworthook.core.fleet.Address;
+import org.ragworthook.core.time.Ticker;
+import org.ragworthook.gateway.dialect.HeaderNames;
+import org.ragworthook.gateway.http.ConnectionPool;
+import org.ragworthook.gateway.peer.Loopback;
+import org.ragworthook.gateway.upstream.TrackedUpstream;
+import org.ragworthook.gateway.upstream.UpstreamDescriptor;
+import org.ragworthook.gateway.upstream.UpstreamRegistry;
+import org.ragworthook.gateway.upstream.WorkClass;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests which responses complete an item, and what text the item has then.
+ */
+class ItemRunTests {
+
+	private static final HeaderNames NAMES = new HeaderNames("X-Request-Id", "X-Deadline-Ms", "X-Prompt-Prefix",
+			"Last-Event-Id", "X-Response-Signature", "X-Expect-Instance", "X-Not-Executed", "X-Wait-Ms", "X-Api-Key",
+			"X-Tenant");
+
+	private static final String EVENT_STREAM = "text/event-stream";
+
+	private static final String STREAM_HEAD = ScriptedUpstream.head(200, EVENT_STREAM);
+
+	private static final int EVENTS = 5;
+
+	private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+	private final EventLoop loop = (EventLoop) this.group.next();
+
+	private final Closer closer = Closer.empty();
+
+	private final ConnectionPool pool = ConnectionPool.of(this.loop, Ticker.system(), Duration.ofSeconds(5),
+			NAMES.requestId());
+
+	private final BlockingQueue<Optional<ItemOutcome>> ends = new LinkedBlockingQueue<>();
+
+	private ScriptedUpstream upstream;
+
+	private ItemRun run;
+
+	@BeforeEach
+	void start() throws IOException {
+		this.upstream = this.closer.add(ScriptedUpstream.start());
+		this.run = run(Map.of());
+	}
+
+	@AfterEach
+	void stop() {
+		this.closer.close();
+		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+	}
+
+	private static ItemRun run(Map<String, String> headers) {
+		JobItem item = new JobItem("item", "/p", headers, Base64.getEncoder().encodeToString("body".getBytes()), 1);
+		return new ItemRun(new Job("job", Optional.empty(), "h", "/p", 0, 1, 1, 0, 1, false, List.of(item)), item);
+	}
+
+	private static TrackedUpstream tracked(Address address) {
+		UpstreamRegistry registry = UpstreamRegistry.empty();
+		registry.put(new UpstreamDescriptor("u", "svc", address, "a", 8, false));
+		return registry.serving("svc").get(0);
+	}
+
+	private Optional<ItemOutcome> runOnce(TrackedUpstream tracked) throws Exception {
+		this.loop.submit(() -> this.run.start(tracked, this.pool, NAMES, new Listener())).get();
+		Optional<ItemOutcome> end = this.ends.poll(30, TimeUnit.SECONDS);
+		assertThat(end).isNotNull();
+		return end;
+	}
+
+	private Optional<ItemOutcome> runOnce() throws Exception {
+		return runOnce(tracked(this.upstream.address()));
+	}
+
+	private static String text(int events) {
+		return String.join("\n", IntStream.rangeClosed(1, events).mapToObj((event) -> "text " + event).toList());
+	}
+
+	private static Optional<ItemOutcome> completed(String text) {
+		return Optional.of(new ItemOutcome("item", true, text));
+	}
+
+	@Test
+	void shouldCompleteWithTheDataOfAllEvents() throws Exception {
+		this.upstream.reply(STREAM_HEAD + ScriptedUpstream.events(1, EVENTS) + ScriptedUpstream.LAST_CHUNK);
+		assertThat(runOnce()).isEqualTo(completed(text(EVENTS)));
+	}
+
+	/**
+	 * Guards against a run that was stopped, or whose progress another owner has taken
+	 * over, adding to the text later.
+	 */
+	@Test
+	void shouldIgnoreARunThatWasStopped() throws Exception {
+		this.upstream.replyAndStall(STREAM_HEAD + ScriptedUpstream.events(1, 2));
+		this.loop.submit(() -> this.run.start(tracked(this.upstream.address()), this.pool, NAMES, new Listener()))
+			.get();
+		Loopback.await(() -> this.loop.submit(this.run::lastEvent).syncUninterruptibly().getNow() == 2);
+		this.loop.submit(this.run::stop).get();
+		this.loop.submit(() -> this.run.resumeFrom(new ItemProgress("job", "item", 3, text(3)))).get();
+		this.upstream.reply(STREAM_HEAD + ScriptedUpstream.events(4, EVENTS) + ScriptedUpstream.LAST_CHUNK);
+		assertThat(runOnce()).isEqualTo(completed(text(EVENTS)));
+		assertThat(this.upstream.received().get(1).header("last-event-id")).hasValue("3");
+		assertThat(this.ends).isEmpty();
+	}
+
+	/**
+	 * Guards against a failure that is reported while the run is being started, which
+	 * ended the periodic round of the process.
+	 * @param host a host that fails before a connection is tried
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = "[x")
+	void shouldEndARunThatFailsAtOnce(String host) throws Exception {
+		TrackedUpstream unreachable = tracked(new Address(host, 80));
+		assertThat(runOnce(unreachable)).isEmpty();
+		assertThat(this.run.running()).isFalse();
+		assertThat(unreachable.ownLoad(WorkClass.BATCH)).isEqualTo(0);
+	}
+
+	private final class Listener implements ItemRun.RunListener {
+
+		@Override
+		public void ended(ItemRun run, Optional<ItemOutcome> outcome) {
+			ItemRunTests.this.ends.add(outcome);
+		}
+
+		@Override
+		public void refused(TrackedUpstream upstream) {
+			throw new AssertionError("refused by " + upstream);
+		}
+
+		@Override
+		public void failed(TrackedUpstream upstream) {
+			upstream.recordFailure();
+		}
+
+		@Override
+		public long nanosAfter(Duration delay) {
+			return delay.toNanos();
+		}
+
+	}
+
+}
