Complete an item only at the end of its stream of events

What callers saw: an item whose run was answered with status 200 and a body that is no stream of events, or a stream without any event, was listed as `completed` with an empty or partial text. A resumed run that was answered so ended the item with the events of the run before it as its whole text.

Cause: ItemRun took the status 200 and the end of the response of any one run for the end of the item, whatever the response was.

Other statuses, a gap and a partial event were handled rightly.

Change: a run completes its item only if its response has status 200, the media type of event streams, and the item has an event. All else counts as a run that broke off; the next one resumes after the last event. A resumed run without events still completes the item, since the run before it may have broken off right after the last event. `item_answered` and `item_broke_off` state the status, whether the response was a stream, the first event asked for and the last one received.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/event/SseFrameDecoder.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/event/SseFrameDecoder.java
@@ -6,6 +6,8 @@
 import java.util.Optional;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMessage;
 
 /**
  * Splits a stream of server-sent events into complete events.
@@ -16,6 +18,8 @@
  */
 public final class SseFrameDecoder {
 
+	private static final String MEDIA_TYPE = "text/event-stream";
+
 	private static final int INITIAL_CAPACITY = 512;
 
 	private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
@@ -41,6 +45,16 @@
 		return new SseFrameDecoder();
 	}
 
+	/**
+	 * Returns whether the body of a response is a stream of events.
+	 * @param head the head of the response
+	 * @return whether it states the media type of event streams
+	 */
+	public static boolean decodes(HttpMessage head) {
+		String type = head.headers().get(HttpHeaderNames.CONTENT_TYPE);
+		return type != null && type.startsWith(MEDIA_TYPE);
+	}
+
 	/**
 	 * Appends bytes of the stream and passes on the events that are now complete.
 	 * @param data the bytes, which are read completely
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
@@ -223,7 +223,8 @@
 	}
 
 	/**
-	 * One run of the item.
+	 * One run of the item. Only the end of a response that is the item's stream of
+	 * events, from the event that the run was asked for, completes the item.
 	 */
 	private final class Run implements AttemptListener {
 
@@ -238,6 +239,8 @@
 
 		private int statusCode;
 
+		private boolean eventStream;
+
 		Run(TrackedUpstream upstream, long resumedAfter, RunListener listener) {
 			this.upstream = upstream;
 			this.resumedAfter = resumedAfter;
@@ -247,12 +250,13 @@
 		@Override
 		public void head(HttpResponse head) {
 			this.statusCode = head.status().code();
+			this.eventStream = this.statusCode == OK && SseFrameDecoder.decodes(head);
 			ItemRun.this.withdrawals = 0;
 		}
 
 		@Override
 		public void data(byte[] data) {
-			if (this.statusCode != OK) {
+			if (!this.eventStream) {
 				return;
 			}
 			ItemRun.this.lastEvent = this.attempt.lastEventId();
@@ -268,9 +272,14 @@
 		@Override
 		public void complete() {
 			ItemRun run = ItemRun.this;
+			if (this.statusCode == OK && !completesItem()) {
+				failed(SendFailure.MALFORMED);
+				return;
+			}
 			run.current = null;
 			LOG.info("item_answered", "job", run.job.id(), "item", run.item.id(), "upstream", this.upstream, "status",
-					this.statusCode, "last_event", run.lastEvent, "server_errors", run.serverErrors);
+					this.statusCode, "stream", this.eventStream, "first_event", this.resumedAfter + 1, "last_event",
+					run.lastEvent, "server_errors", run.serverErrors);
 			if (this.statusCode == OK) {
 				this.listener.ended(run, Optional.of(new ItemOutcome(run.item.id(), true, run.output.toString())));
 			}
@@ -284,6 +293,16 @@
 			}
 		}
 
+		/**
+		 * Returns whether the end of the response is the end of the item. A resumed run
+		 * may have no event, if the run before it broke off after the last one; a run
+		 * from the beginning has some.
+		 * @return whether the item is complete
+		 */
+		private boolean completesItem() {
+			return this.eventStream && ItemRun.this.hasOutput;
+		}
+
 		@Override
 		public void notExecuted(int refusal) {
 			ItemRun run = ItemRun.this;
@@ -299,7 +318,8 @@
 		public void failed(SendFailure failure) {
 			ItemRun run = ItemRun.this;
 			LOG.info("item_broke_off", "job", run.job.id(), "item", run.item.id(), "upstream", this.upstream, "failure",
-					failure, "last_event", run.lastEvent);
+					failure, "status", this.statusCode, "stream", this.eventStream, "first_event",
+					this.resumedAfter + 1, "last_event", run.lastEvent);
 			this.listener.failed(this.upstream);
 			run.current = null;
 			boolean ranWithoutProgress = failure != SendFailure.NOT_SENT && run.lastEvent == this.resumedAfter;
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/job/ItemRunTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/job/ItemRunTests.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.ragworthook.core.close.Closer;
 import org.ragworthook.core.fleet.Address;
@@ -110,6 +111,60 @@
 		assertThat(runOnce()).isEqualTo(completed(text(EVENTS)));
 	}
 
+	/**
+	 * Guards against an item that is listed with an empty or partial text because its
+	 * response has status 200 and is no stream of events, or has none.
+	 * @param contentType the media type of the response
+	 * @param body its body
+	 */
+	@ParameterizedTest
+	@CsvSource({ "text/plain, busy", "application/json, {}", "text/html, 'data: text 1'", "'', 'data: text 1'",
+			"'', ''", "text/event-stream, ''", "text/event-stream, ': comment\n\n'" })
+	void shouldNotCompleteWithoutAnEvent(String contentType, String body) throws Exception {
+		String chunk = body.isEmpty() ? "" : ScriptedUpstream.chunk(body);
+		this.upstream.reply(ScriptedUpstream.head(200, contentType) + chunk + ScriptedUpstream.LAST_CHUNK);
+		assertThat(runOnce()).isEmpty();
+		this.upstream.reply(STREAM_HEAD + ScriptedUpstream.events(1, EVENTS) + ScriptedUpstream.LAST_CHUNK);
+		assertThat(runOnce()).isEqualTo(completed(text(EVENTS)));
+		assertThat(this.upstream.received().get(1).header("last-event-id")).isEmpty();
+	}
+
+	/**
+	 * Guards against the end of a resumed run being taken for the end of the item though
+	 * its response is not the rest of the stream.
+	 * @param status the status of the resumed run
+	 * @param contentType the media type of its response
+	 * @param chunk its body
+	 */
+	@ParameterizedTest
+	@CsvSource({ "500, text/plain, failed", "504, '', late", "200, text/plain, busy", "200, '', 'data: x\n\n'",
+			"204, text/event-stream, ''", "500, text/event-stream, 'id: 3\ndata: x\n\n'",
+			"200, text/event-stream, 'id: 4\ndata: x\n\n'", "200, text/event-stream, 'id: 3\ndata: x\n'" })
+	void shouldNotJoinAResponseThatIsNotTheRestOfTheStream(int status, String contentType, String chunk)
+			throws Exception {
+		this.upstream.reply(STREAM_HEAD + ScriptedUpstream.events(1, 2));
+		assertThat(runOnce()).isEmpty();
+		String body = chunk.isEmpty() ? "" : ScriptedUpstream.chunk(chunk);
+		this.upstream.reply((status == 204) ? "HTTP/1.1 204 x\r\nX-Response-Signature: s\r\nConnection: close\r\n\r\n"
+				: ScriptedUpstream.head(status, contentType) + body + ScriptedUpstream.LAST_CHUNK);
+		assertThat(runOnce()).isEmpty();
+		this.upstream.reply(STREAM_HEAD + ScriptedUpstream.events(3, EVENTS) + ScriptedUpstream.LAST_CHUNK);
+		assertThat(runOnce()).isEqualTo(completed(text(EVENTS)));
+		assertThat(this.upstream.received().get(2).header("last-event-id")).hasValue("2");
+	}
+
+	/**
+	 * A run breaks off after its last event; the resumed run has nothing left to send.
+	 */
+	@Test
+	void shouldCompleteWhenNothingIsLeftAfterTheLastEvent() throws Exception {
+		this.upstream.reply(STREAM_HEAD + ScriptedUpstream.events(1, EVENTS));
+		assertThat(runOnce()).isEmpty();
+		this.upstream.reply(STREAM_HEAD + ScriptedUpstream.LAST_CHUNK);
+		assertThat(runOnce()).isEqualTo(completed(text(EVENTS)));
+		assertThat(this.upstream.received().get(1).header("last-event-id")).hasValue("5");
+	}
+
 	/**
 	 * Guards against a run that was stopped, or whose progress another owner has taken
 	 * over, adding to the text later.
