Keep events without a number only if their run goes on

What callers saw: when a run broke off after an event without an id, the text of that event stood twice in the item's output.

Cause: its data was added to the output at once, but the next run resumes after the last numbered event, so it sends the event again. Saved progress had the same fault: its text went beyond the event that it states.

Evidence: ItemRunTests on the code before: shouldKeepUnnumberedEventsOnlyIfTheRunGoesOn failed 3 of 4 cases (`a b b c` for `a b c`), shouldSaveTheTextUpToTheLastNumberedEvent failed.

Change: a run keeps the data of unnumbered events apart until its next numbered event, or its whole end, shows that they belong to the text. The output is always the events up to the stated one, so what is resumed or saved is its continuation.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
@@ -196,7 +196,7 @@
 
 	/**
 	 * Returns the progress of the item.
-	 * @return its output up to the last complete event, or empty if it has no event
+	 * @return its output up to the last numbered event, or empty if there is none
 	 */
 	Optional<ItemProgress> progress() {
 		return (this.lastEvent > 0)
@@ -222,6 +222,19 @@
 		return this.serverErrors;
 	}
 
+	/**
+	 * Adds the data of an event, or of several, to a text.
+	 * @param text the text so far
+	 * @param hasData whether the text has the data of an event, which may be empty
+	 * @param data the data
+	 */
+	private static void append(StringBuilder text, boolean hasData, CharSequence data) {
+		if (hasData) {
+			text.append('\n');
+		}
+		text.append(data);
+	}
+
 	/**
 	 * One run of the item. Only the end of a response that is the item's stream of
 	 * events, from the event that the run was asked for, completes the item.
@@ -235,6 +248,14 @@
 
 		private final RunListener listener;
 
+		/**
+		 * Data of events without a number since the last numbered one. A run that resumes
+		 * after that one sends them again, so they are not kept when this run ends early.
+		 */
+		private final StringBuilder unnumbered = new StringBuilder();
+
+		private boolean hasUnnumbered;
+
 		private Attempt attempt;
 
 		private int statusCode;
@@ -259,14 +280,31 @@
 			if (!this.eventStream) {
 				return;
 			}
-			ItemRun.this.lastEvent = this.attempt.lastEventId();
-			SseFrameDecoder.data(data).ifPresent((text) -> {
-				if (ItemRun.this.hasOutput) {
-					ItemRun.this.output.append('\n');
-				}
-				ItemRun.this.hasOutput = true;
-				ItemRun.this.output.append(text);
-			});
+			long number = this.attempt.lastEventId();
+			Optional<String> text = SseFrameDecoder.data(data);
+			if (number == ItemRun.this.lastEvent) {
+				text.ifPresent((present) -> {
+					append(this.unnumbered, this.hasUnnumbered, present);
+					this.hasUnnumbered = true;
+				});
+				return;
+			}
+			keepUnnumbered();
+			ItemRun.this.lastEvent = number;
+			text.ifPresent(this::keep);
+		}
+
+		private void keepUnnumbered() {
+			if (this.hasUnnumbered) {
+				keep(this.unnumbered);
+				this.unnumbered.setLength(0);
+				this.hasUnnumbered = false;
+			}
+		}
+
+		private void keep(CharSequence data) {
+			append(ItemRun.this.output, ItemRun.this.hasOutput, data);
+			ItemRun.this.hasOutput = true;
 		}
 
 		@Override
@@ -281,6 +319,7 @@
 					this.statusCode, "stream", this.eventStream, "first_event", this.resumedAfter + 1, "last_event",
 					run.lastEvent, "server_errors", run.serverErrors);
 			if (this.statusCode == OK) {
+				keepUnnumbered();
 				this.listener.ended(run, Optional.of(new ItemOutcome(run.item.id(), true, run.output.toString())));
 			}
 			else if (this.statusCode == UNPROCESSABLE) {
@@ -300,7 +339,7 @@
 		 * @return whether the item is complete
 		 */
 		private boolean completesItem() {
-			return this.eventStream && ItemRun.this.hasOutput;
+			return this.eventStream && (ItemRun.this.lastEvent > 0 || this.hasUnnumbered);
 		}
 
 		@Override
@@ -319,7 +358,7 @@
 			ItemRun run = ItemRun.this;
 			LOG.info("item_broke_off", "job", run.job.id(), "item", run.item.id(), "upstream", this.upstream, "failure",
 					failure, "status", this.statusCode, "stream", this.eventStream, "first_event",
-					this.resumedAfter + 1, "last_event", run.lastEvent);
+					this.resumedAfter + 1, "last_event", run.lastEvent, "unnumbered", this.unnumbered.length());
 			this.listener.failed(this.upstream);
 			run.current = null;
 			boolean ranWithoutProgress = failure != SendFailure.NOT_SENT && run.lastEvent == this.resumedAfter;
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/job/ItemRunTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/job/ItemRunTests.java
@@ -165,6 +165,35 @@
 		assertThat(this.upstream.received().get(1).header("last-event-id")).hasValue("5");
 	}
 
+	/**
+	 * Guards against text that stands twice: an event without a number comes again when
+	 * the item resumes after the last numbered one.
+	 * @param before the events before the run breaks off
+	 * @param after the events of the resumed run
+	 * @param text the whole text
+	 */
+	@ParameterizedTest
+	@CsvSource({ "'id: 1\ndata: a\n\ndata: b\n\n', 'data: b\n\nid: 2\ndata: c\n\n', 'a\nb\nc'",
+			"'data: a\n\n', 'data: a\n\ndata: b\n\n', 'a\nb'",
+			"'data: a\n\nid: 1\ndata: b\n\n', 'data: c\n\n', 'a\nb\nc'",
+			"'data:\n\n', 'data:\n\nid: 1\ndata: b\n\n', '\nb'" })
+	void shouldKeepUnnumberedEventsOnlyIfTheRunGoesOn(String before, String after, String text) throws Exception {
+		this.upstream.reply(STREAM_HEAD + ScriptedUpstream.chunk(before));
+		assertThat(runOnce()).isEmpty();
+		this.upstream.reply(STREAM_HEAD + ScriptedUpstream.chunk(after) + ScriptedUpstream.LAST_CHUNK);
+		assertThat(runOnce()).isEqualTo(completed(text));
+	}
+
+	/**
+	 * The saved progress of an item is its text up to the stated event and nothing else.
+	 */
+	@Test
+	void shouldSaveTheTextUpToTheLastNumberedEvent() throws Exception {
+		this.upstream.reply(STREAM_HEAD + ScriptedUpstream.events(1, 2) + ScriptedUpstream.chunk("data: more\n\n"));
+		assertThat(runOnce()).isEmpty();
+		assertThat(this.run.progress()).hasValue(new ItemProgress("job", "item", 2, text(2)));
+	}
+
 	/**
 	 * Guards against a run that was stopped, or whose progress another owner has taken
 	 * over, adding to the text later.
