Don't let an item's headers state where it resumes or how it is framed

What callers saw: an item whose own headers hold Last-Event-Id is started in the middle by the upstream; each run then lacks its first event and breaks off, until the item is given up. One with Transfer-Encoding was sent with that header beside Content-Length, so that two readers may see its end at different places.

Cause: ItemRun copies the item's headers and replaces only those that it sets itself. Last-Event-Id is set on resumed runs only, and hop-by-hop headers never.

Change: the headers by which a message is delimited, the hop-by-hop headers and Last-Event-Id are dropped from the item's own; the first run starts at event 1.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Base64;
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 
@@ -28,6 +29,13 @@
 
 	private static final EventLog LOG = EventLog.of(ItemRun.class);
 
+	/**
+	 * Headers by which a message is delimited, or that concern a single connection. An
+	 * item that states one of them would change where its request ends.
+	 */
+	private static final List<String> RESERVED_HEADERS = List.of("connection", "content-length", "expect", "keep-alive",
+			"proxy-connection", "te", "trailer", "transfer-encoding", "upgrade");
+
 	private static final int OK = 200;
 
 	private static final int UNPROCESSABLE = 422;
@@ -175,6 +183,8 @@
 	private FullHttpRequest request(HeaderNames names) {
 		HttpHeaders headers = new DefaultHttpHeaders(false);
 		this.item.headers().forEach(headers::set);
+		RESERVED_HEADERS.forEach(headers::remove);
+		headers.remove(names.lastEventId());
 		names.replaceKeyWithAccount(headers, this.job.account());
 		headers.set(HttpHeaderNames.HOST, this.job.host());
 		if (this.lastEvent > 0) {
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/job/ItemRunTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/job/ItemRunTests.java
@@ -212,6 +212,27 @@
 		assertThat(this.ends).isEmpty();
 	}
 
+	/**
+	 * Guards against an item that a caller's own header starts in the middle, and against
+	 * headers that change where the request ends.
+	 * @param name the name of a header that the item states
+	 * @param value its value
+	 */
+	@ParameterizedTest
+	@CsvSource({ "Last-Event-Id, 7", "last-event-id, 7", "Transfer-Encoding, chunked", "transfer-encoding, gzip",
+			"Content-Length, 2", "Connection, close", "Expect, 100-continue", "Upgrade, h2c", "X-Api-Key, k",
+			"X-Tenant, other" })
+	void shouldNotSendHeadersThatOnlyWeMaySet(String name, String value) throws Exception {
+		this.run = run(Map.of(name, value, "X-Model", "m"));
+		this.upstream.reply(STREAM_HEAD + ScriptedUpstream.events(1, EVENTS) + ScriptedUpstream.LAST_CHUNK);
+		assertThat(runOnce()).isEqualTo(completed(text(EVENTS)));
+		ScriptedUpstream.Received received = this.upstream.received().get(0);
+		assertThat(received.head()).doesNotContain(name + ": " + value);
+		assertThat(received.header("content-length")).hasValue("4");
+		assertThat(new String(received.body())).isEqualTo("body");
+		assertThat(received.header("x-model")).hasValue("m");
+	}
+
 	/**
 	 * Guards against a failure that is reported while the run is being started, which
 	 * ended the periodic round of the process.
