Receive whole reports of peers, however long they are

Mostly it was dropped with `report_malformed`, so that a busy process seems to be silent. If the cut falls between two fields, the report decodes and counts as the newest complete state of its sender: the jobs after the cut have no results, and an entry may deny positions that another entry has shown.

Cause: Netty's default buffer for a datagram has 2,048 bytes, and the rest of a longer datagram is dropped without notice. Nothing in a report states its length, so the end of the buffer was taken for the end of the report. Reports name up to 4,000 characters of job ids, so that some 85 running jobs suffice.

Change: the buffer is larger than any datagram, so none is cut off.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/peer/ReportChannel.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/peer/ReportChannel.java
@@ -10,7 +10,9 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
@@ -25,6 +27,13 @@
 
 	private static final EventLog LOG = EventLog.of(ReportChannel.class);
 
+	/**
+	 * Size of the buffer for a received datagram, more than a datagram can have. The rest
+	 * of a datagram that exceeds its buffer is dropped without notice, and a report that
+	 * is cut between two fields decodes as a whole one.
+	 */
+	private static final int RECEIVE_BUFFER_BYTES = 65_536;
+
 	private final Consumer<LoadReport> receiver;
 
 	private volatile Channel channel;
@@ -44,6 +53,7 @@
 		ReportChannel reports = new ReportChannel(receiver);
 		reports.channel = new Bootstrap().group(loop)
 			.channel(NioDatagramChannel.class)
+			.option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(RECEIVE_BUFFER_BYTES))
 			.handler(reports.new DatagramHandler())
 			.bind(new InetSocketAddress(address.host(), address.port()))
 			.syncUninterruptibly()
