--- a/modules/gateway/src/main/java/org/ragworthook/gateway/attempt/Attempt.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/attempt/Attempt.java
@@ -38,8 +38,6 @@
 	 */
 	private static final int MISDIRECTED = 421;
 
-	private static final String EVENT_STREAM = "text/event-stream";
-
 	private final TrackedUpstream upstream;
 
 	private final WorkClass work;
@@ -233,8 +231,7 @@
 			return;
 		}
 		this.upstream.recordSuccess();
-		String type = head.headers().get(HttpHeaderNames.CONTENT_TYPE);
-		this.eventStream = this.status == HeadCheck.OK && type != null && type.startsWith(EVENT_STREAM);
+		this.eventStream = this.status == HeadCheck.OK && SseFrameDecoder.decodes(head);
 		if (!this.headCheck.accepts(this.status, this.eventStream)) {
 			cancel();
 			this.listener.failed(SendFailure.UNUSABLE);
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Base64;
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 
@@ -30,6 +31,13 @@
 
 	private static final EventLog LOG = EventLog.of(ItemRun.class);
 
+	/**
+	 * Headers by which a message is delimited, or that concern a single connection. An
+	 * item that states one of them would change where its request ends.
+	 */
+	private static final List<String> RESERVED_HEADERS = List.of("connection", "content-length", "expect", "keep-alive",
+			"proxy-connection", "te", "trailer", "transfer-encoding", "upgrade");
+
 	private static final int OK = 200;
 
 	private static final int UNPROCESSABLE = 422;
@@ -77,8 +85,6 @@
 	 */
 	private int runsWithoutProgress;
 
-	private long resumedFromEvent;
-
 	private long startedNanos;
 
 	/** The ticker's reading at the first start, or {@link Long#MIN_VALUE} before it. */
@@ -90,9 +96,8 @@
 	/** Consecutive withdrawals from an engine's queue. */
 	private int withdrawals;
 
-	private int statusCode;
-
-	private Attempt attempt;
+	/** The run in progress, or {@code null} if there is none. */
+	private Run current;
 
 	private long notBeforeNanos = Long.MIN_VALUE;
 
@@ -130,15 +135,15 @@
 	}
 
 	boolean running() {
-		return this.attempt != null;
+		return this.current != null;
 	}
 
 	boolean runningAt(TrackedUpstream upstream) {
-		return this.attempt != null && this.attempt.upstream() == upstream;
+		return this.current != null && this.current.upstream == upstream;
 	}
 
 	boolean mayStart(long nowNanos) {
-		return this.attempt == null && (this.notBeforeNanos == Long.MIN_VALUE || this.notBeforeNanos - nowNanos <= 0);
+		return this.current == null && (this.notBeforeNanos == Long.MIN_VALUE || this.notBeforeNanos - nowNanos <= 0);
 	}
 
 	/**
@@ -151,8 +156,9 @@
 	 */
 	Optional<TrackedUpstream> queuedTooLongAt(long nowNanos, Duration maxQueueTime) {
 		long limit = maxQueueTime.toNanos() << Math.min(this.withdrawals, MAX_QUEUE_TIME_DOUBLINGS);
-		boolean queuedTooLong = this.attempt != null && this.statusCode == 0 && nowNanos - this.startedNanos >= limit;
-		return queuedTooLong ? Optional.of(this.attempt.upstream()) : Optional.empty();
+		boolean queuedTooLong = this.current != null && this.current.statusCode == 0
+				&& nowNanos - this.startedNanos >= limit;
+		return queuedTooLong ? Optional.of(this.current.upstream) : Optional.empty();
 	}
 
 	/**
@@ -166,20 +172,21 @@
 	void start(TrackedUpstream upstream, ConnectionPool pool, HeaderNames names, RunListener listener) {
 		LOG.info("item_placed", "job", this.job.id(), "item", this.item.id(), "upstream", upstream, "load",
 				upstream.load(), "from_event", this.lastEvent, "runs_without_progress", this.runsWithoutProgress);
-		this.statusCode = 0;
 		this.startedNanos = listener.nanosAfter(Duration.ZERO);
 		if (this.firstStartedNanos == Long.MIN_VALUE) {
 			this.firstStartedNanos = this.startedNanos;
 		}
-		this.resumedFromEvent = this.lastEvent;
-		this.attempt = Attempt.start(upstream, WorkClass.BATCH, pool, names,
-				new Attempt.Outgoing(() -> request(names), this.item.id(), this.lastEvent, HeadCheck.any()),
-				new ResponseListener(listener));
+		Run started = new Run(upstream, this.lastEvent, listener);
+		this.current = started;
+		started.attempt = Attempt.start(upstream, WorkClass.BATCH, pool, names,
+				new Attempt.Outgoing(() -> request(names), this.item.id(), this.lastEvent, HeadCheck.any()), started);
 	}
 
 	private FullHttpRequest request(HeaderNames names) {
 		HttpHeaders headers = new DefaultHttpHeaders(false);
 		this.item.headers().forEach(headers::set);
+		RESERVED_HEADERS.forEach(headers::remove);
+		headers.remove(names.lastEventId());
 		names.replaceKeyWithAccount(headers, this.job.account());
 		headers.set(HttpHeaderNames.HOST, this.job.host());
 		if (this.lastEvent > 0) {
@@ -192,15 +199,16 @@
 	 * Aborts the run in progress, if any, without an outcome.
 	 */
 	void stop() {
-		if (this.attempt != null) {
-			this.attempt.cancel();
-			this.attempt = null;
+		if (this.current != null) {
+			Run stopped = this.current;
+			this.current = null;
+			stopped.attempt.cancel();
 		}
 	}
 
 	/**
 	 * Returns the progress of the item.
-	 * @return its output up to the last complete event, or empty if it has no event
+	 * @return its output up to the last numbered event, or empty if there is none
 	 */
 	Optional<ItemProgress> progress() {
 		return (this.lastEvent > 0)
@@ -214,7 +222,7 @@
 	 * @param saved the saved progress
 	 */
 	void resumeFrom(ItemProgress saved) {
-		if (this.attempt == null && saved.lastEvent() > this.lastEvent) {
+		if (this.current == null && saved.lastEvent() > this.lastEvent) {
 			this.lastEvent = saved.lastEvent();
 			this.hasOutput = true;
 			this.output.setLength(0);
@@ -226,62 +234,133 @@
 		return this.serverErrors;
 	}
 
-	private final class ResponseListener implements AttemptListener {
+	/**
+	 * Adds the data of an event, or of several, to a text.
+	 * @param text the text so far
+	 * @param hasData whether the text has the data of an event, which may be empty
+	 * @param data the data
+	 */
+	private static void append(StringBuilder text, boolean hasData, CharSequence data) {
+		if (hasData) {
+			text.append('\n');
+		}
+		text.append(data);
+	}
+
+	/**
+	 * One run of the item. Only the end of a response that is the item's stream of
+	 * events, from the event that the run was asked for, completes the item.
+	 */
+	private final class Run implements AttemptListener {
+
+		private final TrackedUpstream upstream;
+
+		/** The event after which the run was asked to resume, or 0. */
+		private final long resumedAfter;
 
 		private final RunListener listener;
 
-		ResponseListener(RunListener listener) {
+		/**
+		 * Data of events without a number since the last numbered one. A run that resumes
+		 * after that one sends them again, so they are not kept when this run ends early.
+		 */
+		private final StringBuilder unnumbered = new StringBuilder();
+
+		private boolean hasUnnumbered;
+
+		private Attempt attempt;
+
+		private int statusCode;
+
+		private boolean eventStream;
+
+		Run(TrackedUpstream upstream, long resumedAfter, RunListener listener) {
+			this.upstream = upstream;
+			this.resumedAfter = resumedAfter;
 			this.listener = listener;
 		}
 
 		@Override
 		public void head(HttpResponse head) {
-			ItemRun.this.statusCode = head.status().code();
+			this.statusCode = head.status().code();
+			this.eventStream = this.attempt.eventStream();
 			ItemRun.this.withdrawals = 0;
 		}
 
 		@Override
 		public void data(byte[] data) {
-			if (ItemRun.this.statusCode != OK) {
+			if (!this.eventStream) {
 				return;
 			}
-			ItemRun.this.lastEvent = ItemRun.this.attempt.lastEventId();
-			SseFrameDecoder.data(data).ifPresent((text) -> {
-				if (ItemRun.this.hasOutput) {
-					ItemRun.this.output.append('\n');
-				}
-				ItemRun.this.hasOutput = true;
-				ItemRun.this.output.append(text);
-			});
+			long number = this.attempt.lastEventId();
+			Optional<String> text = SseFrameDecoder.data(data);
+			if (number == ItemRun.this.lastEvent) {
+				text.ifPresent((present) -> {
+					append(this.unnumbered, this.hasUnnumbered, present);
+					this.hasUnnumbered = true;
+				});
+				return;
+			}
+			keepUnnumbered();
+			ItemRun.this.lastEvent = number;
+			text.ifPresent(this::keep);
+		}
+
+		private void keepUnnumbered() {
+			if (this.hasUnnumbered) {
+				keep(this.unnumbered);
+				this.unnumbered.setLength(0);
+				this.hasUnnumbered = false;
+			}
+		}
+
+		private void keep(CharSequence data) {
+			append(ItemRun.this.output, ItemRun.this.hasOutput, data);
+			ItemRun.this.hasOutput = true;
 		}
 
 		@Override
 		public void complete(ResponseEnd end) {
 			ItemRun run = ItemRun.this;
-			TrackedUpstream upstream = run.attempt.upstream();
-			run.attempt = null;
-			LOG.info("item_answered", "job", run.job.id(), "item", run.item.id(), "upstream", upstream, "status",
-					run.statusCode, "last_event", run.lastEvent, "server_errors", run.serverErrors);
-			if (run.statusCode == OK) {
+			if (this.statusCode == OK && !completesItem()) {
+				failed(SendFailure.MALFORMED);
+				return;
+			}
+			run.current = null;
+			LOG.info("item_answered", "job", run.job.id(), "item", run.item.id(), "upstream", this.upstream, "status",
+					this.statusCode, "end", end.label(), "stream", this.eventStream, "first_event",
+					this.resumedAfter + 1, "last_event", run.lastEvent, "server_errors", run.serverErrors);
+			if (this.statusCode == OK) {
+				keepUnnumbered();
 				this.listener.ended(run, Optional.of(new ItemOutcome(run.item.id(), true, run.output.toString())));
 			}
-			else if (run.statusCode == UNPROCESSABLE) {
+			else if (this.statusCode == UNPROCESSABLE) {
 				this.listener.ended(run, Optional.of(ItemOutcome.givenUp(run.item.id())));
 			}
 			else {
-				run.serverErrors += (run.statusCode == SERVER_ERROR) ? 1 : 0;
+				run.serverErrors += (this.statusCode == SERVER_ERROR) ? 1 : 0;
 				backOff();
 				this.listener.ended(run, Optional.empty());
 			}
 		}
 
+		/**
+		 * Returns whether the end of the response is the end of the item. A resumed run
+		 * may have no event, if the run before it broke off after the last one; a run
+		 * from the beginning has some.
+		 * @return whether the item is complete
+		 */
+		private boolean completesItem() {
+			return this.eventStream && (ItemRun.this.lastEvent > 0 || this.hasUnnumbered);
+		}
+
 		@Override
 		public void notExecuted(int refusal) {
 			ItemRun run = ItemRun.this;
-			LOG.info("item_not_run", "job", run.job.id(), "item", run.item.id(), "upstream", run.attempt.upstream(),
-					"status", refusal);
-			this.listener.refused(run.attempt.upstream());
-			run.attempt = null;
+			LOG.info("item_not_run", "job", run.job.id(), "item", run.item.id(), "upstream", this.upstream, "status",
+					refusal);
+			this.listener.refused(this.upstream);
+			run.current = null;
 			run.notBeforeNanos = this.listener.nanosAfter(INITIAL_BACKOFF);
 			this.listener.ended(run, Optional.empty());
 		}
@@ -289,11 +368,12 @@
 		@Override
 		public void failed(SendFailure failure) {
 			ItemRun run = ItemRun.this;
-			LOG.info("item_broke_off", "job", run.job.id(), "item", run.item.id(), "upstream", run.attempt.upstream(),
-					"failure", failure, "last_event", run.lastEvent);
-			this.listener.failed(run.attempt.upstream());
-			run.attempt = null;
-			boolean ranWithoutProgress = failure != SendFailure.NOT_SENT && run.lastEvent == run.resumedFromEvent;
+			LOG.info("item_broke_off", "job", run.job.id(), "item", run.item.id(), "upstream", this.upstream, "failure",
+					failure, "status", this.statusCode, "stream", this.eventStream, "first_event",
+					this.resumedAfter + 1, "last_event", run.lastEvent, "unnumbered", this.unnumbered.length());
+			this.listener.failed(this.upstream);
+			run.current = null;
+			boolean ranWithoutProgress = failure != SendFailure.NOT_SENT && run.lastEvent == this.resumedAfter;
 			run.runsWithoutProgress = ranWithoutProgress ? run.runsWithoutProgress + 1 : 0;
 			backOff();
 			this.listener.ended(run, Optional.empty());
--- /dev/null
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/job/ItemRunTests.java
@@ -0,0 +1,274 @@
+package org.ragworthook.gateway.job;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Base64;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.ragworthook.core.close.Closer;
+import org.ragworthook.core.fleet.Address;
+import org.ragworthook.core.time.Ticker;
+import org.ragworthook.gateway.dialect.HeaderNames;
+import org.ragworthook.gateway.http.ConnectionPool;
+import org.ragworthook.gateway.peer.Loopback;
+import org.ragworthook.gateway.upstream.TrackedUpstream;
+import org.ragworthook.gateway.upstream.UpstreamDescriptor;
+import org.ragworthook.gateway.upstream.UpstreamRegistry;
+import org.ragworthook.gateway.upstream.WorkClass;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests which responses complete an item, and what text the item has then.
+ */
+class ItemRunTests {
+
+	private static final HeaderNames NAMES = new HeaderNames("X-Request-Id", "X-Deadline-Ms", "X-Prompt-Prefix",
+			"Last-Event-Id", "X-Response-Signature", "X-Expect-Instance", "X-Not-Executed", "X-Wait-Ms", "X-Api-Key",
+			"X-Tenant");
+
+	private static final String EVENT_STREAM = "text/event-stream";
+
+	private static final String STREAM_HEAD = ScriptedUpstream.head(200, EVENT_STREAM);
+
+	private static final int EVENTS = 5;
+
+	private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+	private final EventLoop loop = (EventLoop) this.group.next();
+
+	private final Closer closer = Closer.empty();
+
+	private final ConnectionPool pool = ConnectionPool.of(this.loop, Ticker.system(), Duration.ofSeconds(5),
+			NAMES.requestId());
+
+	private final BlockingQueue<Optional<ItemOutcome>> ends = new LinkedBlockingQueue<>();
+
+	private ScriptedUpstream upstream;
+
+	private ItemRun run;
+
+	@BeforeEach
+	void start() throws IOException {
+		this.upstream = this.closer.add(ScriptedUpstream.start());
+		this.run = run(Map.of());
+	}
+
+	@AfterEach
+	void stop() {
+		this.closer.close();
+		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+	}
+
+	private static ItemRun run(Map<String, String> headers) {
+		JobItem item = new JobItem("item", "/p", headers, Base64.getEncoder().encodeToString("body".getBytes()), 1);
+		return new ItemRun(new Job("job", Optional.empty(), "h", "/p", 0, 1, 1, 0, 1, false, List.of(item)), item);
+	}
+
+	private static TrackedUpstream tracked(Address address) {
+		UpstreamRegistry registry = UpstreamRegistry.empty();
+		registry.put(new UpstreamDescriptor("u", "svc", address, "a", 8, false));
+		return registry.serving("svc").get(0);
+	}
+
+	private Optional<ItemOutcome> runOnce(TrackedUpstream tracked) throws Exception {
+		this.loop.submit(() -> this.run.start(tracked, this.pool, NAMES, new Listener())).get();
+		Optional<ItemOutcome> end = this.ends.poll(30, TimeUnit.SECONDS);
+		assertThat(end).isNotNull();
+		return end;
+	}
+
+	private Optional<ItemOutcome> runOnce() throws Exception {
+		return runOnce(tracked(this.upstream.address()));
+	}
+
+	private static String text(int events) {
+		return String.join("\n", IntStream.rangeClosed(1, events).mapToObj((event) -> "text " + event).toList());
+	}
+
+	private static Optional<ItemOutcome> completed(String text) {
+		return Optional.of(new ItemOutcome("item", true, text));
+	}
+
+	@Test
+	void shouldCompleteWithTheDataOfAllEvents() throws Exception {
+		this.upstream.reply(STREAM_HEAD + ScriptedUpstream.events(1, EVENTS) + ScriptedUpstream.LAST_CHUNK);
+		assertThat(runOnce()).isEqualTo(completed(text(EVENTS)));
+	}
+
+	/**
+	 * Guards against an item that is listed with an empty or partial text because its
+	 * response has status 200 and is no stream of events, or has none.
+	 * @param contentType the media type of the response
+	 * @param body its body
+	 */
+	@ParameterizedTest
+	@CsvSource({ "text/plain, busy", "application/json, {}", "text/html, 'data: text 1'", "'', 'data: text 1'",
+			"'', ''", "text/event-stream, ''", "text/event-stream, ': comment\n\n'" })
+	void shouldNotCompleteWithoutAnEvent(String contentType, String body) throws Exception {
+		String chunk = body.isEmpty() ? "" : ScriptedUpstream.chunk(body);
+		this.upstream.reply(ScriptedUpstream.head(200, contentType) + chunk + ScriptedUpstream.LAST_CHUNK);
+		assertThat(runOnce()).isEmpty();
+		this.upstream.reply(STREAM_HEAD + ScriptedUpstream.events(1, EVENTS) + ScriptedUpstream.LAST_CHUNK);
+		assertThat(runOnce()).isEqualTo(completed(text(EVENTS)));
+		assertThat(this.upstream.received().get(1).header("last-event-id")).isEmpty();
+	}
+
+	/**
+	 * Guards against the end of a resumed run being taken for the end of the item though
+	 * its response is not the rest of the stream.
+	 * @param status the status of the resumed run
+	 * @param contentType the media type of its response
+	 * @param chunk its body
+	 */
+	@ParameterizedTest
+	@CsvSource({ "500, text/plain, failed", "504, '', late", "200, text/plain, busy", "200, '', 'data: x\n\n'",
+			"204, text/event-stream, ''", "500, text/event-stream, 'id: 3\ndata: x\n\n'",
+			"200, text/event-stream, 'id: 4\ndata: x\n\n'", "200, text/event-stream, 'id: 3\ndata: x\n'" })
+	void shouldNotJoinAResponseThatIsNotTheRestOfTheStream(int status, String contentType, String chunk)
+			throws Exception {
+		this.upstream.reply(STREAM_HEAD + ScriptedUpstream.events(1, 2));
+		assertThat(runOnce()).isEmpty();
+		String body = chunk.isEmpty() ? "" : ScriptedUpstream.chunk(chunk);
+		this.upstream.reply((status == 204) ? "HTTP/1.1 204 x\r\nX-Response-Signature: s\r\nConnection: close\r\n\r\n"
+				: ScriptedUpstream.head(status, contentType) + body + ScriptedUpstream.LAST_CHUNK);
+		assertThat(runOnce()).isEmpty();
+		this.upstream.reply(STREAM_HEAD + ScriptedUpstream.events(3, EVENTS) + ScriptedUpstream.LAST_CHUNK);
+		assertThat(runOnce()).isEqualTo(completed(text(EVENTS)));
+		assertThat(this.upstream.received().get(2).header("last-event-id")).hasValue("2");
+	}
+
+	/**
+	 * A run breaks off after its last event; the resumed run has nothing left to send.
+	 */
+	@Test
+	void shouldCompleteWhenNothingIsLeftAfterTheLastEvent() throws Exception {
+		this.upstream.reply(STREAM_HEAD + ScriptedUpstream.events(1, EVENTS));
+		assertThat(runOnce()).isEmpty();
+		this.upstream.reply(STREAM_HEAD + ScriptedUpstream.LAST_CHUNK);
+		assertThat(runOnce()).isEqualTo(completed(text(EVENTS)));
+		assertThat(this.upstream.received().get(1).header("last-event-id")).hasValue("5");
+	}
+
+	/**
+	 * Guards against text that stands twice: an event without a number comes again when
+	 * the item resumes after the last numbered one.
+	 * @param before the events before the run breaks off
+	 * @param after the events of the resumed run
+	 * @param text the whole text
+	 */
+	@ParameterizedTest
+	@CsvSource({ "'id: 1\ndata: a\n\ndata: b\n\n', 'data: b\n\nid: 2\ndata: c\n\n', 'a\nb\nc'",
+			"'data: a\n\n', 'data: a\n\ndata: b\n\n', 'a\nb'",
+			"'data: a\n\nid: 1\ndata: b\n\n', 'data: c\n\n', 'a\nb\nc'",
+			"'data:\n\n', 'data:\n\nid: 1\ndata: b\n\n', '\nb'" })
+	void shouldKeepUnnumberedEventsOnlyIfTheRunGoesOn(String before, String after, String text) throws Exception {
+		this.upstream.reply(STREAM_HEAD + ScriptedUpstream.chunk(before));
+		assertThat(runOnce()).isEmpty();
+		this.upstream.reply(STREAM_HEAD + ScriptedUpstream.chunk(after) + ScriptedUpstream.LAST_CHUNK);
+		assertThat(runOnce()).isEqualTo(completed(text));
+	}
+
+	/**
+	 * The saved progress of an item is its text up to the stated event and nothing else.
+	 */
+	@Test
+	void shouldSaveTheTextUpToTheLastNumberedEvent() throws Exception {
+		this.upstream.reply(STREAM_HEAD + ScriptedUpstream.events(1, 2) + ScriptedUpstream.chunk("data: more\n\n"));
+		assertThat(runOnce()).isEmpty();
+		assertThat(this.run.progress()).hasValue(new ItemProgress("job", "item", 2, text(2)));
+	}
+
+	/**
+	 * Guards against a run that was stopped, or whose progress another owner has taken
+	 * over, adding to the text later.
+	 */
+	@Test
+	void shouldIgnoreARunThatWasStopped() throws Exception {
+		this.upstream.replyAndStall(STREAM_HEAD + ScriptedUpstream.events(1, 2));
+		this.loop.submit(() -> this.run.start(tracked(this.upstream.address()), this.pool, NAMES, new Listener()))
+			.get();
+		Loopback.await(() -> this.loop.submit(this.run::lastEvent).syncUninterruptibly().getNow() == 2);
+		this.loop.submit(this.run::stop).get();
+		this.loop.submit(() -> this.run.resumeFrom(new ItemProgress("job", "item", 3, text(3)))).get();
+		this.upstream.reply(STREAM_HEAD + ScriptedUpstream.events(4, EVENTS) + ScriptedUpstream.LAST_CHUNK);
+		assertThat(runOnce()).isEqualTo(completed(text(EVENTS)));
+		assertThat(this.upstream.received().get(1).header("last-event-id")).hasValue("3");
+		assertThat(this.ends).isEmpty();
+	}
+
+	/**
+	 * Guards against an item that a caller's own header starts in the middle, and against
+	 * headers that change where the request ends.
+	 * @param name the name of a header that the item states
+	 * @param value its value
+	 */
+	@ParameterizedTest
+	@CsvSource({ "Last-Event-Id, 7", "last-event-id, 7", "Transfer-Encoding, chunked", "transfer-encoding, gzip",
+			"Content-Length, 2", "Connection, close", "Expect, 100-continue", "Upgrade, h2c", "X-Api-Key, k",
+			"X-Tenant, other" })
+	void shouldNotSendHeadersThatOnlyWeMaySet(String name, String value) throws Exception {
+		this.run = run(Map.of(name, value, "X-Model", "m"));
+		this.upstream.reply(STREAM_HEAD + ScriptedUpstream.events(1, EVENTS) + ScriptedUpstream.LAST_CHUNK);
+		assertThat(runOnce()).isEqualTo(completed(text(EVENTS)));
+		ScriptedUpstream.Received received = this.upstream.received().get(0);
+		assertThat(received.head()).doesNotContain(name + ": " + value);
+		assertThat(received.header("content-length")).hasValue("4");
+		assertThat(new String(received.body())).isEqualTo("body");
+		assertThat(received.header("x-model")).hasValue("m");
+	}
+
+	/**
+	 * Guards against a failure that is reported while the run is being started, which
+	 * ended the periodic round of the process.
+	 * @param host a host that fails before a connection is tried
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = "[x")
+	void shouldEndARunThatFailsAtOnce(String host) throws Exception {
+		TrackedUpstream unreachable = tracked(new Address(host, 80));
+		assertThat(runOnce(unreachable)).isEmpty();
+		assertThat(this.run.running()).isFalse();
+		assertThat(unreachable.ownLoad(WorkClass.BATCH)).isEqualTo(0);
+	}
+
+	private final class Listener implements ItemRun.RunListener {
+
+		@Override
+		public void ended(ItemRun run, Optional<ItemOutcome> outcome) {
+			ItemRunTests.this.ends.add(outcome);
+		}
+
+		@Override
+		public void refused(TrackedUpstream upstream) {
+			throw new AssertionError("refused by " + upstream);
+		}
+
+		@Override
+		public void failed(TrackedUpstream upstream) {
+			upstream.recordFailure();
+		}
+
+		@Override
+		public long nanosAfter(Duration delay) {
+			return delay.toNanos();
+		}
+
+	}
+
+}
