Tell HTTP/1.0 callers that a response without a length closes its connection

An HTTP/1.0 caller that asked to keep its connection got a body that nothing delimits: no length, and a header that says that the connection stays open.

Cause: the HTTP server sets that header for every such caller, after the response's own headers.

Evidence: 68 of the 454 cases of ResponseEndTests failed before, also for whole streams; callers waited until the idle connection was closed.

Remedy: the header is set after the server's own.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/VertxCallerResponse.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/VertxCallerResponse.java
@@ -72,7 +72,8 @@
 	private void delimitByClose() {
 		this.closeDelimited = true;
 		lingerSeconds(RESET_ON_CLOSE);
-		this.response.putHeader("Connection", "close");
+		// Vert.x sets the header of a caller that wants to keep its connection.
+		this.response.headersEndHandler((ready) -> this.response.putHeader("Connection", "close"));
 	}
 
 	private void lingerSeconds(int seconds) {
