Read a job, its results and its progress whole or not at all

A segment whose document is empty or lacks a field was read as results without an item, as given up or with an empty text; progress without its text resumed an item after an event whose text was lost.

Cause: JobDocuments read a missing field as empty text, 0 or false, and a missing document as an empty list; JobStore.withItems skipped objects that were absent.

Change: documents are checked for each field that they always have, and the items of a job have to be as many as its head states. What is not whole is read again later, as if the store had not answered.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobDocuments.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobDocuments.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -16,7 +17,8 @@
 
 /**
  * Reads and writes the JSON documents in which batch jobs, their results and their
- * progress are stored.
+ * progress are stored. A document that lacks something is rejected: read as empty, it
+ * would look like a job without items or a segment without results.
  */
 final class JobDocuments {
 
@@ -42,9 +44,9 @@
 	}
 
 	static Job readJob(String text) {
-		JsonNode node = parse(text);
+		JsonNode node = require(parse(text), JsonNode::isObject);
 		Optional<String> account = Optional.ofNullable(node.path("account").textValue());
-		return new Job(node.path("id").asText(), account, node.path("host").asText(), node.path("path").asText(),
+		return new Job(text(node, "id"), account, node.path("host").asText(), node.path("path").asText(),
 				node.path("acceptedMillis").asLong(), node.path("configurationVersion").asLong(),
 				node.path("itemCount").asInt(), node.path("chunks").asInt(), node.path("tokens").asLong(),
 				node.path("ended").asBoolean(), items(node.path("items")));
@@ -55,7 +57,7 @@
 	}
 
 	static List<JobItem> readItems(String text) {
-		return items(parse(text));
+		return items(require(parse(text), JsonNode::isArray));
 	}
 
 	static String writeOutcomes(List<ItemOutcome> outcomes) {
@@ -71,9 +73,9 @@
 
 	static List<ItemOutcome> readOutcomes(String text) {
 		List<ItemOutcome> outcomes = new ArrayList<>();
-		for (JsonNode node : parse(text)) {
-			outcomes.add(new ItemOutcome(node.path("item").asText(), node.path("completed").asBoolean(),
-					node.path("output").asText()));
+		for (JsonNode node : require(parse(text), JsonNode::isArray)) {
+			outcomes.add(new ItemOutcome(text(node, "item"),
+					require(node.path("completed"), JsonNode::isBoolean).booleanValue(), text(node, "output")));
 		}
 		return outcomes;
 	}
@@ -92,9 +94,9 @@
 
 	static List<ItemProgress> readProgress(String text) {
 		List<ItemProgress> items = new ArrayList<>();
-		for (JsonNode node : parse(text)) {
-			items.add(new ItemProgress(node.path("job").asText(), node.path("item").asText(),
-					node.path("lastEvent").asLong(), node.path("output").asText()));
+		for (JsonNode node : require(parse(text), JsonNode::isArray)) {
+			items.add(new ItemProgress(text(node, "job"), text(node, "item"),
+					require(node.path("lastEvent"), JsonNode::isIntegralNumber).longValue(), text(node, "output")));
 		}
 		return items;
 	}
@@ -131,10 +133,25 @@
 			return MAPPER.readTree(text);
 		}
 		catch (IOException ex) {
-			throw new UncheckedIOException("a stored job document is malformed", ex);
+			throw malformed(ex);
 		}
 	}
 
+	private static JsonNode require(JsonNode node, Predicate<JsonNode> type) {
+		if (!type.test(node)) {
+			throw malformed(new IOException("a field is missing or has another type: " + node.getNodeType()));
+		}
+		return node;
+	}
+
+	private static String text(JsonNode node, String field) {
+		return require(node.path(field), JsonNode::isTextual).textValue();
+	}
+
+	private static UncheckedIOException malformed(IOException cause) {
+		return new UncheckedIOException("a stored job document is malformed", cause);
+	}
+
 	private static String text(JsonNode node) {
 		try {
 			return MAPPER.writeValueAsString(node);
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobStore.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobStore.java
@@ -14,6 +14,7 @@
 
 import org.ragworthook.core.error.ErrorCode;
 import org.ragworthook.core.error.Failures;
+import org.ragworthook.core.error.StoreException;
 import org.ragworthook.core.store.ConditionalWriter;
 import org.ragworthook.core.store.Kind;
 import org.ragworthook.core.store.Labels;
@@ -161,7 +162,7 @@
 	/**
 	 * Reads the items of a job that are in further objects.
 	 * @param job the job
-	 * @return the job with its items
+	 * @return the job with all of its items; fails if the store does not return them all
 	 */
 	public CompletableFuture<Job> withItems(Job job) {
 		if (job.chunks() == 0) {
@@ -175,6 +176,10 @@
 			List<JobItem> items = new ArrayList<>();
 			reads.forEach(
 					(read) -> read.join().ifPresent((stored) -> items.addAll(JobDocuments.readItems(stored.text()))));
+			if (items.size() != job.itemCount()) {
+				throw new StoreException(ErrorCode.STORE_UNAVAILABLE,
+						"the store returned " + items.size() + " of " + job.itemCount() + " items of job " + job.id());
+			}
 			return job.withItems(items);
 		});
 	}
