Read the number and the data of an event as the event-stream format says

A number of over 19 digits, or text that begins with digits, was taken for another number.

Cause: id() and data() looked for `id:` and `data:` at the start of a line only, took the first id instead of the last one, and read digits up to the first other character without a limit.

Change: one way of reading lines and fields for both. A field without a valid number has none.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/event/SseFrameDecoder.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/event/SseFrameDecoder.java
@@ -22,9 +22,14 @@
 
 	private static final int INITIAL_CAPACITY = 512;
 
-	private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
+	private static final byte[] ID_FIELD = "id".getBytes(StandardCharsets.US_ASCII);
 
-	private static final byte[] DATA_FIELD = "data:".getBytes(StandardCharsets.US_ASCII);
+	private static final byte[] DATA_FIELD = "data".getBytes(StandardCharsets.US_ASCII);
+
+	private static final byte[] BYTE_ORDER_MARK = "\ufeff".getBytes(StandardCharsets.UTF_8);
+
+	/** Digits of the largest id, such that its value fits a {@code long}. */
+	private static final int MAX_ID_DIGITS = 18;
 
 	/** The bytes that are not passed on yet, up to {@link #length}. */
 	private byte[] pending = new byte[INITIAL_CAPACITY];
@@ -107,15 +112,16 @@
 	/**
 	 * Parses the id of an event.
 	 * @param event the bytes of the event
-	 * @return the id, or empty if the event has no numeric id
+	 * @return the last id that it states, or empty if that is not a number
 	 */
 	public static Optional<Long> id(byte[] event) {
-		for (int at = 0; at >= 0; at = nextLine(event, at)) {
-			if (startsWith(event, at, ID_FIELD)) {
-				return number(event, at + ID_FIELD.length);
+		Optional<Long> id = Optional.empty();
+		for (int at = firstLine(event); at < event.length; at = nextLine(event, at)) {
+			if (isField(event, at, ID_FIELD)) {
+				id = number(event, valueStart(event, at, ID_FIELD), lineEnd(event, at));
 			}
 		}
-		return Optional.empty();
+		return id;
 	}
 
 	/**
@@ -125,48 +131,94 @@
 	 */
 	public static Optional<String> data(byte[] event) {
 		StringBuilder text = null;
-		for (int at = 0; at >= 0; at = nextLine(event, at)) {
-			if (startsWith(event, at, DATA_FIELD)) {
-				int from = at + DATA_FIELD.length;
-				if (from < event.length && event[from] == ' ') {
-					from++;
-				}
-				int to = from;
-				while (to < event.length && event[to] != '\n' && event[to] != '\r') {
-					to++;
-				}
+		for (int at = firstLine(event); at < event.length; at = nextLine(event, at)) {
+			if (isField(event, at, DATA_FIELD)) {
+				int from = valueStart(event, at, DATA_FIELD);
 				text = (text != null) ? text.append('\n') : new StringBuilder();
-				text.append(new String(event, from, to - from, StandardCharsets.UTF_8));
+				text.append(new String(event, from, lineEnd(event, at) - from, StandardCharsets.UTF_8));
 			}
 		}
 		return Optional.ofNullable(text).map(StringBuilder::toString);
 	}
 
+	/**
+	 * Returns where the first line starts: after the byte order mark that the first event
+	 * of a stream may have.
+	 * @param event the bytes of the event
+	 * @return the position
+	 */
+	private static int firstLine(byte[] event) {
+		return startsWith(event, 0, BYTE_ORDER_MARK) ? BYTE_ORDER_MARK.length : 0;
+	}
+
 	private static int nextLine(byte[] event, int at) {
-		for (int next = at; next < event.length; next++) {
-			if (event[next] == '\n') {
-				return (next + 1 < event.length) ? next + 1 : -1;
+		int next = at;
+		while (next < event.length && event[next] != '\n') {
+			next++;
+		}
+		return next + 1;
+	}
+
+	private static int lineEnd(byte[] event, int at) {
+		int end = at;
+		while (end < event.length && event[end] != '\n' && event[end] != '\r') {
+			end++;
+		}
+		return end;
+	}
+
+	private static boolean isField(byte[] event, int at, byte[] name) {
+		if (!startsWith(event, at, name)) {
+			return false;
+		}
+		int end = at + name.length;
+		return end == event.length || event[end] == ':' || event[end] == '\n' || event[end] == '\r';
+	}
+
+	/**
+	 * Returns where the value of a field starts: after the colon and one space, both of
+	 * which may be absent.
+	 * @param event the bytes of the event
+	 * @param at where the line starts
+	 * @param name the field's name
+	 * @return the position
+	 */
+	private static int valueStart(byte[] event, int at, byte[] name) {
+		int start = at + name.length;
+		if (start < event.length && event[start] == ':') {
+			start++;
+			if (start < event.length && event[start] == ' ') {
+				start++;
 			}
 		}
-		return -1;
+		return start;
 	}
 
-	private static boolean startsWith(byte[] event, int at, byte[] field) {
-		return at + field.length <= event.length && Arrays.equals(event, at, at + field.length, field, 0, field.length);
+	private static boolean startsWith(byte[] event, int at, byte[] prefix) {
+		return at + prefix.length <= event.length
+				&& Arrays.equals(event, at, at + prefix.length, prefix, 0, prefix.length);
 	}
 
-	private static Optional<Long> number(byte[] event, int from) {
-		int at = from;
-		while (at < event.length && event[at] == ' ') {
-			at++;
+	private static Optional<Long> number(byte[] event, int from, int to) {
+		int start = from;
+		int end = to;
+		while (start < end && event[start] == ' ') {
+			start++;
+		}
+		while (start < end && event[end - 1] == ' ') {
+			end--;
+		}
+		if (start == end || end - start > MAX_ID_DIGITS) {
+			return Optional.empty();
 		}
 		long value = 0;
-		int digits = 0;
-		for (; at < event.length && event[at] >= '0' && event[at] <= '9'; at++) {
+		for (int at = start; at < end; at++) {
+			if (event[at] < '0' || event[at] > '9') {
+				return Optional.empty();
+			}
 			value = value * 10 + (event[at] - '0');
-			digits++;
 		}
-		return (digits > 0) ? Optional.of(value) : Optional.empty();
+		return Optional.of(value);
 	}
 
 	/**
