Break off a streamed response that is not whole, whatever its framing

What callers saw: a stream whose attempts were exhausted, or whose deadline passed, ended with an error event and then the last chunk, so that by its framing it was a whole 200. A caller under HTTP/1.0, whose response ends with its connection, saw a whole response also when the process stopped or a read of results failed.

Cause: the error of a begun response was written with end(), and an aborted response was closed in order, which is the end of a response without a length.

StreamedResponse is the one place that states the end. Only complete() writes the last chunk; under HTTP/1.0 the connection is set to be reset from the first byte until then, so that every other end, a kill of the process included, is seen as an error. Readers of events still get the error as the last event under HTTP/1.1.

--- a/modules/daemon/src/main/java/org/ragworthook/daemon/batch/FileRoutes.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/batch/FileRoutes.java
@@ -18,6 +18,7 @@
 import org.ragworthook.core.job.JobRecord;
 import org.ragworthook.core.job.JobResults;
 import org.ragworthook.core.job.Upload;
+import org.ragworthook.daemon.http.StreamedResponse;
 
 /**
  * Calls to files: uploads, and the results of jobs.
@@ -101,7 +102,7 @@
 				abort(call, failure);
 			}
 			else {
-				call.onLoop(() -> begun(call).end());
+				call.onLoop(() -> complete(call));
 			}
 		});
 	}
@@ -129,16 +130,22 @@
 	private static HttpServerResponse begun(BatchCall call) {
 		HttpServerResponse response = call.routing().response();
 		if (!response.headWritten()) {
-			response.setChunked(true).putHeader(HttpHeaders.CONTENT_TYPE, "application/jsonl");
+			StreamedResponse.of(call.request()).begin();
+			response.putHeader(HttpHeaders.CONTENT_TYPE, "application/jsonl");
 		}
 		return response;
 	}
 
+	private static void complete(BatchCall call) {
+		begun(call);
+		StreamedResponse.of(call.request()).complete();
+	}
+
 	// Ended properly, a part would be taken for the whole; the connection is cut instead.
 	private static void abort(BatchCall call, Throwable failure) {
 		call.onLoop(() -> {
 			if (call.routing().response().headWritten()) {
-				call.request().connection().close();
+				StreamedResponse.of(call.request()).breakOff();
 			}
 			else {
 				call.fail(failure);
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/CallerResponse.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/CallerResponse.java
@@ -2,12 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Objects;
 import java.util.Set;
 
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpHeaders;
+import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
+import org.ragworthook.daemon.http.StreamedResponse;
 import org.ragworthook.wire.message.Output;
 
 /**
@@ -32,6 +33,8 @@
 
 	private final HttpServerResponse response;
 
+	private final StreamedResponse streamed;
+
 	private final boolean stream;
 
 	private final boolean resumable;
@@ -50,8 +53,9 @@
 
 	private String contentType = "";
 
-	CallerResponse(HttpServerResponse response, boolean stream, boolean resumable) {
-		this.response = Objects.requireNonNull(response, "response is null");
+	CallerResponse(HttpServerRequest request, boolean stream, boolean resumable) {
+		this.streamed = StreamedResponse.of(request);
+		this.response = request.response();
 		this.stream = stream;
 		this.resumable = resumable;
 	}
@@ -104,7 +108,7 @@
 		writeHead();
 		if (!this.pending.isEmpty()) {
 			if (!this.response.headWritten()) {
-				this.response.setChunked(true);
+				this.streamed.begin();
 			}
 			this.pending.forEach(this::write);
 			this.pending.clear();
@@ -139,7 +143,7 @@
 	}
 
 	/**
-	 * Ends the response after writing all buffered output.
+	 * Ends the response as whole after writing all buffered output.
 	 */
 	void end() {
 		if (this.response.ended() || this.response.closed()) {
@@ -148,7 +152,7 @@
 		writeHead();
 		if (this.response.headWritten()) {
 			flush();
-			this.response.end();
+			this.streamed.complete();
 		}
 		else {
 			Buffer body = Buffer.buffer();
@@ -157,6 +161,13 @@
 		}
 	}
 
+	/**
+	 * Breaks off a response that has begun.
+	 */
+	void breakOff() {
+		this.streamed.breakOff();
+	}
+
 	/**
 	 * Returns whether any part of the response has been sent to the caller.
 	 * @return whether the response head has been written
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/OnlineExchange.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/OnlineExchange.java
@@ -72,7 +72,7 @@
 		this.context = Objects.requireNonNull(context, "context is null");
 		this.service = resources.service(request.service().name());
 		this.accountGate = resources.accountGate(request.account());
-		this.response = new CallerResponse(routing.response(), request.run().getStream(), request.resumable());
+		this.response = new CallerResponse(routing.request(), request.run().getStream(), request.resumable());
 		this.startNanos = resources.ticker().nanos();
 		this.deadline = Deadline.after(resources.ticker(), request.timeout());
 	}
@@ -323,11 +323,11 @@
 	}
 
 	/**
-	 * Called when the caller has left too much of the response unread. Closes the
-	 * caller's connection.
+	 * Called when the caller has left too much of the response unread. Breaks the
+	 * response off.
 	 */
 	void callerNotReading() {
-		finish(() -> this.routing.request().connection().close());
+		finish(this.response::breakOff);
 	}
 
 	private void fail(ErrorCode code, String detail) {
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/http/ErrorResponses.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/http/ErrorResponses.java
@@ -4,6 +4,7 @@
 import java.util.Locale;
 import java.util.Objects;
 
+import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.json.JsonObject;
 import io.vertx.ext.web.Router;
@@ -28,6 +29,8 @@
 
 	private static final int BAD_REQUEST = 400;
 
+	private static final String EVENT_STREAM = "text/event-stream";
+
 	private final Metrics metrics;
 
 	private ErrorResponses(Metrics metrics) {
@@ -72,7 +75,8 @@
 	}
 
 	/**
-	 * Answers with an error and says when to come back.
+	 * Answers with an error and says when to come back. A response that has begun is
+	 * broken off.
 	 * @param routing the request
 	 * @param failure what went wrong
 	 * @param retryAfter when to send the request again; zero says nothing
@@ -85,7 +89,7 @@
 			return;
 		}
 		if (response.headWritten()) {
-			response.end("data: " + body(error).encode() + "\n\n");
+			breakOff(routing, error);
 			return;
 		}
 		if (!retryAfter.isZero()) {
@@ -97,6 +101,25 @@
 			.end(body(error).encode());
 	}
 
+	/**
+	 * Ends a response that has begun. Readers of events get the error as the last one;
+	 * the connection is broken off, since a part must not look whole to those that only
+	 * see its framing.
+	 * @param routing the request
+	 * @param error what went wrong
+	 */
+	private static void breakOff(RoutingContext routing, RagworthookException error) {
+		HttpServerResponse response = routing.response();
+		StreamedResponse stream = StreamedResponse.of(routing.request());
+		String type = response.headers().get(HttpHeaders.CONTENT_TYPE);
+		if (type != null && type.startsWith(EVENT_STREAM)) {
+			response.write("data: " + body(error).encode() + "\n\n").onComplete((written) -> stream.breakOff());
+		}
+		else {
+			stream.breakOff();
+		}
+	}
+
 	private static RagworthookException known(Throwable failure) {
 		Throwable cause = Failures.root(failure);
 		if (cause instanceof RagworthookException error) {
--- /dev/null
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/entry/BrokenResponseTests.java
@@ -0,0 +1,99 @@
+package org.ragworthook.daemon.entry;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.ragworthook.daemon.fake.FakeCall;
+import org.ragworthook.daemon.fake.FakeUpstream;
+import org.ragworthook.daemon.fake.RawCaller;
+import org.ragworthook.wire.link.LinkOptions;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests that a response whose answer is not whole never looks whole to its caller.
+ */
+class BrokenResponseTests {
+
+	private static final String BODY = "{\"model\":\"m\",\"stream\":true,"
+			+ "\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}]%s}";
+
+	private final TestFleet fleet = new TestFleet(LinkOptions.of());
+
+	private final TestFleet.TestEntry entry = this.fleet.entry();
+
+	@AfterEach
+	void close() {
+		this.fleet.close();
+	}
+
+	private RawCaller stream(String version) {
+		return stream(version, "");
+	}
+
+	private RawCaller stream(String version, String more) {
+		return RawCaller.send(this.entry.port(), version, "POST", "/v1/chat/completions", BODY.formatted(more));
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "1.0", "1.1" })
+	void shouldEndWholeStream(String version) {
+		FakeUpstream upstream = this.fleet.listedUpstream("desk", 4);
+		try (RawCaller caller = stream(version)) {
+			upstream.next().greet().tokens("a").finish();
+			RawCaller.Received received = caller.await();
+			assertThat(received.text()).contains("[DONE]");
+			assertThat(received.whole()).isTrue();
+		}
+	}
+
+	/**
+	 * Every attempt at a begun stream fails. Ended in order or closed, the response would
+	 * look whole.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "1.0, ''", "1.1, ''", "1.0, ',\"n\":2'", "1.1, ',\"n\":2'" })
+	void shouldBreakOffWhenAttemptsAreExhausted(String version, String more) {
+		FakeUpstream upstream = this.fleet.listedUpstream("desk", 4);
+		try (RawCaller caller = stream(version, more)) {
+			upstream.next().greet().tokens("a");
+			caller.awaitText("\"a\"");
+			upstream.crash();
+			assertThat(caller.await().whole()).isFalse();
+		}
+	}
+
+	/**
+	 * The deadline passes in the middle of a stream.
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "1.0", "1.1" })
+	void shouldBreakOffAtDeadline(String version) {
+		FakeUpstream upstream = this.fleet.listedUpstream("desk", 4);
+		try (RawCaller caller = RawCaller.send(this.entry.port(), version, "POST", "/v1/chat/completions",
+				BODY.formatted(""), "X-Deadline-Millis: 1500")) {
+			FakeCall call = upstream.next().greet().tokens("a");
+			call.awaitClosed();
+			RawCaller.Received received = caller.await();
+			assertThat(received.text()).contains("\"a\"");
+			assertThat(received.whole()).isFalse();
+		}
+	}
+
+	/**
+	 * The entry's process ends while a stream is open.
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "1.0", "1.1" })
+	void shouldBreakOffWhenProcessStops(String version) {
+		FakeUpstream upstream = this.fleet.listedUpstream("desk", 4);
+		try (RawCaller caller = stream(version)) {
+			upstream.next().greet().tokens("a");
+			caller.awaitText("\"a\"");
+			this.entry.stopServer();
+			assertThat(caller.await().whole()).isFalse();
+		}
+	}
+
+}
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/entry/TestFleet.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/entry/TestFleet.java
@@ -87,7 +87,14 @@
 
 	private final List<UpstreamDirectory> directories = new ArrayList<>();
 
+	private final LinkOptions links;
+
 	TestFleet() {
+		this(LinkOptions.of().heartbeat(Duration.ofMillis(200), Duration.ofMillis(800)));
+	}
+
+	TestFleet(LinkOptions links) {
+		this.links = links;
 		this.closer.add(() -> this.vertx.close().toCompletionStage().toCompletableFuture().join());
 	}
 
@@ -225,7 +232,7 @@
 			Address address = new Address("127.0.0.1", freePort());
 			Instance self = new Instance("entry-" + address, Role.ENTRY, "", DOMAIN, address, false);
 			TestFleet.this.entries.add(self);
-			LinkOptions options = LinkOptions.of().heartbeat(Duration.ofMillis(200), Duration.ofMillis(800));
+			LinkOptions options = TestFleet.this.links;
 			this.directory = this.entryCloser.add(UpstreamDirectory.follow(TestFleet.this.vertx, self,
 					() -> CompletableFuture.completedFuture(readList()), Duration.ofMillis(20),
 					EventLoops.of(TestFleet.this.vertx), options,
@@ -277,6 +284,13 @@
 			return this.server.actualPort();
 		}
 
+		/**
+		 * Closes the HTTP server with all its connections.
+		 */
+		void stopServer() {
+			this.server.close().toCompletionStage().toCompletableFuture().join();
+		}
+
 		OnlinePart online() {
 			return this.online;
 		}
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/fake/FakeCall.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/fake/FakeCall.java
@@ -83,6 +83,31 @@
 		onContext(() -> this.request.response().end("data: " + counts + "\n\ndata: [DONE]\n\n"));
 	}
 
+	/**
+	 * Sends a part of the stream as it stands.
+	 * @param text events with their framing, or a part of one
+	 * @return this call
+	 */
+	public FakeCall raw(String text) {
+		onContext(() -> write(text));
+		return this;
+	}
+
+	/**
+	 * States why generation stopped.
+	 * @return this call
+	 */
+	public FakeCall finishReason() {
+		return event(new JsonObject(), "stop");
+	}
+
+	/**
+	 * Ends the response in order, with whatever was sent before.
+	 */
+	public void endResponse() {
+		onContext(() -> this.request.response().end());
+	}
+
 	/**
 	 * Answers whole.
 	 * @param status the HTTP status
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/fake/FakeUpstream.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/fake/FakeUpstream.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpConnection;
@@ -31,6 +32,8 @@
 
 	private final AtomicBoolean dead = new AtomicBoolean();
 
+	private volatile Consumer<FakeCall> answering = this.calls::add;
+
 	private HttpServer server;
 
 	private int port;
@@ -77,7 +80,7 @@
 		}
 		request.body().onSuccess((body) -> {
 			this.count.incrementAndGet();
-			this.calls.add(new FakeCall(this.vertx.getOrCreateContext(), request, body.toString()));
+			this.answering.accept(new FakeCall(this.vertx.getOrCreateContext(), request, body.toString()));
 		});
 	}
 
@@ -99,6 +102,14 @@
 		}
 	}
 
+	/**
+	 * Has all further calls answered as they come, instead of waiting for the test.
+	 * @param newAnswering answers a call
+	 */
+	public void answerEach(Consumer<FakeCall> newAnswering) {
+		this.answering = newAnswering;
+	}
+
 	/**
 	 * Returns how many calls have come.
 	 * @return a count
