Pass on the status of an answer without a body

What callers saw: 200 with an empty body for a streamed request whose engine had answered 400 or 500 without a body.

Cause: the status travels with the first piece of the body, and a body without a byte had no piece; the entry filled in 200.

The sidecar now sends the head with an empty piece.

--- a/modules/daemon/src/main/java/org/ragworthook/daemon/engine/PlainCall.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/engine/PlainCall.java
@@ -12,7 +12,9 @@
 
 	private String contentType = "";
 
-	private Buffer whole = Buffer.buffer();
+	private final Buffer whole = Buffer.buffer();
+
+	private boolean passedOn;
 
 	PlainCall(Run run, CallListener listener) {
 		super(run, listener);
@@ -32,17 +34,25 @@
 	@Override
 	void data(Buffer data) {
 		if (run().getStream()) {
-			output(new CallOutput(this.status, this.contentType, data.getBytes(), "", 0));
+			piece(data);
 		}
 		else {
 			this.whole.appendBuffer(data);
 		}
 	}
 
+	private void piece(Buffer data) {
+		this.passedOn = true;
+		output(new CallOutput(this.status, this.contentType, data.getBytes(), "", 0));
+	}
+
+	/**
+	 * A body without a byte still has a head, which goes with an empty piece.
+	 */
 	@Override
 	void responseEnded() {
-		if (!run().getStream()) {
-			output(new CallOutput(this.status, this.contentType, this.whole.getBytes(), "", 0));
+		if (!this.passedOn) {
+			piece(this.whole);
 		}
 		end(CallEnd.Kind.ANSWERED, "answered with status " + this.status);
 	}
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/entry/BrokenResponseTests.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/entry/BrokenResponseTests.java
@@ -96,4 +96,17 @@
 		}
 	}
 
+	/**
+	 * An engine answers with an error that has no body, whose status must not be lost.
+	 */
+	@ParameterizedTest
+	@ValueSource(ints = { 400, 500 })
+	void shouldPassOnStatusWithoutBody(int status) {
+		FakeUpstream upstream = this.fleet.listedUpstream("desk", 4);
+		try (RawCaller caller = stream("1.1", ",\"n\":2")) {
+			upstream.next().answer(status, "");
+			assertThat(caller.await().text()).startsWith("HTTP/1.1 " + status);
+		}
+	}
+
 }
