Join only the answer that continues a response to a begun one

What callers saw: a whole 200 whose events were followed by the body of another answer. A stream broke off, the engine that went on after it answered the continuation with 400, 404, 422, 429, 500, 503 or 504, and the entry wrote that body behind the events and ended the response.

Cause: the head of a later attempt was ignored once the response had begun, but its body was forwarded and its end was taken for the end of the response. Refusals were recognised only before the first byte.

Evidence: on shouldBreakOffWhenContinuationIsRefused fails for all seven statuses and shouldContinueElsewhereWhenContinuationIsRefused for all four (no other engine was asked).

CallerResponse keeps the head of each attempt and drops output whose status or content type is not that of the response. OnlineAttempt, which decides whether a response is complete, treats such an answer, or one without a head, as a failed attempt: another engine continues, or the response is broken off.

--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/CallerResponse.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/CallerResponse.java
@@ -53,6 +53,10 @@
 
 	private String contentType = "";
 
+	private int attemptStatus;
+
+	private String attemptContentType = "";
+
 	CallerResponse(HttpServerRequest request, boolean stream, boolean resumable) {
 		this.streamed = StreamedResponse.of(request);
 		this.response = request.response();
@@ -67,14 +71,13 @@
 	void startAttempt() {
 		this.pending.clear();
 		this.expectedOffset = 0;
-		if (!sent()) {
-			this.status = OK;
-			this.contentType = "";
-		}
+		this.attemptStatus = 0;
+		this.attemptContentType = "";
 	}
 
 	/**
 	 * Appends one output message of the current attempt, and ignores a repeated one.
+	 * Output of an attempt that does not continue a begun response is dropped.
 	 * @param output the output message
 	 * @return false if output messages before this one are missing
 	 */
@@ -86,12 +89,17 @@
 			return false;
 		}
 		this.expectedOffset++;
-		this.text.append(output.getText());
-		this.tokens += output.getTokens();
 		if (output.getStatus() != 0) {
-			this.status = output.getStatus();
-			this.contentType = output.getContentType();
+			this.attemptStatus = output.getStatus();
+			this.attemptContentType = output.getContentType();
 		}
+		if (!continuesResponse()) {
+			return true;
+		}
+		this.status = this.attemptStatus;
+		this.contentType = this.attemptContentType;
+		this.text.append(output.getText());
+		this.tokens += output.getTokens();
 		if (!output.getBody().isEmpty()) {
 			this.pending.add(Buffer.buffer(output.getBody().toByteArray()));
 		}
@@ -101,6 +109,18 @@
 		return true;
 	}
 
+	/**
+	 * Returns whether the current attempt's answer can be joined to what the caller has
+	 * received. An error that answers a continuation cannot, nor can a body of another
+	 * type.
+	 * @return whether the head of the answer has come and is that of the response, or
+	 * nothing has been sent to the caller
+	 */
+	boolean continuesResponse() {
+		return this.attemptStatus != 0
+				&& (!sent() || (this.attemptStatus == this.status && this.attemptContentType.equals(this.contentType)));
+	}
+
 	private void flush() {
 		if (this.response.ended() || this.response.closed()) {
 			return;
@@ -178,18 +198,26 @@
 
 	/**
 	 * Returns whether the upstream rejected the request as overloaded or unavailable.
-	 * @return whether the status is a rejection and nothing has been sent to the caller
+	 * @return whether the attempt's status is a rejection
 	 */
 	boolean rejected() {
-		return !sent() && REJECTIONS.contains(this.status);
+		return REJECTIONS.contains(this.attemptStatus);
 	}
 
 	/**
 	 * Returns whether the upstream answered that the requested resource does not exist.
-	 * @return whether the status is 404 and nothing has been sent to the caller
+	 * @return whether the attempt's status is 404
 	 */
 	boolean notFound() {
-		return !sent() && this.status == NOT_FOUND;
+		return this.attemptStatus == NOT_FOUND;
+	}
+
+	/**
+	 * Returns the status with which the upstream answered the current attempt.
+	 * @return the HTTP status, or 0 if no head has come
+	 */
+	int attemptStatus() {
+		return this.attemptStatus;
 	}
 
 	/**
@@ -198,7 +226,7 @@
 	 * @return whether the status is 429 or 503
 	 */
 	boolean overloaded() {
-		return OVERLOADED.contains(this.status);
+		return OVERLOADED.contains(this.attemptStatus);
 	}
 
 	String text() {
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/OnlineAttempt.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/OnlineAttempt.java
@@ -83,15 +83,25 @@
 		}
 	}
 
+	/**
+	 * Decides whether the response is complete. The upstream has given a whole answer,
+	 * which may be an error in answer to a continuation.
+	 */
 	private void handleAnswered() {
+		CallerResponse response = this.exchange.response();
 		this.exchange.resources().quarantine().recordAnswer(this.exchange.fingerprint());
-		if (!this.exchange.model().isEmpty() && this.exchange.response().notFound()) {
+		if (!this.exchange.model().isEmpty() && response.notFound()) {
 			handleModelMissing();
 		}
-		else if (this.exchange.response().rejected()) {
-			end(AttemptOutcome.REJECTED,
-					this.exchange.response().overloaded() ? Choice.Outcome.UNKNOWN : Choice.Outcome.FAILURE,
-					"the upstream refused the request");
+		else if (response.rejected()) {
+			end(AttemptOutcome.REJECTED, response.overloaded() ? Choice.Outcome.UNKNOWN : Choice.Outcome.FAILURE,
+					"the upstream refused the request with status " + response.attemptStatus());
+		}
+		else if (!response.continuesResponse()) {
+			end(AttemptOutcome.INCOMPLETE, Choice.Outcome.FAILURE,
+					(response.attemptStatus() != 0)
+							? "the upstream answered the continuation with status " + response.attemptStatus()
+							: "the answer has no head");
 		}
 		else {
 			end(AttemptOutcome.ANSWERED, Choice.Outcome.SUCCESS, "answered");
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/entry/BrokenResponseTests.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/entry/BrokenResponseTests.java
@@ -36,6 +36,52 @@
 		return RawCaller.send(this.entry.port(), version, "POST", "/v1/chat/completions", BODY.formatted(more));
 	}
 
+	/**
+	 * The engine that goes on after a crash answers with an error, which must not be
+	 * joined to the events.
+	 */
+	@ParameterizedTest
+	@ValueSource(ints = { 400, 404, 422, 429, 500, 503, 504 })
+	void shouldBreakOffWhenContinuationIsRefused(int status) {
+		FakeUpstream first = this.fleet.listedUpstream("desk", 4);
+		try (RawCaller caller = stream("1.1")) {
+			FakeCall interrupted = first.next().greet().tokens("a", "b");
+			FakeUpstream second = this.fleet.listedUpstream("desk", 4);
+			second.answerEach((call) -> call.answer(status, "{\"error\":\"words of the engine\"}"));
+			interrupted.breakOff();
+			first.crash();
+			RawCaller.Received received = caller.await();
+			assertThat(received.text()).contains("\"a\"");
+			assertThat(received.text()).doesNotContain("words of the engine");
+			assertThat(received.whole()).isFalse();
+		}
+	}
+
+	/**
+	 * The engine that goes on after a crash fails once; another one completes the answer.
+	 */
+	@ParameterizedTest
+	@ValueSource(ints = { 404, 429, 500, 503 })
+	void shouldContinueElsewhereWhenContinuationIsRefused(int status) {
+		FakeUpstream first = this.fleet.listedUpstream("desk", 4);
+		try (RawCaller caller = stream("1.1")) {
+			FakeCall interrupted = first.next().greet().tokens("a");
+			FakeUpstream second = this.fleet.listedUpstream("desk", 4);
+			interrupted.breakOff();
+			first.crash();
+			FakeCall refused = second.next();
+			FakeUpstream third = this.fleet.listedUpstream("desk", 4);
+			refused.answer(status, "{\"error\":\"words of the engine\"}");
+			FakeCall resumed = third.next();
+			assertThat(resumed.resumed()).isEqualTo("a");
+			resumed.greet().tokens("b").finish();
+			RawCaller.Received received = caller.await();
+			assertThat(received.text()).doesNotContain("words of the engine");
+			assertThat(received.text()).contains("[DONE]");
+			assertThat(received.whole()).isTrue();
+		}
+	}
+
 	@ParameterizedTest
 	@ValueSource(strings = { "1.0", "1.1" })
 	void shouldEndWholeStream(String version) {
