Take a generated answer for whole only if the engine states so

What callers saw: a whole stream without its rest, when an engine ended its response in order, or its connection, before the answer was complete.

Cause: a stream that is passed on as it is (tools, n, logprobs) ended with its response, however that ended, a close of our own included. A stream that is read event by event ended with [DONE], which engines also send after a failure, and a finish reason of "abort" counted as a reason to have stopped. Conversely an answer whose connection broke between [DONE] and the end of the response counted as broken if it was passed on as it is or its token counts were missing; continued, it would have run beyond its end.

Both kinds of call now have one decision, complete(): a finish reason that is not a failure for generated text, [DONE] for a stream that is passed on. Every other end is reported as broken.

--- a/modules/daemon/src/main/java/org/ragworthook/daemon/engine/GenerationCall.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/engine/GenerationCall.java
@@ -100,11 +100,8 @@
 			output(new CallOutput(this.status, this.contentType, this.refusal.getBytes(), "", 0));
 			end(CallEnd.Kind.ANSWERED, "answered with status " + this.status);
 		}
-		else if (!this.events.done()) {
-			broken("the stream ended before its last event");
-		}
 		else {
-			endWhole();
+			broken("the stream ended without a finish reason");
 		}
 	}
 
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/engine/GenerationEvents.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/engine/GenerationEvents.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Objects;
+import java.util.Set;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -17,6 +18,9 @@
 
 	private static final String DONE = "[DONE]";
 
+	/** Engines give these reasons for an answer that they did not complete. */
+	private static final Set<String> FAILURE_REASONS = Set.of("abort", "error");
+
 	private final Generation generation;
 
 	private final StringBuilder text;
@@ -43,7 +47,7 @@
 	 * Takes one event.
 	 * @param data the data of the event
 	 * @return what to pass on, empty pieces included
-	 * @throws IOException if the event is not JSON
+	 * @throws IOException if the event is not JSON or reports a failure of the engine
 	 */
 	Piece take(String data) throws IOException {
 		if (data.equals(DONE)) {
@@ -60,7 +64,7 @@
 		return take(event);
 	}
 
-	private Piece take(ObjectNode event) {
+	private Piece take(ObjectNode event) throws IOException {
 		event.put("id", this.generation.run().getAnswerId());
 		event.put("created", this.generation.run().getCreated());
 		this.model = event.path("model").asText(this.model);
@@ -72,6 +76,9 @@
 			return (stream() && this.generation.usageWanted()) ? new Piece(event(json(event)), "", 0) : Piece.EMPTY;
 		}
 		String piece = (this.generation.chat() ? choice.path("delta").path("content") : choice.path("text")).asText("");
+		if (FAILURE_REASONS.contains(choice.path("finish_reason").asText())) {
+			throw new IOException("the engine stopped with finish reason " + choice.path("finish_reason"));
+		}
 		if (choice.path("finish_reason").isTextual()) {
 			this.finishReason = choice.get("finish_reason").textValue();
 		}
@@ -104,21 +111,14 @@
 	}
 
 	/**
-	 * Tells whether the engine has said that its answer is whole.
-	 * @return whether the last event has come
-	 */
-	boolean done() {
-		return this.done;
-	}
-
-	/**
-	 * Tells whether everything has come but the mark of the end.
-	 * @return whether the engine has said why it stopped, and the token counts have come
-	 * where they are passed on
+	 * Decides whether the answer is whole. The engine must have stated why it stopped:
+	 * engines also send the mark of the end after a failure.
+	 * @return whether the engine has stated why it stopped, and no event that is passed
+	 * on is missing but the mark of the end
 	 */
 	boolean complete() {
 		boolean counted = this.usage != null || (stream() && !this.generation.usageWanted());
-		return this.finishReason != null && counted;
+		return this.finishReason != null && (this.done || counted);
 	}
 
 	/**
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/engine/PlainCall.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/engine/PlainCall.java
@@ -1,5 +1,7 @@
 package org.ragworthook.daemon.engine;
 
+import java.nio.charset.StandardCharsets;
+
 import io.vertx.core.buffer.Buffer;
 import org.ragworthook.wire.message.Run;
 
@@ -8,6 +10,14 @@
  */
 final class PlainCall extends UpstreamCall {
 
+	private static final int OK = 200;
+
+	private static final String EVENT_STREAM = "text/event-stream";
+
+	private static final String DONE = "[DONE]";
+
+	private static final int TAIL_LENGTH = 32;
+
 	private int status;
 
 	private String contentType = "";
@@ -16,6 +26,8 @@
 
 	private boolean passedOn;
 
+	private String tail = "";
+
 	PlainCall(Run run, CallListener listener) {
 		super(run, listener);
 	}
@@ -43,6 +55,8 @@
 
 	private void piece(Buffer data) {
 		this.passedOn = true;
+		String seen = this.tail + data.toString(StandardCharsets.ISO_8859_1);
+		this.tail = seen.substring(Math.max(0, seen.length() - TAIL_LENGTH));
 		output(new CallOutput(this.status, this.contentType, data.getBytes(), "", 0));
 	}
 
@@ -51,12 +65,28 @@
 	 */
 	@Override
 	void responseEnded() {
+		if (events() && !complete()) {
+			broken("the stream ended before its last event");
+			return;
+		}
 		if (!this.passedOn) {
 			piece(this.whole);
 		}
 		end(CallEnd.Kind.ANSWERED, "answered with status " + this.status);
 	}
 
+	private boolean events() {
+		return run().getStream() && this.status == OK && this.contentType.startsWith(EVENT_STREAM);
+	}
+
+	/**
+	 * A stream of events is whole once its last event states so.
+	 */
+	@Override
+	boolean complete() {
+		return events() && this.tail.stripTrailing().endsWith(DONE);
+	}
+
 	@Override
 	String text() {
 		return "";
--- /dev/null
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/engine/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of calls to upstreams.
+ */
+package org.ragworthook.daemon.engine;
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/entry/BrokenResponseTests.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/entry/BrokenResponseTests.java
@@ -142,6 +142,27 @@
 		}
 	}
 
+	/**
+	 * An engine ends its response in order without stating that the answer is whole.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "'', ''", "'', 'data: [DONE]'", "',\"n\":2', ''", "'', 'data: {\"error\":{\"message\":\"late\"}}'" })
+	void shouldNotTakeEndOfResponseForEndOfAnswer(String more, String lastEvent) {
+		FakeUpstream upstream = this.fleet.listedUpstream("desk", 4);
+		try (RawCaller caller = stream("1.1", more)) {
+			FakeCall call = upstream.next().greet().tokens("a");
+			FakeUpstream second = this.fleet.listedUpstream("desk", 4);
+			call.raw(lastEvent + "\n\n").endResponse();
+			if (more.isEmpty()) {
+				second.next().greet().tokens("b").finish();
+				assertThat(caller.await().text()).contains("\"b\"");
+			}
+			else {
+				assertThat(caller.await().whole()).isFalse();
+			}
+		}
+	}
+
 	/**
 	 * An engine answers with an error that has no body, whose status must not be lost.
 	 */
