Log why an entry broke off a response, with the upstream's status

The entry had no line for the end of a request, so that a broken-off response could not be told from a whole one in its log.

response_broken_off (WARNING) names the request, the cause, the status of the last attempt's upstream, the attempts and the tokens sent; every other end is request_ended at DEBUG, so that the path of a request stays quiet. shouldLogCauseOfBreak holds the line.

--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/OnlineExchange.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/OnlineExchange.java
@@ -16,6 +16,7 @@
 import org.ragworthook.core.admission.QueuedRequest;
 import org.ragworthook.core.error.ErrorCode;
 import org.ragworthook.core.error.RequestException;
+import org.ragworthook.core.log.EventLog;
 import org.ragworthook.core.quarantine.QuarantineState;
 import org.ragworthook.core.retry.AttemptOutcome;
 import org.ragworthook.core.retry.Deadline;
@@ -33,6 +34,14 @@
  */
 final class OnlineExchange {
 
+	private static final EventLog LOG = EventLog.of(OnlineExchange.class);
+
+	private static final String ANSWERED = "answered";
+
+	private static final String DISCONNECTED = "caller disconnected";
+
+	private static final Set<String> EXPECTED_ENDS = Set.of(ANSWERED, DISCONNECTED);
+
 	private static final Duration DEFAULT_RETRY_AFTER = Duration.ofSeconds(1);
 
 	private final OnlineResources resources;
@@ -122,7 +131,7 @@
 
 	private void claimCompleted(Throwable failure) {
 		if (failure != null) {
-			finish(() -> this.resources.errors().write(this.routing, failure, DEFAULT_RETRY_AFTER));
+			finish("not claimed", () -> this.resources.errors().write(this.routing, failure, DEFAULT_RETRY_AFTER));
 		}
 		else {
 			attemptOrEnqueue();
@@ -159,9 +168,12 @@
 	}
 
 	private void refuseOverloaded(Duration retryAfter) {
-		finish(() -> this.resources.errors()
-			.write(this.routing, new RequestException(ErrorCode.REQUEST_NOT_RUN_OVERLOADED,
-					"every upstream of '" + this.request.service().name() + "' is at its limit"), retryAfter));
+		finish("overloaded",
+				() -> this.resources.errors()
+					.write(this.routing,
+							new RequestException(ErrorCode.REQUEST_NOT_RUN_OVERLOADED,
+									"every upstream of '" + this.request.service().name() + "' is at its limit"),
+							retryAfter));
 	}
 
 	/**
@@ -281,7 +293,7 @@
 		RetryDecision decision = this.service.policy().decide(this.state, outcome, this.deadline);
 		if (decision instanceof RetryDecision.Deliver) {
 			record(this.resources.metrics().request(this.request.account().name(), "online"));
-			finish(this.response::end);
+			finish(ANSWERED, this.response::end);
 		}
 		else if (decision instanceof RetryDecision.Retry retry) {
 			scheduleAttempt(retry.delay());
@@ -317,7 +329,7 @@
 	 */
 	private void callerDisconnected() {
 		if (!this.ended) {
-			finish(() -> {
+			finish(DISCONNECTED, () -> {
 			});
 		}
 	}
@@ -327,21 +339,31 @@
 	 * response off.
 	 */
 	void callerNotReading() {
-		finish(this.response::breakOff);
+		finish("caller not reading", this.response::breakOff);
 	}
 
 	private void fail(ErrorCode code, String detail) {
 		Duration retryAfter = (code == ErrorCode.REQUEST_QUARANTINED)
 				? this.resources.quarantine().remaining(fingerprint()).orElse(DEFAULT_RETRY_AFTER)
 				: DEFAULT_RETRY_AFTER;
-		finish(() -> this.resources.errors().write(this.routing, new RequestException(code, detail), retryAfter));
+		finish(code.text() + ": " + detail,
+				() -> this.resources.errors().write(this.routing, new RequestException(code, detail), retryAfter));
 	}
 
-	private void finish(Runnable completion) {
+	private void finish(String cause, Runnable completion) {
 		if (this.ended) {
 			return;
 		}
 		this.ended = true;
+		Object[] pairs = { "request", this.request.run().getRequest(), "cause", cause, "sent", this.response.sent(),
+				"upstream_status", this.response.attemptStatus(), "attempts", this.attempts, "tokens",
+				this.response.tokens() };
+		if (this.response.sent() && !EXPECTED_ENDS.contains(cause)) {
+			LOG.warning("response_broken_off", pairs);
+		}
+		else {
+			LOG.debug("request_ended", pairs);
+		}
 		this.context.owner().cancelTimer(this.deadlineTimer);
 		this.service.queue().withdraw(this);
 		this.current.ifPresent(OnlineAttempt::abandon);
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/engine/UpstreamCallTests.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/engine/UpstreamCallTests.java
@@ -140,7 +140,8 @@
 	 * an engine would generate beyond the end.
 	 */
 	@ParameterizedTest
-	@CsvSource({ "GENERATION, '[DONE]'", "GATHERED, '[DONE]'", "GENERATION, '{\"choices\":[],\"usage\":{}}'", "PASSED_THROUGH, '[DONE]'" })
+	@CsvSource({ "GENERATION, '[DONE]'", "GATHERED, '[DONE]'", "GENERATION, '{\"choices\":[],\"usage\":{}}'",
+			"PASSED_THROUGH, '[DONE]'" })
 	void shouldTakeAnswerForWholeWithoutEndOfResponse(Request request, String last) throws IOException {
 		CompletableFuture<CallEnd> end = call(run(request), new CompletableFuture<>());
 		try (Socket socket = accept()) {
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/entry/BrokenResponseTests.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/entry/BrokenResponseTests.java
@@ -1,6 +1,13 @@
 package org.ragworthook.daemon.entry;
 
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -176,4 +183,58 @@
 		}
 	}
 
+	/**
+	 * A response is broken off, and the log must say why and how its last attempt ended.
+	 */
+	@Test
+	void shouldLogCauseOfBreak() {
+		List<String> lines = new CopyOnWriteArrayList<>();
+		Logger logger = Logger.getLogger(OnlineExchange.class.getName());
+		Handler handler = new RecordingHandler(lines);
+		logger.addHandler(handler);
+		FakeUpstream upstream = this.fleet.listedUpstream("desk", 4);
+		try (RawCaller caller = stream("1.1")) {
+			FakeCall call = upstream.next().greet().tokens("a");
+			caller.awaitText("\"a\"");
+			upstream.answerEach((continuation) -> continuation.answer(500, "{}"));
+			call.breakOff();
+			caller.await();
+		}
+		finally {
+			logger.removeHandler(handler);
+		}
+		assertThat(lines).hasSize(1);
+		assertThat(lines.get(0)).contains("event=response_broken_off");
+		assertThat(lines.get(0)).contains("cause=\"RWH-");
+		assertThat(lines.get(0)).contains("sent=true upstream_status=500");
+	}
+
+	/**
+	 * Records the messages of a log.
+	 */
+	private static final class RecordingHandler extends Handler {
+
+		private final List<String> lines;
+
+		private RecordingHandler(List<String> lines) {
+			this.lines = lines;
+		}
+
+		@Override
+		public void publish(LogRecord logRecord) {
+			this.lines.add(logRecord.getMessage());
+		}
+
+		@Override
+		public void flush() {
+			// Nothing is buffered.
+		}
+
+		@Override
+		public void close() {
+			// Nothing is open.
+		}
+
+	}
+
 }
