Do not give a part of a file for the whole

What callers saw: 200 and a whole response for the results of a job that had not ended, and for a file or results of which a chunk could not be found; the rest was missing without a sign.

Cause: the end of the last chunk was taken for the end of the file. A missing chunk counted as an empty one, and results were given at any time.

JobResults, which knows how many items a job has, now states the end: reading fails at a missing chunk, or at the end of an ended job if results are missing, and the entry breaks the response off (404 before the first byte). Results exist once their job has ended.

--- a/modules/core/src/main/java/org/ragworthook/core/job/JobResults.java
+++ b/modules/core/src/main/java/org/ragworthook/core/job/JobResults.java
@@ -11,6 +11,7 @@
 import java.util.function.Function;
 
 import org.ragworthook.core.error.ErrorCode;
+import org.ragworthook.core.error.JobException;
 import org.ragworthook.core.store.Kind;
 import org.ragworthook.core.store.Labels;
 import org.ragworthook.core.store.ObjectStore;
@@ -71,20 +72,27 @@
 	 * @param content the kind of file, output or errors
 	 * @param sink called with the lines of a chunk; the next chunk is read when its
 	 * future completes
-	 * @return completes after the last chunk
+	 * @return completes after the last chunk; fails if an item of an ended job has no
+	 * result, after the lines of the others
 	 */
 	public CompletableFuture<Void> read(JobRecord job, FileId.Content content,
 			Function<List<String>, CompletableFuture<Void>> sink) {
-		return readFrom(job, 0, content, sink);
+		return readFrom(job, 0, 0, content, sink);
 	}
 
-	private CompletableFuture<Void> readFrom(JobRecord job, int chunk, FileId.Content content,
+	private CompletableFuture<Void> readFrom(JobRecord job, int chunk, int items, FileId.Content content,
 			Function<List<String>, CompletableFuture<Void>> sink) {
 		if (chunk >= job.chunks()) {
-			return CompletableFuture.completedFuture(null);
+			return (job.status().ended() && items < job.items()) ? CompletableFuture.failedFuture(
+					gone("results of " + (job.items() - items) + " items of job " + job.id().id() + " cannot be found"))
+					: CompletableFuture.completedFuture(null);
 		}
-		return results(job, chunk).thenCompose((results) -> sink.apply(lines(results, content)))
-			.thenCompose((done) -> readFrom(job, chunk + 1, content, sink));
+		return results(job, chunk).thenCompose((results) -> sink.apply(lines(results, content))
+			.thenCompose((done) -> readFrom(job, chunk + 1, items + results.size(), content, sink)));
+	}
+
+	private static JobException gone(String detail) {
+		return new JobException(ErrorCode.FILE_NOT_FOUND, detail);
 	}
 
 	private static List<String> lines(List<ItemResult> results, FileId.Content content) {
@@ -150,7 +158,7 @@
 	 * @param file the file
 	 * @param sink called with the lines of a chunk; the next chunk is read when its
 	 * future completes
-	 * @return completes after the last chunk
+	 * @return completes after the last chunk; fails at a chunk that cannot be found
 	 */
 	public CompletableFuture<Void> read(FileRecord file, Function<List<String>, CompletableFuture<Void>> sink) {
 		return readFrom(file, 0, sink);
@@ -162,7 +170,11 @@
 			return CompletableFuture.completedFuture(null);
 		}
 		return this.store.read(FileRecord.chunkKey(file.input(), chunk))
-			.thenCompose((found) -> sink.apply(found.map(Stored::text).orElse("").lines().toList()))
+			.thenCompose((found) -> sink.apply(
+					found.orElseThrow(() -> gone("part " + chunk + " of file " + file.id().id() + " cannot be found"))
+						.text()
+						.lines()
+						.toList()))
 			.thenCompose((done) -> readFrom(file, chunk + 1, sink));
 	}
 
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/batch/FileRoutes.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/batch/FileRoutes.java
@@ -82,9 +82,10 @@
 		return this.files.file(call.account(), id).thenApply((found) -> found.orElseThrow(() -> notFound(id)));
 	}
 
+	// The results of an open job would be a part that looks like the whole.
 	private CompletableFuture<JobRecord> job(BatchCall call, FileId id) {
 		return this.results.job(call.account(), id.job().orElseThrow())
-			.thenApply((found) -> found.orElseThrow(() -> notFound(id)));
+			.thenApply((found) -> found.filter((job) -> job.status().ended()).orElseThrow(() -> notFound(id)));
 	}
 
 	private static JobException notFound(FileId id) {
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/batch/BatchFleet.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/batch/BatchFleet.java
@@ -29,7 +29,10 @@
 import org.ragworthook.core.fleet.FailureDomain;
 import org.ragworthook.core.fleet.Instance;
 import org.ragworthook.core.fleet.Role;
+import org.ragworthook.core.store.Kind;
+import org.ragworthook.core.store.Labels;
 import org.ragworthook.core.store.MemoryObjectStore;
+import org.ragworthook.core.store.Stored;
 import org.ragworthook.daemon.entry.RequestReader;
 import org.ragworthook.daemon.entry.UpstreamDirectory;
 import org.ragworthook.daemon.http.ErrorResponses;
@@ -108,6 +111,15 @@
 		return this.closer.add(new Entry(name));
 	}
 
+	/**
+	 * Removes the object of a kind that is last by name.
+	 */
+	void removeLast(Kind kind) {
+		List<Stored> objects = this.store.list(kind, Labels.empty()).join().objects();
+		Stored last = objects.get(objects.size() - 1);
+		this.store.delete(last.key(), last.version()).join();
+	}
+
 	static void await(BooleanSupplier condition) {
 		long end = System.nanoTime() + Duration.ofSeconds(30).toNanos();
 		while (!condition.getAsBoolean()) {
@@ -179,6 +191,10 @@
 			}
 		}
 
+		int port() {
+			return this.server.actualPort();
+		}
+
 		HttpResponse<String> get(String path) {
 			return call("GET", path, "application/json", "", KEY);
 		}
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/entry/BrokenResponseTests.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/entry/BrokenResponseTests.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.ragworthook.daemon.fake.Caller;
 import org.ragworthook.daemon.fake.FakeCall;
 import org.ragworthook.daemon.fake.FakeUpstream;
 import org.ragworthook.daemon.fake.RawCaller;
@@ -40,7 +41,8 @@
 	}
 
 	private RawCaller stream(String version, String more) {
-		return RawCaller.send(this.entry.port(), version, "POST", "/v1/chat/completions", BODY.formatted(more));
+		return RawCaller.send(this.entry.port(), Caller.KEY, version, "POST", "/v1/chat/completions",
+				BODY.formatted(more));
 	}
 
 	/**
@@ -124,7 +126,7 @@
 	@ValueSource(strings = { "1.0", "1.1" })
 	void shouldBreakOffAtDeadline(String version) {
 		FakeUpstream upstream = this.fleet.listedUpstream("desk", 4);
-		try (RawCaller caller = RawCaller.send(this.entry.port(), version, "POST", "/v1/chat/completions",
+		try (RawCaller caller = RawCaller.send(this.entry.port(), Caller.KEY, version, "POST", "/v1/chat/completions",
 				BODY.formatted(""), "X-Deadline-Millis: 1500")) {
 			FakeCall call = upstream.next().greet().tokens("a");
 			call.awaitClosed();
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/fake/RawCaller.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/fake/RawCaller.java
@@ -38,6 +38,7 @@
 	/**
 	 * Sends a request.
 	 * @param port the entry's port
+	 * @param key the key of the account
 	 * @param version the HTTP version, such as {@code 1.0}
 	 * @param method the HTTP method
 	 * @param path the path
@@ -45,13 +46,14 @@
 	 * @param headers further header lines
 	 * @return the caller, which reads the response
 	 */
-	public static RawCaller send(int port, String version, String method, String path, String body, String... headers) {
+	public static RawCaller send(int port, String key, String version, String method, String path, String body,
+			String... headers) {
 		try {
 			Socket socket = new Socket("127.0.0.1", port);
 			socket.setSoTimeout(READ_TIMEOUT_MILLIS);
 			socket.getOutputStream()
 				.write((method + " " + path + " HTTP/" + version + "\r\nHost: entry\r\nConnection: close\r\n"
-						+ "Authorization: Bearer " + Caller.KEY + "\r\nContent-Type: application/json\r\n"
+						+ "Authorization: Bearer " + key + "\r\nContent-Type: application/json\r\n"
 						+ String.join("", Stream.of(headers).map((line) -> line + "\r\n").toList()) + "Content-Length: "
 						+ body.length() + "\r\n\r\n" + body)
 					.getBytes(StandardCharsets.UTF_8));
