Forward streams of events without the length that one upstream stated

A caller got a stream cut in the middle of an event, framed as complete.

Cause: the Content-Length of the first upstream's response was forwarded, and the caller counted the events of a second one, of another length, against it.

Found by reading; streams of the deployments come in chunks.

Remedy: the length of a stream is not forwarded, so that its end is stated by the last chunk, or by the orderly close under HTTP/1.0.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/CallerResponse.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/CallerResponse.java
@@ -13,8 +13,10 @@
 	/**
 	 * Sends the status and the end-to-end headers of an upstream's response.
 	 * @param head the head of the upstream's response
+	 * @param eventStream whether the body is a stream of events, whose length is not
+	 * known before its end, since several upstreams may send parts of it
 	 */
-	void head(HttpResponse head);
+	void head(HttpResponse head, boolean eventStream);
 
 	/**
 	 * Sends a part of the body.
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/ForwardedResponse.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/ForwardedResponse.java
@@ -89,7 +89,7 @@
 		}
 		this.status = head.status().code();
 		this.progress = eventStream ? Progress.EVENTS : Progress.OTHER_BODY;
-		this.caller.head(head);
+		this.caller.head(head, eventStream);
 	}
 
 	/**
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/VertxCallerResponse.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/VertxCallerResponse.java
@@ -47,7 +47,7 @@
 	}
 
 	@Override
-	public void head(HttpResponse head) {
+	public void head(HttpResponse head, boolean eventStream) {
 		this.response.setStatusCode(head.status().code());
 		this.response.setStatusMessage(head.status().reasonPhrase());
 		for (Map.Entry<String, String> header : head.headers()) {
@@ -55,7 +55,10 @@
 				this.response.headers().add(header.getKey(), header.getValue());
 			}
 		}
-		if (!head.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+		if (eventStream) {
+			this.response.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
+		}
+		if (!this.response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
 			this.response.setChunked(true);
 			if (this.request.version() == HttpVersion.HTTP_1_0) {
 				delimitByClose();
