Reject a job whose item can't be sent as one request

What would be seen (found by reading; the test shows the acceptance, not what an upstream makes of it): a job was accepted with 202 although the path or a header of an item contains a line break, a blank or another character that a request can't have there. Header values are written unchecked, so a line break in one adds headers of the caller's choice, or ends the request and begins another one.

Cause: items are checked for their id, path and base64 only, while requests of online callers have passed an HTTP parser.

Change: such a job is malformed and answered 400 before anything is stored.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/JobRequestHandler.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/JobRequestHandler.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.Executor;
 import java.util.function.Supplier;
 
+import io.netty.handler.codec.http.HttpHeaderValidationUtil;
 import org.ragworthook.core.error.ErrorCode;
 import org.ragworthook.core.error.Failures;
 import org.ragworthook.core.error.JobException;
@@ -35,6 +36,8 @@
 
 	private static final int MAX_ID_LENGTH = 100;
 
+	private static final int DELETE = 0x7f;
+
 	private static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(500);
 
 	private final JobStore store;
@@ -107,6 +110,30 @@
 		if (ids.size() < items.size()) {
 			throw new JobException(ErrorCode.JOB_MALFORMED, "two items of the job have the same id");
 		}
+		if (!items.stream().allMatch(JobRequestHandler::canBeSent)) {
+			throw new JobException(ErrorCode.JOB_MALFORMED,
+					"the path or a header of an item contains characters that a request cannot have there");
+		}
+	}
+
+	/**
+	 * Returns whether an item can be sent as one request. A line break in its path or
+	 * headers would end the request early and begin another one.
+	 * @param item the item
+	 * @return whether its path and headers are valid
+	 */
+	private static boolean canBeSent(JobItem item) {
+		return !item.path().isEmpty() && item.path().chars().allMatch((next) -> next > ' ' && next != DELETE)
+				&& item.headers()
+					.entrySet()
+					.stream()
+					.allMatch((header) -> HttpHeaderValidationUtil.validateToken(header.getKey()) < 0
+							&& !header.getKey().isEmpty()
+							&& header.getValue().chars().allMatch(JobRequestHandler::isValueCharacter));
+	}
+
+	private static boolean isValueCharacter(int next) {
+		return next == '\t' || next >= ' ' && next != DELETE;
 	}
 
 	/**
