Keep the saved progress of different items apart whatever their ids are

Cause: the saved progress was looked up by the two ids joined to one text, and both may contain any character.

Change: the key is the pair.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ProgressSaver.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ProgressSaver.java
@@ -176,23 +176,28 @@
 	 *
 	 * @param items the furthest progress of each item, by job and item
 	 */
-	record SavedProgress(Map<String, ItemProgress> items) {
+	record SavedProgress(Map<ItemKey, ItemProgress> items) {
 
 		static SavedProgress of(List<ItemProgress> all) {
-			Map<String, ItemProgress> items = new HashMap<>();
-			all.forEach((item) -> items.merge(key(item.jobId(), item.itemId()), item,
+			Map<ItemKey, ItemProgress> items = new HashMap<>();
+			all.forEach((item) -> items.merge(new ItemKey(item.jobId(), item.itemId()), item,
 					(one, other) -> (one.lastEvent() >= other.lastEvent()) ? one : other));
 			return new SavedProgress(items);
 		}
 
 		Optional<ItemProgress> find(ItemRun run) {
-			return Optional.ofNullable(this.items.get(key(run.job().id(), run.item().id())));
+			return Optional.ofNullable(this.items.get(new ItemKey(run.job().id(), run.item().id())));
 		}
 
-		private static String key(String jobId, String itemId) {
-			return jobId + ' ' + itemId;
-		}
+	}
 
+	/**
+	 * Identifies an item among those of all jobs.
+	 *
+	 * @param jobId the job's id
+	 * @param itemId the item's id, unique in the job
+	 */
+	private record ItemKey(String jobId, String itemId) {
 	}
 
 }
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/job/ProgressSaverTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/job/ProgressSaverTests.java
@@ -42,8 +42,12 @@
 	}
 
 	private static ItemRun item(String id) {
-		JobItem item = new JobItem(id, "/p", Map.of(), "", 1);
-		return new ItemRun(new Job("job", Optional.empty(), "h", "/p", 0, 1, 1, 0, 1, false, List.of(item)), item);
+		return run("job", id);
+	}
+
+	private static ItemRun run(String jobId, String itemId) {
+		JobItem item = new JobItem(itemId, "/p", Map.of(), "", 1);
+		return new ItemRun(new Job(jobId, Optional.empty(), "h", "/p", 0, 1, 1, 0, 1, false, List.of(item)), item);
 	}
 
 	/**
@@ -101,6 +105,23 @@
 		assertThat(this.store.writes).isEqualTo(1);
 	}
 
+	/**
+	 * Guards against an item that goes on with the text of another one: ids may contain
+	 * any character.
+	 * @param jobId the id of the job whose item has progress
+	 * @param itemId the item's id
+	 * @param otherJobId the id of another job
+	 * @param otherItemId the id of its item
+	 */
+	@ParameterizedTest
+	@CsvSource({ "a, b c, a b, c", "a b, c, a, b c", "a, '', '', a", "a/b, c, a, b/c" })
+	void shouldNotTakeTheProgressOfAnotherItem(String jobId, String itemId, String otherJobId, String otherItemId) {
+		ItemRun run = run(jobId, itemId);
+		ProgressSaver.SavedProgress saved = ProgressSaver.SavedProgress
+			.of(List.of(new ItemProgress(otherJobId, otherItemId, 3, "other")));
+		assertThat(saved.find(run)).isEqualTo(Optional.empty());
+	}
+
 	/**
 	 * A job has moved from one owner to another, and both have saved progress of an item.
 	 * The older progress must not win, whichever the store lists first.
