Take a part of the platform's answer to a write as no answer

What one would notice: a write whose answer was cut off failed with an exception that is none of the store's, so that nothing settled whether the write had taken effect.

Cause: a response without a length ends with its connection, and its document was read only after the call had counted as answered; the failure to read it had no code.

The document of a success is now read as part of the call, so that a part of it counts as a lost answer: unknown for a write, unavailable for a read. The load tool's reading of a stream that is cut off within an event was right and has five more cases.

--- a/modules/objectapi/src/main/java/org/ragworthook/objectapi/HttpObjectStore.java
+++ b/modules/objectapi/src/main/java/org/ragworthook/objectapi/HttpObjectStore.java
@@ -179,7 +179,7 @@
 			request.putHeader("Content-Type", "application/json");
 		}
 		return request.send(content)
-			.compose((response) -> response.body().map((received) -> new Answer(response.statusCode(), received)))
+			.compose((response) -> response.body().map((received) -> Answer.of(response.statusCode(), received)))
 			.timeout(this.settings.callTimeout().toMillis(), TimeUnit.MILLISECONDS)
 			.onSuccess((answer) -> this.calls.received(answer.body().length()))
 			.onFailure((failure) -> request.reset())
@@ -210,11 +210,28 @@
 		return URLEncoder.encode(text, StandardCharsets.UTF_8);
 	}
 
-	private record Answer(int status, Buffer body) {
+	private record Answer(int status, Buffer body, JsonObject document) {
+
+		/**
+		 * Reads an answer. One without a length ends with its connection, so whether a
+		 * document is whole is known once it has been read.
+		 * @param status the HTTP status
+		 * @param body the bytes that came
+		 * @return the answer
+		 * @throws io.vertx.core.json.DecodeException if the document of a success is not
+		 * whole
+		 */
+		static Answer of(int status, Buffer body) {
+			return new Answer(status, body, success(status) ? body.toJsonObject() : new JsonObject());
+		}
+
+		private static boolean success(int status) {
+			return status / 100 == 2;
+		}
 
 		JsonObject require(StoreVerb verb, Object what) {
-			if (this.status / 100 == 2) {
-				return this.body.toJsonObject();
+			if (success(this.status)) {
+				return this.document;
 			}
 			throw new StoreException(code(verb), verb + " of " + what + " got status " + this.status);
 		}
--- a/modules/standin/src/test/java/org/ragworthook/standin/load/OnlineLoadTests.java
+++ b/modules/standin/src/test/java/org/ragworthook/standin/load/OnlineLoadTests.java
@@ -9,6 +9,9 @@
 import io.vertx.core.json.JsonObject;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.ragworthook.core.fleet.Address;
 import org.ragworthook.standin.StandInServer;
 import org.ragworthook.standin.engine.EngineSettings;
@@ -19,6 +22,7 @@
 /**
  * Tests for {@link OnlineLoad} and {@link ChatCaller}.
  */
+@Timeout(60)
 class OnlineLoadTests {
 
 	private final Vertx vertx = Vertx.vertx();
@@ -64,11 +68,13 @@
 		assertThat(call.tokenNanos()).hasSize(5);
 	}
 
-	// The connection breaks in the middle of the answer. A caller that took the part for
-	// the whole would act on half an answer.
-	@Test
-	void shouldSendAgainWhatWasCutOffAndCountIt() {
-		CallRecord call = call(server("data: {\"choices\":[{\"delta\":{\"content\":\"half \"}}]}\n\n"), engine());
+	// The connection breaks in the middle of the answer, between two events or within
+	// one. A caller that took the part for the whole would act on half an answer.
+	@ParameterizedTest
+	@ValueSource(strings = { "", "da", "data: [DO", "data: {\"choi", "data: {\"choices\":[]}" })
+	void shouldSendAgainWhatWasCutOffAndCountIt(String rest) {
+		CallRecord call = call(server("data: {\"choices\":[{\"delta\":{\"content\":\"half \"}}]}\n\n" + rest),
+				engine());
 		assertThat(call.end()).isEqualTo(CallRecord.End.WHOLE);
 		assertThat(call.cutOffs()).isEqualTo(1);
 		assertThat(call.resends()).isEqualTo(1);
--- a/modules/standin/src/test/java/org/ragworthook/standin/platform/HttpObjectStoreTests.java
+++ b/modules/standin/src/test/java/org/ragworthook/standin/platform/HttpObjectStoreTests.java
@@ -7,11 +7,13 @@
 
 import io.vertx.core.Vertx;
 import io.vertx.core.json.JsonObject;
+import io.vertx.core.net.NetServer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.ragworthook.core.error.ErrorCode;
 import org.ragworthook.core.fleet.Address;
 import org.ragworthook.core.store.ConditionalWriter;
@@ -108,6 +110,30 @@
 		assertThat(this.store.read(KEY).join().orElseThrow().draft().stamp()).isEqualTo("a#1");
 	}
 
+	// A connection ends in the middle of an answer that has no length. Part of an answer
+	// to a write says as little as none.
+	@ParameterizedTest
+	@ValueSource(strings = { "", "{\"kind\":" })
+	void shouldReportAPartOfAnAnswerAsNone(String part) {
+		NetServer platform = this.vertx.createNetServer()
+			.connectHandler((socket) -> socket
+				.handler((request) -> socket.write("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n" + part)
+					.onComplete((written) -> socket.close())));
+		int broken = platform.listen(0, StandInServer.HOST)
+			.toCompletionStage()
+			.toCompletableFuture()
+			.join()
+			.actualPort();
+		PlatformSettings settings = PlatformSettings.of(new Address(StandInServer.HOST, broken));
+		try (HttpObjectStore cutOff = HttpObjectStore.of(this.vertx, settings)) {
+			assertFails(ErrorCode.STORE_OUTCOME_UNKNOWN, () -> cutOff.create(KEY, Draft.of("1", "a#1")).join());
+			assertFails(ErrorCode.STORE_OUTCOME_UNKNOWN, () -> cutOff.update(KEY, Draft.of("1", "a#1"), 1).join());
+			assertFails(ErrorCode.STORE_OUTCOME_UNKNOWN, () -> cutOff.delete(KEY, 1).join());
+			assertFails(ErrorCode.STORE_UNAVAILABLE, () -> cutOff.read(KEY).join());
+			assertFails(ErrorCode.STORE_UNAVAILABLE, () -> cutOff.list(Kind.JOB, Labels.empty()).join());
+		}
+	}
+
 	// The platform takes no notice of a call until the caller's patience ends.
 	@Test
 	void shouldReportATimeoutOfAWriteAsUnknownAndOfAReadAsUnavailable() {
