Let the command line refuse an answer that does not state its end

What callers saw: 'ragworthook results' wrote a part of the results and exited with 0.

Cause: a response without a length or chunks ends with its connection, however that ended, and a proxy before the entry may send such a one.

Entries state where their answers end; EntryClient now refuses one that does not, before its body is read.

--- a/modules/cli/src/main/java/org/ragworthook/cli/entry/EntryClient.java
+++ b/modules/cli/src/main/java/org/ragworthook/cli/entry/EntryClient.java
@@ -18,6 +18,7 @@
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import org.ragworthook.cli.output.ExitCode;
@@ -32,6 +33,8 @@
 
 	private static final int IDLE_TIMEOUT_SECONDS = 60;
 
+	private static final int NO_CONTENT = 204;
+
 	private final CliSettings settings;
 
 	private final Vertx vertx = Vertx
@@ -128,13 +131,27 @@
 		this.settings.key().ifPresent((key) -> options.putHeader("Authorization", "Bearer " + key));
 		headers.forEach(options::putHeader);
 		Promise<Answer> answer = Promise.promise();
-		this.context.runOnContext((ignored) -> this.client.request(options)
-			.compose(send)
-			.compose((response) -> response.body().map((body) -> new Answer(response.statusCode(), body)))
-			.onComplete(answer));
+		this.context.runOnContext(
+				(ignored) -> this.client.request(options).compose(send).compose(EntryClient::whole).onComplete(answer));
 		return answer.future().toCompletionStage().toCompletableFuture().join().orRefused();
 	}
 
+	/**
+	 * Reads an answer to its end. An entry states where its answers end; one that merely
+	 * ends with its connection may be a part.
+	 * @param response the response
+	 * @return the answer, or a failure if it is not whole
+	 */
+	private static Future<Answer> whole(HttpClientResponse response) {
+		boolean endStated = response.headers().contains(HttpHeaders.CONTENT_LENGTH)
+				|| response.headers().contains(HttpHeaders.TRANSFER_ENCODING);
+		if (!endStated && response.statusCode() != NO_CONTENT) {
+			response.request().reset();
+			return Future.failedFuture("the answer does not state where it ends");
+		}
+		return response.body().map((body) -> new Answer(response.statusCode(), body));
+	}
+
 	@Override
 	public void close() {
 		this.vertx.close().toCompletionStage().toCompletableFuture().join();
--- a/modules/cli/src/test/java/org/ragworthook/cli/RagworthookCliTests.java
+++ b/modules/cli/src/test/java/org/ragworthook/cli/RagworthookCliTests.java
@@ -3,11 +3,15 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.io.UncheckedIOException;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -47,6 +51,42 @@
 			.run(args);
 	}
 
+	/**
+	 * The connection ends in the middle of the results. A part must not be written as the
+	 * whole.
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "Content-Length: 100", "Transfer-Encoding: chunked", "Connection: close" })
+	void shouldNotWriteAPartOfTheResults(String framing) throws IOException {
+		Path file = this.folder.resolve("results.jsonl");
+		String job = "{\"status\":\"completed\",\"output_file_id\":\"file-1\"}";
+		String head = "HTTP/1.1 200 OK\r\n";
+		try (ServerSocket server = new ServerSocket(0)) {
+			this.environment.put("RAGWORTHOOK_ENTRY", "http://127.0.0.1:" + server.getLocalPort());
+			CompletableFuture<Void> answered = CompletableFuture.runAsync(() -> {
+				answer(server, head + "Content-Length: " + job.length() + "\r\n\r\n" + job);
+				answer(server, head + framing + "\r\n\r\n" + (framing.contains("chunked") ? "b\r\n" : "")
+						+ "{\"half\": 1}" + (framing.contains("chunked") ? "\r\n" : ""));
+			});
+			assertThat(run("results", "batch_1", "--to", file.toString())).isEqualTo(ExitCode.UNAVAILABLE);
+			answered.join();
+		}
+		assertThat(Files.exists(file)).isFalse();
+	}
+
+	private static void answer(ServerSocket server, String response) {
+		try (Socket socket = server.accept()) {
+			StringBuilder request = new StringBuilder();
+			while (request.indexOf("\r\n\r\n") < 0) {
+				request.append((char) socket.getInputStream().read());
+			}
+			socket.getOutputStream().write(response.getBytes(StandardCharsets.UTF_8));
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
 	private String printed() {
 		return this.out.toString(StandardCharsets.UTF_8);
 	}
