Don't deny a result whose read has failed or is in progress

Cause: the end of the wait was taken for the end of the results. A failure of the read was dropped.

Evidence: JobReaderTests on the code before: shouldNotDenyAResultThatItCouldNotRead and shouldAnswerWithTheReadThatIsInProgressWhenTheWaitIsOver failed (2 of 7).

A wait without a new report still ends with what is there.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobReader.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobReader.java
@@ -96,7 +96,7 @@
 	private CompletableFuture<Optional<Page>> awaitResult(CachedResults cached, int position, Duration wait) {
 		PendingRead read = new PendingRead(cached, position);
 		this.pendingReads.add(read);
-		this.timers.schedule(wait, read::complete);
+		this.timers.schedule(wait, read::waitOver);
 		return read.answer;
 	}
 
@@ -260,6 +260,11 @@
 
 		private boolean reading;
 
+		private boolean expired;
+
+		/** Why the last read failed, or empty if it succeeded. */
+		private Optional<Throwable> lastFailure = Optional.empty();
+
 		PendingRead(CachedResults cached, int position) {
 			this.cached = cached;
 			this.position = position;
@@ -278,15 +283,28 @@
 			this.reading = true;
 			readUntil(this.cached, this.position).whenComplete((ready, failure) -> {
 				this.reading = false;
-				if (failure == null && ready) {
+				this.lastFailure = Optional.ofNullable(failure);
+				if (this.expired || (failure == null && ready)) {
 					complete();
 				}
 			});
 		}
 
-		void complete() {
+		/**
+		 * Called at the end of the wait. A read in progress decides on the answer:
+		 * another entry may have shown what it will find.
+		 */
+		void waitOver() {
+			this.expired = true;
+			if (!this.reading) {
+				complete();
+			}
+		}
+
+		private void complete() {
 			if (JobReader.this.pendingReads.remove(this)) {
-				this.answer.complete(Optional.of(this.cached.page(this.position)));
+				this.lastFailure.ifPresentOrElse(this.answer::completeExceptionally,
+						() -> this.answer.complete(Optional.of(this.cached.page(this.position))));
 			}
 		}
 
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/job/JobReaderTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/job/JobReaderTests.java
@@ -10,6 +10,8 @@
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.ragworthook.core.error.ErrorCode;
+import org.ragworthook.core.error.StoreException;
 import org.ragworthook.core.store.ConditionalWriter;
 import org.ragworthook.core.store.Draft;
 import org.ragworthook.core.store.MemoryObjectStore;
@@ -113,16 +115,71 @@
 		assertThat(answer.join().orElseThrow().outcomes()).isEmpty();
 	}
 
+	/**
+	 * Guards against an empty page for a result that is published but could not be read:
+	 * another entry may have shown it already.
+	 */
+	@Test
+	void shouldNotDenyAResultThatItCouldNotRead() {
+		report(0);
+		CompletableFuture<Optional<JobReader.Page>> answer = this.reader.results("job", 0, READ_WAIT);
+		this.jobs.append("job", 0, segment("a")).join();
+		report(1);
+		this.store.failure = Optional.of(new StoreException(ErrorCode.STORE_UNAVAILABLE, "down"));
+		this.reader.onResultsReported();
+		this.time.advance(READ_WAIT);
+		assertThat(ConditionalWriter.codeOf(answer.handle((page, failure) -> failure).join()))
+			.hasValue(ErrorCode.STORE_UNAVAILABLE);
+	}
+
+	@Test
+	void shouldAnswerWithAResultThatItCouldNotReadAtFirst() {
+		report(0);
+		CompletableFuture<Optional<JobReader.Page>> answer = this.reader.results("job", 0, READ_WAIT);
+		this.jobs.append("job", 0, segment("a")).join();
+		report(1);
+		this.store.failure = Optional.of(new StoreException(ErrorCode.STORE_UNAVAILABLE, "down"));
+		this.reader.onResultsReported();
+		this.store.failure = Optional.empty();
+		this.reader.onResultsReported();
+		assertThat(answer.join().orElseThrow().outcomes()).isEqualTo(segment("a"));
+	}
+
+	/**
+	 * Guards against an empty page while the read that will find the result is in
+	 * progress.
+	 */
+	@Test
+	void shouldAnswerWithTheReadThatIsInProgressWhenTheWaitIsOver() {
+		report(0);
+		CompletableFuture<Optional<JobReader.Page>> answer = this.reader.results("job", 0, READ_WAIT);
+		this.jobs.append("job", 0, segment("a")).join();
+		report(1);
+		CompletableFuture<Void> held = new CompletableFuture<>();
+		this.store.held = held;
+		this.reader.onResultsReported();
+		this.time.advance(READ_WAIT);
+		assertThat(answer.isDone()).isFalse();
+		held.complete(null);
+		assertThat(answer.join().orElseThrow().outcomes()).isEqualTo(segment("a"));
+	}
+
 	private static final class CountingStore implements RecordStore {
 
 		private final MemoryObjectStore objects = MemoryObjectStore.empty();
 
 		private final List<ObjectKey> reads = new ArrayList<>();
 
+		private Optional<StoreException> failure = Optional.empty();
+
+		/** Completes when reads may be answered. */
+		private CompletableFuture<Void> held = CompletableFuture.completedFuture(null);
+
 		@Override
 		public CompletableFuture<Optional<Stored>> read(ObjectKey key) {
 			this.reads.add(key);
-			return this.objects.read(key);
+			return this.failure.<CompletableFuture<Optional<Stored>>>map(CompletableFuture::failedFuture)
+				.orElseGet(() -> this.held.thenCompose((released) -> this.objects.read(key)));
 		}
 
 		@Override
