Send a rejected request again only on another connection

A caller was told that its request had not run although an upstream ran it.

Cause: an upstream may send a duplicate of a response late, and responses are told apart by the request id. A request that was rejected and came again under the same id to the same upstream could get its old connection, on which a duplicate of the rejection counted as the answer to the second sending. Items of batch jobs keep their id over all runs; callers are asked for a new one.

Remedy: a connection remembers the ids that were rejected on it, and the pool gives a request another one or opens it.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/attempt/Attempt.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/attempt/Attempt.java
@@ -48,6 +48,8 @@
 
 	private final HeaderNames names;
 
+	private final String requestId;
+
 	private final AttemptListener listener;
 
 	private final HeadCheck headCheck;
@@ -81,6 +83,7 @@
 		this.pool = pool;
 		this.address = upstream.descriptor().address();
 		this.names = names;
+		this.requestId = request.id();
 		this.resumedFrom = request.lastEventId();
 		this.lastEventId = request.lastEventId();
 		this.headCheck = request.headCheck();
@@ -101,7 +104,7 @@
 			Outgoing request, AttemptListener listener) {
 		Attempt attempt = new Attempt(upstream, work, pool, names, request, listener);
 		upstream.begin(work);
-		pool.acquire(attempt.address, (connection) -> attempt.connected(connection, request));
+		pool.acquire(attempt.address, request.id(), (connection) -> attempt.connected(connection, request));
 		return attempt;
 	}
 
@@ -121,8 +124,8 @@
 		FullHttpRequest message = request.message().create();
 		message.headers()
 			.set(this.names.expectedUpstream(), this.upstream.descriptor().id())
-			.set(this.names.requestId(), request.id());
-		this.connection.send(message, Optional.of(request.id()), this);
+			.set(this.names.requestId(), this.requestId);
+		this.connection.send(message, Optional.of(this.requestId), this);
 	}
 
 	/**
@@ -276,6 +279,7 @@
 	@Override
 	public void complete(ResponseEnd end) {
 		if (this.state == State.REFUSED) {
+			this.connection.rejected(this.requestId);
 			releaseConnection();
 			this.listener.notExecuted(this.status);
 			return;
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/http/ClientConnection.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/http/ClientConnection.java
@@ -1,7 +1,9 @@
 package org.ragworthook.gateway.http;
 
+import java.util.HashSet;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -29,6 +31,11 @@
 
 	private static final long NO_LIMIT = Long.MAX_VALUE;
 
+	/**
+	 * Rejections after which a connection is replaced instead of remembering more ids.
+	 */
+	private static final int MAX_REJECTED_IDS = 100;
+
 	private final UpstreamSocketChannel channel;
 
 	private final String requestIdHeader;
@@ -44,6 +51,9 @@
 
 	private boolean reusable = true;
 
+	/** The ids of the requests that the upstream has rejected on this connection. */
+	private final Set<String> rejectedIds = new HashSet<>();
+
 	private long idleLimitMillis = NO_LIMIT;
 
 	ClientConnection(UpstreamSocketChannel channel, String requestIdHeader) {
@@ -69,6 +79,26 @@
 		this.written = this.channel.writeAndFlush(request);
 	}
 
+	/**
+	 * Records that the upstream has rejected a request. The request may be sent again
+	 * under the same id, and a duplicate of the rejection could then not be told from its
+	 * response, so it has to be sent on another connection.
+	 * @param requestId the id of the request
+	 */
+	public void rejected(String requestId) {
+		this.rejectedIds.add(requestId);
+		this.reusable &= this.rejectedIds.size() <= MAX_REJECTED_IDS;
+	}
+
+	/**
+	 * Returns whether a request can be sent on this connection.
+	 * @param requestId the id of the request
+	 * @return false if the upstream has rejected a request of that id here
+	 */
+	boolean accepts(String requestId) {
+		return !this.rejectedIds.contains(requestId);
+	}
+
 	/**
 	 * Closes the connection and abandons the request in progress, whose listener is not
 	 * called any more.
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/http/ConnectionPool.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/http/ConnectionPool.java
@@ -5,10 +5,12 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
@@ -102,7 +104,23 @@
 	 * @param consumer receives the connection, or empty if none could be opened
 	 */
 	public void acquire(Address address, Consumer<Optional<ClientConnection>> consumer) {
-		Optional<ClientConnection> pooled = pollIdle(address);
+		acquire(address, (idle) -> true, consumer);
+	}
+
+	/**
+	 * Takes an idle connection from the pool that can carry a request, or opens a new
+	 * one.
+	 * @param address the server's address
+	 * @param requestId the id of the request
+	 * @param consumer receives the connection, or empty if none could be opened
+	 */
+	public void acquire(Address address, String requestId, Consumer<Optional<ClientConnection>> consumer) {
+		acquire(address, (idle) -> idle.accepts(requestId), consumer);
+	}
+
+	private void acquire(Address address, Predicate<ClientConnection> usable,
+			Consumer<Optional<ClientConnection>> consumer) {
+		Optional<ClientConnection> pooled = pollIdle(address, usable);
 		if (pooled.isPresent()) {
 			consumer.accept(pooled);
 			return;
@@ -112,14 +130,21 @@
 				? Optional.of(connecting.channel().pipeline().get(ClientConnection.class)) : Optional.empty()));
 	}
 
-	private Optional<ClientConnection> pollIdle(Address address) {
+	private Optional<ClientConnection> pollIdle(Address address, Predicate<ClientConnection> usable) {
 		Deque<IdleConnection> connections = this.idle.get(address);
 		if (connections == null) {
 			return Optional.empty();
 		}
 		long now = this.ticker.nanos();
-		for (IdleConnection next = connections.pollLast(); next != null; next = connections.pollLast()) {
-			if (next.connection().reusable() && next.expiryNanos() - now > 0) {
+		Iterator<IdleConnection> newestFirst = connections.descendingIterator();
+		while (newestFirst.hasNext()) {
+			IdleConnection next = newestFirst.next();
+			boolean alive = next.connection().reusable() && next.expiryNanos() - now > 0;
+			if (alive && !usable.test(next.connection())) {
+				continue;
+			}
+			newestFirst.remove();
+			if (alive) {
 				return Optional.of(next.connection());
 			}
 			next.connection().close();
