Take no end of a connection for the end of a response to a half-sent request

A caller got the first two of five events, ended as complete.

Cause: an upstream that closes a connection before it has read the whole request resets it, but whether the entry reads the end or the reset first depends on timing. Read first, the end counted as that of a response without a length.

Remedy: the end of a connection ends such a response only after the whole request has been written.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/http/ClientConnection.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/http/ClientConnection.java
@@ -184,6 +184,17 @@
 		this.exchange.listener.head(head);
 	}
 
+	/**
+	 * Returns whether the upstream has ended the connection in order. An upstream that
+	 * closes a connection before it has read the request resets it, and whether the end
+	 * or the reset is noticed first depends on timing.
+	 * @return whether the whole request was written and the end of the connection was
+	 * read
+	 */
+	private boolean endedInOrder() {
+		return this.written.isSuccess() && this.channel.endedByPeer();
+	}
+
 	/**
 	 * Passes on a part of the body. The HTTP decoder takes every end of the connection
 	 * for the end of a response without a length, which only an end by the upstream is.
@@ -199,7 +210,7 @@
 		if (current == null || !current.headReceived) {
 			return;
 		}
-		if (last && current.end == ResponseEnd.CONNECTION_CLOSED && !this.channel.endedByPeer()) {
+		if (last && current.end == ResponseEnd.CONNECTION_CLOSED && !endedInOrder()) {
 			fail(SendFailure.BROKEN);
 			return;
 		}
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/http/ClientConnectionTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/http/ClientConnectionTests.java
@@ -90,11 +90,12 @@
 	@EnumSource
 	void shouldTakeOnlyAnEndByTheUpstreamForTheEndOfTheResponse(End end) throws Exception {
 		this.recorder.pauseReading = end == End.FAILED_WRITE;
-		send((end == End.FAILED_WRITE) ? LONG_BODY_BYTES : 0);
+		boolean longRequest = end == End.FAILED_WRITE || end == End.UPSTREAM_CLOSES_EARLY;
+		send(longRequest ? LONG_BODY_BYTES : 0);
 		try (Socket socket = acceptAndSendPart()) {
 			this.recorder.partReceived.join();
 			switch (end) {
-				case UPSTREAM_CLOSES -> socket.shutdownOutput();
+				case UPSTREAM_CLOSES, UPSTREAM_CLOSES_EARLY -> socket.shutdownOutput();
 				case UPSTREAM_RESETS, FAILED_WRITE -> {
 					socket.setSoLinger(true, 0);
 					socket.close();
@@ -122,7 +123,7 @@
 	/** How the connection ends in the middle of a response without a length. */
 	enum End {
 
-		UPSTREAM_CLOSES, UPSTREAM_RESETS, FAILED_WRITE, LOOP_SHUTDOWN
+		UPSTREAM_CLOSES, UPSTREAM_CLOSES_EARLY, UPSTREAM_RESETS, FAILED_WRITE, LOOP_SHUTDOWN
 
 	}
 
