Complete the response to a HEAD request without a length

Callers whose HEAD request was answered without Content-Length got a failure or a broken connection, and the attempt was spent.

A response to HEAD ends with its head, whatever its headers state.

Remedy: what marks the end of a response is decided with the method of the request.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/http/ClientConnection.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/http/ClientConnection.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -65,7 +66,7 @@
 			listener.failed(SendFailure.NOT_SENT);
 			return;
 		}
-		this.exchange = new Exchange(listener, expectedId.orElse(null));
+		this.exchange = new Exchange(listener, request.method(), expectedId.orElse(null));
 		this.written = this.channel.writeAndFlush(request);
 	}
 
@@ -145,7 +146,7 @@
 			return;
 		}
 		this.exchange.headReceived = true;
-		this.exchange.end = ResponseEnd.statedBy(head);
+		this.exchange.end = ResponseEnd.statedBy(this.exchange.method, head);
 		if (!HttpUtil.isKeepAlive(head)) {
 			this.reusable = false;
 		}
@@ -206,6 +207,8 @@
 
 		private final ResponseListener listener;
 
+		private final HttpMethod method;
+
 		private final String expectedId;
 
 		private boolean headReceived;
@@ -213,8 +216,9 @@
 		/** What marks the end of the response; known once its head was received. */
 		private ResponseEnd end;
 
-		Exchange(ResponseListener listener, String expectedId) {
+		Exchange(ResponseListener listener, HttpMethod method, String expectedId) {
 			this.listener = listener;
+			this.method = method;
 			this.expectedId = expectedId;
 		}
 
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/http/ResponseEnd.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/http/ResponseEnd.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 
@@ -13,7 +14,7 @@
 	/** The last chunk of a body that is sent in chunks. */
 	LAST_CHUNK,
 
-	/** The stated length, which is 0 for a status that has no body. */
+	/** The stated length, or the end of the head of a response that has no body. */
 	LENGTH,
 
 	/** The end of the connection, since neither chunks nor a length are stated. */
@@ -21,16 +22,19 @@
 
 	/**
 	 * Returns what marks the end of a response.
+	 * @param method the method of the request
 	 * @param head the head of the response
 	 * @return the mark that the head states
 	 */
-	static ResponseEnd statedBy(HttpResponse head) {
+	static ResponseEnd statedBy(HttpMethod method, HttpResponse head) {
+		int status = head.status().code();
+		if (HttpMethod.HEAD.equals(method) || status == 204 || status == 304) {
+			return LENGTH;
+		}
 		if (HttpUtil.isTransferEncodingChunked(head)) {
 			return LAST_CHUNK;
 		}
-		int status = head.status().code();
-		boolean withoutBody = status == 204 || status == 304;
-		return (withoutBody || HttpUtil.isContentLengthSet(head)) ? LENGTH : CONNECTION_CLOSED;
+		return HttpUtil.isContentLengthSet(head) ? LENGTH : CONNECTION_CLOSED;
 	}
 
 	/**
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/http/ClientConnectionTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/http/ClientConnectionTests.java
@@ -27,6 +27,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.ragworthook.core.fleet.Address;
 import org.ragworthook.core.time.Ticker;
@@ -68,7 +69,11 @@
 	}
 
 	private void send(int bodyBytes) {
-		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/",
+		send(HttpMethod.POST, bodyBytes);
+	}
+
+	private void send(HttpMethod method, int bodyBytes) {
+		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, "/",
 				Unpooled.wrappedBuffer(new byte[bodyBytes]));
 		request.headers().set(HttpHeaderNames.CONTENT_LENGTH, bodyBytes);
 		Address address = new Address("127.0.0.1", this.server.getLocalPort());
@@ -119,6 +124,18 @@
 		}
 	}
 
+	/** Guards against the failure of a response that needs no length to be complete. */
+	@ParameterizedTest
+	@CsvSource({ "HEAD, 200 OK", "HEAD, 404 Not Found", "GET, 204 No Content", "GET, 304 Not Modified" })
+	void shouldCompleteAResponseThatHasNoBody(String method, String status) throws Exception {
+		send(HttpMethod.valueOf(method), 0);
+		try (Socket socket = this.server.accept()) {
+			socket.getInputStream().read();
+			socket.getOutputStream().write(("HTTP/1.1 " + status + "\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+			assertThat(this.recorder.outcome.join()).isEqualTo("complete length");
+		}
+	}
+
 	/** How the connection ends in the middle of a response without a length. */
 	enum End {
 
