--- a/modules/gateway/src/main/java/org/ragworthook/gateway/http/ClientConnection.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/http/ClientConnection.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -75,7 +76,7 @@
 			listener.failed(SendFailure.NOT_SENT);
 			return;
 		}
-		this.exchange = new Exchange(listener, expectedId.orElse(null));
+		this.exchange = new Exchange(listener, request.method(), expectedId.orElse(null));
 		this.written = this.channel.writeAndFlush(request);
 	}
 
@@ -175,7 +176,7 @@
 			return;
 		}
 		this.exchange.headReceived = true;
-		this.exchange.end = ResponseEnd.statedBy(head);
+		this.exchange.end = ResponseEnd.statedBy(this.exchange.method, head);
 		if (!HttpUtil.isKeepAlive(head)) {
 			this.reusable = false;
 		}
@@ -247,6 +248,8 @@
 
 		private final ResponseListener listener;
 
+		private final HttpMethod method;
+
 		private final String expectedId;
 
 		private boolean headReceived;
@@ -254,8 +257,9 @@
 		/** What marks the end of the response; known once its head was received. */
 		private ResponseEnd end;
 
-		Exchange(ResponseListener listener, String expectedId) {
+		Exchange(ResponseListener listener, HttpMethod method, String expectedId) {
 			this.listener = listener;
+			this.method = method;
 			this.expectedId = expectedId;
 		}
 
