Reset an HTTP/1.0 caller's connection until all of its response is sent

HTTP/1.0 callers that read slowly got a part of a stream, ended by an orderly close: they took it for the whole. Seen at the end of the process; other ends of the connection before all is sent take the same way.

Cause: the reset on close was turned off when the end of the response was written, while data could still wait in this process for the caller to read. The end of the process then discarded the data and closed the connection in order.

Evidence: the two HTTP/1.0 cases of shouldShowThatTheEndOfTheProcessCutsOffAStream with a process that stops failed before: COMPLETE 200 with a part of an event of 12 MB. After the change all six pass.

Remedy: the reset is turned off only when the last part of the body was handed to the kernel, which sends it even after the process has ended. A connection that is closed already is left alone, since its options can no longer be set.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/VertxCallerResponse.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/VertxCallerResponse.java
@@ -6,9 +6,11 @@
 import java.util.Objects;
 import java.util.Optional;
 
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
+import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
@@ -39,6 +41,9 @@
 	/** Whether only the end of the connection marks the end of the response. */
 	private boolean closeDelimited;
 
+	/** Completes when all parts of the body so far were handed to the kernel. */
+	private Future<Void> lastWrite = Future.succeededFuture();
+
 	VertxCallerResponse(HttpServerRequest request, String requestIdHeader, boolean closeConnection) {
 		this.request = Objects.requireNonNull(request, "request is null");
 		this.response = request.response();
@@ -80,7 +85,10 @@
 	}
 
 	private void lingerSeconds(int seconds) {
-		((ConnectionBase) this.request.connection()).channel().config().setOption(ChannelOption.SO_LINGER, seconds);
+		Channel channel = ((ConnectionBase) this.request.connection()).channel();
+		if (channel.isOpen()) {
+			channel.config().setOption(ChannelOption.SO_LINGER, seconds);
+		}
 	}
 
 	private void setConnectionHeader() {
@@ -92,7 +100,7 @@
 	@Override
 	public void write(byte[] data) {
 		if (!this.response.ended() && !this.response.closed()) {
-			this.response.write(Buffer.buffer(data));
+			this.lastWrite = this.response.write(Buffer.buffer(data));
 		}
 	}
 
@@ -102,7 +110,8 @@
 			return;
 		}
 		if (this.closeDelimited) {
-			lingerSeconds(ORDERLY_CLOSE);
+			// Until all is sent, an orderly close would hide that the rest is missing.
+			this.lastWrite.onSuccess((sent) -> lingerSeconds(ORDERLY_CLOSE));
 			this.response.end().onComplete((sent) -> this.request.connection().close());
 		}
 		else {
