Recognise a stream of events by its media type in any case

A stream whose upstream spells its media type in another case was forwarded as a plain body: a part of an event could reach the caller, and no other upstream could continue it.

Cause: the media type was compared case-sensitively.

Evidence: one of the five cases of shouldFindAStreamByItsMediaTypeInAnyCase failed before. Found by the review; not seen at a deployment.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/event/SseFrameDecoder.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/event/SseFrameDecoder.java
@@ -57,7 +57,7 @@
 	 */
 	public static boolean decodes(HttpMessage head) {
 		String type = head.headers().get(HttpHeaderNames.CONTENT_TYPE);
-		return type != null && type.startsWith(MEDIA_TYPE);
+		return type != null && type.regionMatches(true, 0, MEDIA_TYPE, 0, MEDIA_TYPE.length());
 	}
 
 	/**
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/event/SseFrameDecoderTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/event/SseFrameDecoderTests.java
@@ -7,6 +7,11 @@
 import java.util.Optional;
 
 import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -41,6 +46,16 @@
 			.isEqualTo(List.of(Optional.of("a"), Optional.of("b"), Optional.of("c")));
 	}
 
+	/** Guards against a stream whose events are forwarded in parts. */
+	@ParameterizedTest
+	@CsvSource({ "text/event-stream,true", "text/event-stream; charset=utf-8,true", "Text/Event-Stream,true",
+			"text/plain,false", "application/octet-stream,false" })
+	void shouldFindAStreamByItsMediaTypeInAnyCase(String type, boolean stream) {
+		HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+		head.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
+		assertThat(SseFrameDecoder.decodes(head)).isEqualTo(stream);
+	}
+
 	/**
 	 * Guards against forwarding the beginning of an event when an upstream stops in the
 	 * middle of it: the stream could not be resumed after it.
