--- a/modules/daemon/src/main/java/org/ragworthook/daemon/batch/FileRoutes.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/batch/FileRoutes.java
@@ -108,9 +108,8 @@
 		});
 	}
 
-	// A chunk of lines is read only when the one before has left for the caller, so that
-	// a
-	// slow caller does not have its whole file in memory.
+	// A chunk of lines is read only when the one before has left for the caller. A slow
+	// caller would otherwise have its whole file in memory.
 	private static CompletableFuture<Void> write(BatchCall call, List<String> lines) {
 		if (lines.isEmpty()) {
 			return CompletableFuture.completedFuture(null);
