Read the software version of an upstream and log it with each attempt

Streams were reported that held events of two software versions of an upstream. Neither the logs nor the metrics could tell whether a response was continued elsewhere, a caller's stream was resumed, or a batch item was: the version that an upstream states was not decoded.

upstream_entry, attempt_ended and item_placed now state the version, and resumed_by_caller states which request began the stream that a caller resumes. The gauge peers_live counts the peers that a process hears. No decision depends on these yet.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/dialect/HeaderNames.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/dialect/HeaderNames.java
@@ -15,6 +15,7 @@
  * @param promptParts the parts of the prompt in order, by which an upstream finds those
  * that it has cached
  * @param lastEventId id of the last event received; the stream resumes after it
+ * @param resumes id of the request that brought the first event of the resumed stream
  * @param signature proves that a response was sent by the upstream
  * @param expectedUpstream id of the upstream that the request is addressed to
  * @param notExecuted states that the upstream did not execute the request
@@ -23,7 +24,7 @@
  * @param account name of the account that the request belongs to, for upstreams
  */
 public record HeaderNames(String requestId, String deadlineMillis, String promptParts, String lastEventId,
-		String signature, String expectedUpstream, String notExecuted, String waitMillis, String apiKey,
+		String resumes, String signature, String expectedUpstream, String notExecuted, String waitMillis, String apiKey,
 		String account) {
 
 	/**
@@ -34,6 +35,7 @@
 		Objects.requireNonNull(deadlineMillis, "deadlineMillis is null");
 		Objects.requireNonNull(promptParts, "promptParts is null");
 		Objects.requireNonNull(lastEventId, "lastEventId is null");
+		Objects.requireNonNull(resumes, "resumes is null");
 		Objects.requireNonNull(signature, "signature is null");
 		Objects.requireNonNull(expectedUpstream, "expectedUpstream is null");
 		Objects.requireNonNull(notExecuted, "notExecuted is null");
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
@@ -170,8 +170,9 @@
 	}
 
 	void start(TrackedUpstream upstream, ConnectionPool pool, HeaderNames names, RunListener listener) {
-		LOG.info("item_placed", "job", this.job.id(), "item", this.item.id(), "upstream", upstream, "load",
-				upstream.load(), "from_event", this.lastEvent, "runs_without_progress", this.runsWithoutProgress);
+		LOG.info("item_placed", "job", this.job.id(), "item", this.item.id(), "upstream", upstream, "version",
+				upstream.descriptor().version(), "load", upstream.load(), "from_event", this.lastEvent,
+				"runs_without_progress", this.runsWithoutProgress);
 		this.startedNanos = listener.nanosAfter(Duration.ZERO);
 		if (this.firstStartedNanos == Long.MIN_VALUE) {
 			this.firstStartedNanos = this.startedNanos;
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/Frontend.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/Frontend.java
@@ -342,7 +342,7 @@
 			.flatMap(Frontend::number);
 		OnlineRequest online = new OnlineRequest(id, request.method().name(), request.uri(), headers, body, route,
 				configuration.version(), Deadline.after(this.context.ticker(), left), lastEvent,
-				prefixAffinity(request));
+				Optional.ofNullable(request.getHeader(this.context.headers().resumes())), prefixAffinity(request));
 		OnlineExchange exchange = new OnlineExchange(this.context, online, response, this.queues, quota.get());
 		incoming.lifecycle.exchange = exchange;
 		exchange.start();
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
@@ -113,6 +113,9 @@
 	void start() {
 		Duration left = this.request.deadline().remaining().orElse(this.request.route().timeout());
 		this.deadlineTimer = this.context.timers().schedule(left, this::timedOut);
+		this.request.lastEvent()
+			.ifPresent((event) -> LOG.info("resumed_by_caller", "request", this.request.id(), "last_event", event,
+					"began_as", this.request.resumes().orElse("unstated")));
 		place();
 	}
 
@@ -475,9 +478,9 @@
 		private void logAttemptEnd(String end) {
 			Attempt ended = OnlineExchange.this.attempt;
 			OnlineExchange.this.context.metrics().attemptEnded(end);
-			LOG.info("attempt_ended", "request", OnlineExchange.this.request.id(), "upstream", ended.upstream(), "end",
-					end, "status", ended.status(), "stream", ended.eventStream(), "resumed_from", ended.resumedFrom(),
-					"last_event", ended.lastEventId());
+			LOG.info("attempt_ended", "request", OnlineExchange.this.request.id(), "upstream", ended.upstream(),
+					"version", ended.upstream().descriptor().version(), "end", end, "status", ended.status(), "stream",
+					ended.eventStream(), "resumed_from", ended.resumedFrom(), "last_event", ended.lastEventId());
 		}
 
 		/**
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineRequest.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineRequest.java
@@ -20,10 +20,13 @@
  * @param configurationVersion the version of the configuration that the route is from
  * @param deadline the time after which the caller no longer waits for the response
  * @param lastEvent the id of the last event that the caller has, if it resumes a stream
+ * @param resumes the id of the request that brought the first event of that stream, if
+ * the caller states it
  * @param prefixAffinity the upstreams that are likely to have parts of the prompt cached
  */
 record OnlineRequest(String id, String method, String uri, HttpHeaders headers, byte[] body, Route route,
-		long configurationVersion, Deadline deadline, Optional<Long> lastEvent, PrefixAffinity prefixAffinity) {
+		long configurationVersion, Deadline deadline, Optional<Long> lastEvent, Optional<String> resumes,
+		PrefixAffinity prefixAffinity) {
 
 	OnlineRequest {
 		Objects.requireNonNull(id, "id is null");
@@ -34,6 +37,7 @@
 		Objects.requireNonNull(route, "route is null");
 		Objects.requireNonNull(deadline, "deadline is null");
 		Objects.requireNonNull(lastEvent, "lastEvent is null");
+		Objects.requireNonNull(resumes, "resumes is null");
 		Objects.requireNonNull(prefixAffinity, "prefixAffinity is null");
 	}
 
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
@@ -207,6 +207,7 @@
 
 	private void startMetrics() {
 		this.metrics.gauge("upstreams", this.upstreams, (all) -> all.all().size());
+		this.metrics.gauge("peers.live", this.peers, (all) -> all.fleet().peerCounts().live());
 		this.metrics.gauge("configuration.version", this.configuration,
 				(present) -> present.current().map(Configuration::version).orElse(0L));
 		this.metrics.gauge("store.up", this.health, (present) -> present.up() ? 1 : 0);
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/upstream/UpstreamRegistry.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/upstream/UpstreamRegistry.java
@@ -63,8 +63,8 @@
 			upstream.descriptor(descriptor);
 		}
 		LOG.info("upstream_entry", "upstream", descriptor.id(), "service", descriptor.service(), "address",
-				descriptor.address(), "domain", descriptor.failureDomain(), "slots", descriptor.slots(), "draining",
-				descriptor.draining());
+				descriptor.address(), "domain", descriptor.failureDomain(), "slots", descriptor.slots(), "version",
+				descriptor.version(), "draining", descriptor.draining());
 		publish();
 	}
 
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/dispatch/DispatchReportsTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/dispatch/DispatchReportsTests.java
@@ -19,6 +19,7 @@
 import org.ragworthook.gateway.peer.PeerIdentity;
 import org.ragworthook.gateway.suspect.PoisonRequestDetector;
 import org.ragworthook.gateway.upstream.PrefixAffinity;
+import org.ragworthook.gateway.upstream.SoftwareVersion;
 import org.ragworthook.gateway.upstream.TrackedUpstream;
 import org.ragworthook.gateway.upstream.UpstreamDescriptor;
 import org.ragworthook.gateway.upstream.UpstreamRegistry;
@@ -52,7 +53,8 @@
 
 	private static UpstreamRegistry registry() {
 		UpstreamRegistry registry = UpstreamRegistry.empty();
-		registry.put(new UpstreamDescriptor("u1", SERVICE, new Address("10.0.0.1", 80), "a", 1, false));
+		registry.put(new UpstreamDescriptor("u1", SERVICE, new Address("10.0.0.1", 80), "a", 1, false,
+				SoftwareVersion.of("v1")));
 		return registry;
 	}
 
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/dispatch/DispatcherTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/dispatch/DispatcherTests.java
@@ -11,6 +11,7 @@
 import org.ragworthook.core.time.ManualTime;
 import org.ragworthook.gateway.upstream.PeerLoad;
 import org.ragworthook.gateway.upstream.PrefixAffinity;
+import org.ragworthook.gateway.upstream.SoftwareVersion;
 import org.ragworthook.gateway.upstream.TrackedUpstream;
 import org.ragworthook.gateway.upstream.UpstreamDescriptor;
 import org.ragworthook.gateway.upstream.UpstreamRegistry;
@@ -28,7 +29,8 @@
 	private final Dispatcher dispatcher = Dispatcher.of(this.registry, this.time, new Random(1), 0, this.answers);
 
 	private TrackedUpstream upstream(String id, int slots) {
-		this.registry.put(new UpstreamDescriptor(id, "svc", new Address("10.0.0.1", 80), "d1", slots, false));
+		this.registry.put(new UpstreamDescriptor(id, "svc", new Address("10.0.0.1", 80), "d1", slots, false,
+				SoftwareVersion.of("v1")));
 		return this.registry.byKey(TrackedUpstream.key(id)).orElseThrow();
 	}
 
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/dispatch/FleetSimulation.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/dispatch/FleetSimulation.java
@@ -19,6 +19,7 @@
 import org.ragworthook.gateway.upstream.Placement;
 import org.ragworthook.gateway.upstream.PrefixAffinity;
 import org.ragworthook.gateway.upstream.SlotSharing;
+import org.ragworthook.gateway.upstream.SoftwareVersion;
 import org.ragworthook.gateway.upstream.TrackedUpstream;
 import org.ragworthook.gateway.upstream.UnreportedPlacements;
 import org.ragworthook.gateway.upstream.UpstreamDescriptor;
@@ -149,7 +150,7 @@
 		UpstreamRegistry registry = UpstreamRegistry.empty();
 		for (int i = 0; i < this.engines.size(); i++) {
 			registry.put(new UpstreamDescriptor("u" + i, SERVICE, new Address("10.0.0.1", 80), "d" + i % DOMAINS, SLOTS,
-					false));
+					false, SoftwareVersion.of("v1")));
 		}
 		return registry;
 	}
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/feed/UpstreamFeedListenerTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/feed/UpstreamFeedListenerTests.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Test;
 import org.ragworthook.core.fleet.Address;
 import org.ragworthook.core.time.ManualTime;
+import org.ragworthook.gateway.upstream.SoftwareVersion;
 import org.ragworthook.gateway.upstream.UpstreamDescriptor;
 import org.ragworthook.gateway.upstream.UpstreamRegistry;
 
@@ -32,8 +33,8 @@
 	}
 
 	private static Change<UpstreamDescriptor> change(String id, boolean draining) {
-		return new Change<>(id,
-				Optional.of(new UpstreamDescriptor(id, "svc", new Address("10.0.0.1", 80), "z", 8, draining)));
+		return new Change<>(id, Optional.of(new UpstreamDescriptor(id, "svc", new Address("10.0.0.1", 80), "z", 8,
+				draining, SoftwareVersion.of("v1"))));
 	}
 
 	private static Change<UpstreamDescriptor> removed(String id) {
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/job/ItemRunTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/job/ItemRunTests.java
@@ -26,6 +26,7 @@
 import org.ragworthook.gateway.dialect.HeaderNames;
 import org.ragworthook.gateway.http.ConnectionPool;
 import org.ragworthook.gateway.peer.Loopback;
+import org.ragworthook.gateway.upstream.SoftwareVersion;
 import org.ragworthook.gateway.upstream.TrackedUpstream;
 import org.ragworthook.gateway.upstream.UpstreamDescriptor;
 import org.ragworthook.gateway.upstream.UpstreamRegistry;
@@ -39,8 +40,8 @@
 class ItemRunTests {
 
 	private static final HeaderNames NAMES = new HeaderNames("X-Request-Id", "X-Deadline-Ms", "X-Prompt-Prefix",
-			"Last-Event-Id", "X-Response-Signature", "X-Expect-Instance", "X-Not-Executed", "X-Wait-Ms", "X-Api-Key",
-			"X-Tenant");
+			"Last-Event-Id", "Resumes", "X-Response-Signature", "X-Expect-Instance", "X-Not-Executed", "X-Wait-Ms",
+			"X-Api-Key", "X-Tenant");
 
 	private static final String EVENT_STREAM = "text/event-stream";
 
@@ -82,7 +83,7 @@
 
 	private static TrackedUpstream tracked(Address address) {
 		UpstreamRegistry registry = UpstreamRegistry.empty();
-		registry.put(new UpstreamDescriptor("u", "svc", address, "a", 8, false));
+		registry.put(new UpstreamDescriptor("u", "svc", address, "a", 8, false, SoftwareVersion.of("v1")));
 		return registry.serving("svc").get(0);
 	}
 
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/peer/LoadExchangeTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/peer/LoadExchangeTests.java
@@ -18,6 +18,7 @@
 import org.ragworthook.core.time.ManualTime;
 import org.ragworthook.core.time.Ticker;
 import org.ragworthook.gateway.suspect.PoisonRequestDetector;
+import org.ragworthook.gateway.upstream.SoftwareVersion;
 import org.ragworthook.gateway.upstream.TrackedUpstream;
 import org.ragworthook.gateway.upstream.UpstreamDescriptor;
 import org.ragworthook.gateway.upstream.UpstreamRegistry;
@@ -44,7 +45,8 @@
 
 	private static UpstreamRegistry registry() {
 		UpstreamRegistry registry = UpstreamRegistry.empty();
-		registry.put(new UpstreamDescriptor("u-1", "svc", new Address("10.0.0.1", 80), "a", 8, false));
+		registry.put(new UpstreamDescriptor("u-1", "svc", new Address("10.0.0.1", 80), "a", 8, false,
+				SoftwareVersion.of("v1")));
 		return registry;
 	}
 
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/peer/PeerLoadTotalsTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/peer/PeerLoadTotalsTests.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.Test;
 import org.ragworthook.core.fleet.Address;
 import org.ragworthook.gateway.upstream.PeerLoad;
+import org.ragworthook.gateway.upstream.SoftwareVersion;
 import org.ragworthook.gateway.upstream.TrackedUpstream;
 import org.ragworthook.gateway.upstream.UpstreamDescriptor;
 import org.ragworthook.gateway.upstream.UpstreamRegistry;
@@ -26,7 +27,8 @@
 	private final PeerLoadTotals totals = new PeerLoadTotals(this.registry);
 
 	private TrackedUpstream upstream() {
-		this.registry.put(new UpstreamDescriptor("u1", "svc", new Address("10.0.0.9", 80), "a", 8, false));
+		this.registry.put(new UpstreamDescriptor("u1", "svc", new Address("10.0.0.9", 80), "a", 8, false,
+				SoftwareVersion.of("v1")));
 		return this.registry.byKey(KEY).orElseThrow();
 	}
 
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/upstream/PlacementSimulationTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/upstream/PlacementSimulationTests.java
@@ -164,7 +164,7 @@
 				this.placement = Placement.of("d" + number % 4, Simulation.this.time, Simulation.this.random);
 				for (int i = 0; i < ENGINES; i++) {
 					this.fleet.add(new TrackedUpstream(new UpstreamDescriptor("u" + i, "svc",
-							new Address("10.0.0.1", 80), "d" + i % 4, SLOTS, false)));
+							new Address("10.0.0.1", 80), "d" + i % 4, SLOTS, false, SoftwareVersion.of("v1"))));
 				}
 			}
 
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/upstream/PrefixAffinitySimulationTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/upstream/PrefixAffinitySimulationTests.java
@@ -65,7 +65,8 @@
 		UpstreamRegistry registry = UpstreamRegistry.empty();
 		Map<TrackedUpstream, PrefixCache> caches = new LinkedHashMap<>();
 		for (int i = 0; i < ENGINES; i++) {
-			registry.put(new UpstreamDescriptor("u-" + i, "svc", new Address("10.0.0." + i, 80), "d", SLOTS, false));
+			registry.put(new UpstreamDescriptor("u-" + i, "svc", new Address("10.0.0." + i, 80), "d", SLOTS, false,
+					SoftwareVersion.of("v1")));
 		}
 		List<TrackedUpstream> fleet = registry.serving("svc");
 		fleet.forEach((upstream) -> caches.put(upstream, new PrefixCache()));
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/upstream/PrefixAffinityTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/upstream/PrefixAffinityTests.java
@@ -22,7 +22,8 @@
 
 	private List<TrackedUpstream> fleet(int size) {
 		for (int i = 0; i < size; i++) {
-			this.registry.put(new UpstreamDescriptor("u-" + i, "svc", new Address("10.0.0." + i, 80), "d", 7, false));
+			this.registry.put(new UpstreamDescriptor("u-" + i, "svc", new Address("10.0.0." + i, 80), "d", 7, false,
+					SoftwareVersion.of("v1")));
 		}
 		return this.registry.serving("svc");
 	}
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/upstream/SlotSharingTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/upstream/SlotSharingTests.java
@@ -21,8 +21,8 @@
 	private static final SlotClaimOrder ALONE = SlotClaimOrder.of("self", List.of("self"));
 
 	static TrackedUpstream upstream(String id, String domain) {
-		return new TrackedUpstream(
-				new UpstreamDescriptor(id, "svc", new Address("10.0.0.1", 80), domain, SLOTS, false));
+		return new TrackedUpstream(new UpstreamDescriptor(id, "svc", new Address("10.0.0.1", 80), domain, SLOTS, false,
+				SoftwareVersion.of("v1")));
 	}
 
 	private static boolean hasBatchCapacity(TrackedUpstream upstream) {
