--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemProgress.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemProgress.java
@@ -1,6 +1,9 @@
 package org.ragworthook.gateway.job;
 
 import java.util.Objects;
+import java.util.Optional;
+
+import org.ragworthook.gateway.origin.StreamOrigin;
 
 /**
  * The progress of an item whose result is not published yet.
@@ -9,9 +12,10 @@
  * @param itemId the item's id, unique in the job
  * @param lastEvent the number of the last event in the output, at least 1;
  * {@link Long#MAX_VALUE} if the output is complete
+ * @param origin the software that wrote the output; empty if the output is complete
  * @param output the data of the events so far in order, separated by line feeds
  */
-public record ItemProgress(String jobId, String itemId, long lastEvent, String output) {
+public record ItemProgress(String jobId, String itemId, long lastEvent, Optional<StreamOrigin> origin, String output) {
 
 	/**
 	 * Returns the progress of an item that has completed and whose result waits to be
@@ -21,7 +25,7 @@
 	 * @return the progress, with the complete output
 	 */
 	static ItemProgress completed(String jobId, ItemOutcome outcome) {
-		return new ItemProgress(jobId, outcome.itemId(), Long.MAX_VALUE, outcome.output());
+		return new ItemProgress(jobId, outcome.itemId(), Long.MAX_VALUE, Optional.empty(), outcome.output());
 	}
 
 	/**
@@ -39,6 +43,7 @@
 	public ItemProgress {
 		Objects.requireNonNull(jobId, "jobId is null");
 		Objects.requireNonNull(itemId, "itemId is null");
+		Objects.requireNonNull(origin, "origin is null");
 		Objects.requireNonNull(output, "output is null");
 		if (lastEvent < 1) {
 			throw new IllegalArgumentException("lastEvent is " + lastEvent + "; progress begins with event 1");
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
@@ -20,6 +20,7 @@
 import org.ragworthook.gateway.http.ConnectionPool;
 import org.ragworthook.gateway.http.ResponseEnd;
 import org.ragworthook.gateway.http.SendFailure;
+import org.ragworthook.gateway.origin.StreamOrigin;
 import org.ragworthook.gateway.upstream.TrackedUpstream;
 import org.ragworthook.gateway.upstream.WorkClass;
 
@@ -77,6 +78,9 @@
 
 	private long lastEvent;
 
+	/** The software that wrote the output, or empty if there is none. */
+	private Optional<StreamOrigin> origin = Optional.empty();
+
 	private int serverErrors;
 
 	/**
@@ -212,25 +216,56 @@
 	 * @return its output up to the last numbered event, or empty if there is none
 	 */
 	Optional<ItemProgress> progress() {
-		return (this.lastEvent > 0)
-				? Optional.of(new ItemProgress(this.job.id(), this.item.id(), this.lastEvent, this.output.toString()))
+		return (this.lastEvent > 0) ? Optional
+			.of(new ItemProgress(this.job.id(), this.item.id(), this.lastEvent, this.origin, this.output.toString()))
 				: Optional.empty();
 	}
 
 	/**
-	 * Resumes from progress that an earlier owner has saved, if it is ahead of this one's
-	 * and the item does not run.
+	 * Resumes from progress that an earlier owner has saved, if it is ahead of this
+	 * one's, the item does not run and the software that wrote the output is known.
 	 * @param saved the saved progress
 	 */
 	void resumeFrom(ItemProgress saved) {
-		if (this.current == null && saved.lastEvent() > this.lastEvent) {
+		if (this.current == null && saved.lastEvent() > this.lastEvent && saved.origin().isPresent()) {
 			this.lastEvent = saved.lastEvent();
+			this.origin = saved.origin();
 			this.hasOutput = true;
 			this.output.setLength(0);
 			this.output.append(saved.output());
 		}
 	}
 
+	/**
+	 * Returns the software that wrote the output so far, which alone can continue it.
+	 * @return the origin, or empty if the next run begins with the first event
+	 */
+	Optional<StreamOrigin> origin() {
+		return (this.lastEvent > 0) ? this.origin : Optional.empty();
+	}
+
+	/**
+	 * Returns whether the next run may be at an upstream.
+	 * @param upstream the upstream
+	 * @return false if other software wrote the output so far
+	 */
+	boolean continuedBy(TrackedUpstream upstream) {
+		return origin().isEmpty() || this.origin.get().continuedBy(upstream.descriptor());
+	}
+
+	/**
+	 * Discards the output, so that the next run begins with the first event. Must not be
+	 * called while the item runs.
+	 */
+	void restart() {
+		LOG.info("item_restarted", "job", this.job.id(), "item", this.item.id(), "origin",
+				origin().map(String::valueOf).orElse("none"), "last_event", this.lastEvent);
+		this.lastEvent = 0;
+		this.origin = Optional.empty();
+		this.hasOutput = false;
+		this.output.setLength(0);
+	}
+
 	int serverErrors() {
 		return this.serverErrors;
 	}
@@ -303,6 +338,7 @@
 				return;
 			}
 			keepUnnumbered();
+			ItemRun.this.origin = Optional.of(StreamOrigin.of(this.upstream.descriptor()));
 			ItemRun.this.lastEvent = number;
 			text.ifPresent(this::keep);
 		}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemScheduler.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemScheduler.java
@@ -9,6 +9,7 @@
 import java.util.function.Supplier;
 
 import org.ragworthook.core.log.EventLog;
+import org.ragworthook.gateway.origin.StreamOrigin;
 import org.ragworthook.gateway.route.Configuration;
 import org.ragworthook.gateway.route.Route;
 import org.ragworthook.gateway.upstream.SlotClaimOrder;
@@ -57,22 +58,46 @@
 		if (route.isEmpty()) {
 			return;
 		}
-		String service = route.get().pickService(this.dependencies.random().getAsDouble());
+		String service = service(run, route.get());
 		List<TrackedUpstream> fleet = this.dependencies.upstreams().serving(service);
 		int remaining = remainingStarts.computeIfAbsent(service,
 				(name) -> SlotSharing.maxBatchStarts(fleet, slotClaimOrder.runners().size()));
 		if (remaining <= 0) {
 			return;
 		}
+		if (!fleet.isEmpty() && fleet.stream().noneMatch(run::continuedBy)) {
+			run.restart();
+		}
 		long now = this.dependencies.ticker().nanos();
 		Optional<TrackedUpstream> chosen = this.dependencies.placement()
-			.choose(fleet, Set.of(), (candidate) -> SlotSharing.hasBatchCapacity(candidate, slotClaimOrder, now));
-		remainingStarts.put(service, chosen.isPresent() ? remaining - 1 : 0);
+			.choose(fleet, Set.of(), (candidate) -> run.continuedBy(candidate)
+					&& SlotSharing.hasBatchCapacity(candidate, slotClaimOrder, now));
+		if (chosen.isPresent()) {
+			remainingStarts.put(service, remaining - 1);
+		}
+		else if (run.origin().isEmpty()) {
+			remainingStarts.put(service, 0);
+		}
 		chosen.ifPresent((upstream) -> upstream.recordBatchStart(now));
 		chosen.ifPresent((upstream) -> run.start(upstream, this.dependencies.connections(), this.dependencies.headers(),
 				this.listener));
 	}
 
+	/**
+	 * Returns the service to run an item at: the one that wrote its output so far, if an
+	 * upstream there can continue it.
+	 * @param run the item
+	 * @param route its route
+	 * @return the name of the service
+	 */
+	private String service(ItemRun run, Route route) {
+		return run.origin()
+			.map(StreamOrigin::service)
+			.filter(route::leadsTo)
+			.filter((service) -> this.dependencies.upstreams().serving(service).stream().anyMatch(run::continuedBy))
+			.orElseGet(() -> route.pickService(this.dependencies.random().getAsDouble()));
+	}
+
 	/**
 	 * Preempts items on upstreams whose slots online requests need, those of the lowest
 	 * priority first.
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobDocuments.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobDocuments.java
@@ -14,6 +14,8 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.ragworthook.gateway.origin.StreamOrigin;
+import org.ragworthook.gateway.upstream.SoftwareVersion;
 
 /**
  * Reads and writes the JSON documents in which batch jobs, their results and their
@@ -87,6 +89,9 @@
 			node.put("job", item.jobId());
 			node.put("item", item.itemId());
 			node.put("lastEvent", item.lastEvent());
+			item.origin()
+				.ifPresent((origin) -> node.put("service", origin.service())
+					.put("version", origin.version().label().orElse("")));
 			node.put("output", item.output());
 		}
 		return text(array);
@@ -96,11 +101,17 @@
 		List<ItemProgress> items = new ArrayList<>();
 		for (JsonNode node : require(parse(text), JsonNode::isArray)) {
 			items.add(new ItemProgress(text(node, "job"), text(node, "item"),
-					require(node.path("lastEvent"), JsonNode::isIntegralNumber).longValue(), text(node, "output")));
+					require(node.path("lastEvent"), JsonNode::isIntegralNumber).longValue(), origin(node),
+					text(node, "output")));
 		}
 		return items;
 	}
 
+	private static Optional<StreamOrigin> origin(JsonNode node) {
+		return Optional.ofNullable(node.path("service").textValue())
+			.map((service) -> new StreamOrigin(service, SoftwareVersion.of(text(node, "version"))));
+	}
+
 	private static ArrayNode items(List<JobItem> items) {
 		ArrayNode array = MAPPER.createArrayNode();
 		for (JobItem item : items) {
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/ForwardedResponse.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/ForwardedResponse.java
@@ -7,6 +7,8 @@
 import io.netty.handler.codec.http.HttpResponse;
 import org.ragworthook.gateway.attempt.HeadCheck;
 import org.ragworthook.gateway.event.SseFrameDecoder;
+import org.ragworthook.gateway.origin.StreamOrigin;
+import org.ragworthook.gateway.upstream.UpstreamDescriptor;
 
 /**
  * The response to a caller, as far as it was forwarded. It may consist of parts of
@@ -26,6 +28,9 @@
 
 	private long lastEvent;
 
+	/** The software that began the stream, or empty before the stream has begun. */
+	private Optional<StreamOrigin> origin = Optional.empty();
+
 	/**
 	 * Creates a response of which nothing was forwarded.
 	 * @param caller the response to the caller
@@ -69,6 +74,32 @@
 		return this.lastEvent;
 	}
 
+	/**
+	 * Called when the caller resumes a stream that an earlier request has begun.
+	 * @param begunBy the software that began it
+	 */
+	void resume(StreamOrigin begunBy) {
+		this.origin = Optional.of(begunBy);
+	}
+
+	/**
+	 * Returns whether an upstream may write the next part of the response. What two
+	 * software versions write does not fit together.
+	 * @param upstream the upstream
+	 * @return false if other software began the stream
+	 */
+	boolean continuedBy(UpstreamDescriptor upstream) {
+		return this.origin.isEmpty() || this.origin.get().continuedBy(upstream);
+	}
+
+	/**
+	 * Returns the software that began the stream.
+	 * @return the origin, or empty before the stream has begun
+	 */
+	Optional<StreamOrigin> origin() {
+		return this.origin;
+	}
+
 	/**
 	 * Returns the check of the head of the next attempt's response.
 	 * @return the check
@@ -82,13 +113,17 @@
 	 * head of a continuation is dropped.
 	 * @param head the head
 	 * @param eventStream whether the body is a stream of events
+	 * @param upstream the upstream that sent it
 	 */
-	void head(HttpResponse head, boolean eventStream) {
+	void head(HttpResponse head, boolean eventStream, UpstreamDescriptor upstream) {
 		if (started()) {
 			return;
 		}
 		this.status = head.status().code();
 		this.progress = eventStream ? Progress.EVENTS : Progress.OTHER_BODY;
+		if (this.origin.isEmpty()) {
+			this.origin = Optional.of(StreamOrigin.of(upstream));
+		}
 		this.caller.head(head, eventStream);
 	}
 
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
@@ -2,9 +2,11 @@
 
 import java.time.Duration;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.Set;
 
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -16,11 +18,13 @@
 import org.ragworthook.gateway.dispatch.DispatchClient;
 import org.ragworthook.gateway.http.ResponseEnd;
 import org.ragworthook.gateway.http.SendFailure;
+import org.ragworthook.gateway.origin.StreamOrigin;
 import org.ragworthook.gateway.suspect.PoisonRequestDetector;
 import org.ragworthook.gateway.upstream.Placement;
 import org.ragworthook.gateway.upstream.PrefixAffinity;
 import org.ragworthook.gateway.upstream.SlotSharing;
 import org.ragworthook.gateway.upstream.TrackedUpstream;
+import org.ragworthook.gateway.upstream.UpstreamDescriptor;
 import org.ragworthook.gateway.upstream.WorkClass;
 
 /**
@@ -61,7 +65,7 @@
 
 	private final QuotaReservation quota;
 
-	private final String service;
+	private String service;
 
 	private final RequestClock clock;
 
@@ -113,12 +117,70 @@
 	void start() {
 		Duration left = this.request.deadline().remaining().orElse(this.request.route().timeout());
 		this.deadlineTimer = this.context.timers().schedule(left, this::timedOut);
-		this.request.lastEvent()
-			.ifPresent((event) -> LOG.info("resumed_by_caller", "request", this.request.id(), "last_event", event,
-					"began_as", this.request.resumes().orElse("unstated")));
+		if (this.response.lastEvent() > 0) {
+			resume();
+		}
+		else {
+			place();
+		}
+	}
+
+	/**
+	 * Finds the software that began the stream which the caller resumes, and places the
+	 * request there.
+	 */
+	private void resume() {
+		LOG.info("resumed_by_caller", "request", this.request.id(), "last_event", this.response.lastEvent(), "began_as",
+				this.request.resumes().orElse("unstated"));
+		this.request.resumes()
+			.ifPresentOrElse((began) -> this.context.origins().find(began, this::resumeAt),
+					() -> resumeAt(Optional.empty()));
+	}
+
+	private void resumeAt(Optional<StreamOrigin> origin) {
+		if (this.ended) {
+			return;
+		}
+		if (origin.filter((known) -> this.request.route().leadsTo(known.service())).isEmpty()) {
+			LOG.info("not_continued", "request", this.request.id(), "origin",
+					origin.map(String::valueOf).orElse("unknown"));
+			reject(DEFAULT_RETRY_AFTER);
+			return;
+		}
+		this.service = origin.get().service();
+		this.response.resume(origin.get());
 		place();
 	}
 
+	/**
+	 * Ends a request whose stream no upstream can continue, since all that run the
+	 * software which began it are gone or have failed.
+	 * @return whether the request has ended
+	 */
+	private boolean endedWithoutUpstream() {
+		if (this.response.origin().isEmpty()) {
+			return false;
+		}
+		List<TrackedUpstream> candidates = candidates();
+		if (!this.tried.excluded(candidates).containsAll(candidates)) {
+			return false;
+		}
+		LOG.info("not_continued", "request", this.request.id(), "origin", this.response.origin().get(), "upstreams",
+				candidates.size());
+		reject(DEFAULT_RETRY_AFTER);
+		return true;
+	}
+
+	/**
+	 * Returns the upstreams that may run the request.
+	 * @return those of the service, or only those of the software that began the stream
+	 */
+	private List<TrackedUpstream> candidates() {
+		List<TrackedUpstream> serving = this.context.upstreams().serving(this.service);
+		return this.response.origin().isEmpty() ? serving
+				: serving.stream().filter((upstream) -> this.response.continuedBy(upstream.descriptor())).toList();
+	}
+
 	private void place() {
 		if (this.context.poisonRequests().refused(this.fingerprint)) {
 			LOG.info("quarantined_rejected", "request", this.request.id(), "fingerprint",
@@ -126,7 +188,7 @@
 			reject(QUARANTINED_RETRY_AFTER);
 			return;
 		}
-		if (!this.queues.requestSlot(this.service, this)) {
+		if (!endedWithoutUpstream() && !this.queues.requestSlot(this.service, this)) {
 			placeLocally();
 		}
 	}
@@ -142,7 +204,7 @@
 	 * @return whether the request no longer has to wait
 	 */
 	boolean tryPlace() {
-		if (this.ended) {
+		if (this.ended || endedWithoutUpstream()) {
 			return true;
 		}
 		Optional<TrackedUpstream> choice = choose(this.queues.onlineCapacity());
@@ -152,9 +214,9 @@
 	}
 
 	private Optional<TrackedUpstream> choose(Placement.CapacityCheck capacity) {
-		List<TrackedUpstream> serving = this.context.upstreams().serving(this.service);
+		List<TrackedUpstream> candidates = candidates();
 		return this.context.placement()
-			.choose(serving, this.tried.excluded(serving), capacity, this.request.prefixAffinity(),
+			.choose(candidates, this.tried.excluded(candidates), capacity, this.request.prefixAffinity(),
 					this.context.unreported().estimate());
 	}
 
@@ -196,6 +258,9 @@
 		if (this.response.lastEvent() > 0) {
 			message.headers().set(this.context.headers().lastEventId(), this.response.lastEvent());
 		}
+		else {
+			message.headers().remove(this.context.headers().lastEventId());
+		}
 		return message;
 	}
 
@@ -336,10 +401,15 @@
 
 	/**
 	 * Returns the upstreams that the request must not be sent to.
-	 * @return the excluded ones of those that were tried
+	 * @return the excluded ones of those that were tried, and those that cannot continue
+	 * the stream
 	 */
 	Collection<TrackedUpstream> excluded() {
-		return this.tried.excluded(this.context.upstreams().serving(this.service));
+		List<TrackedUpstream> candidates = candidates();
+		Set<TrackedUpstream> excluded = new HashSet<>(this.context.upstreams().serving(this.service));
+		candidates.forEach(excluded::remove);
+		excluded.addAll(this.tried.excluded(candidates));
+		return excluded;
 	}
 
 	/**
@@ -404,10 +474,14 @@
 		public void head(HttpResponse head) {
 			OnlineExchange exchange = OnlineExchange.this;
 			exchange.recordActivity();
+			UpstreamDescriptor upstream = exchange.attempt.upstream().descriptor();
 			if (!exchange.response.started()) {
 				exchange.clock.firstByte();
 			}
-			exchange.response.head(head, exchange.attempt.eventStream());
+			if (exchange.attempt.eventStream() && exchange.response.origin().isEmpty()) {
+				exchange.context.origins().began(exchange.request.id(), StreamOrigin.of(upstream));
+			}
+			exchange.response.head(head, exchange.attempt.eventStream(), upstream);
 		}
 
 		@Override
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/peer/FleetView.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/peer/FleetView.java
@@ -136,6 +136,19 @@
 		return Stream.concat(live, Stream.of(this.self.instance()).filter((name) -> self)).toList();
 	}
 
+	/**
+	 * Returns the peers whose reports this process receives itself, without those that
+	 * have announced that they leave.
+	 * @return the names of the processes
+	 */
+	public List<String> livePeers() {
+		return this.peers.liveReports()
+			.stream()
+			.filter((report) -> !report.getLeaving())
+			.map(LoadReport::getInstance)
+			.toList();
+	}
+
 	/**
 	 * Returns the newest reports of all peers that may run jobs. A peer that has never
 	 * reported may run jobs; one that has announced that it leaves does not.
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/peer/LoadExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/peer/LoadExchange.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -144,11 +145,23 @@
 	 * @param report the content for this peer alone, to which that for all is added
 	 */
 	public void sendTo(String instance, LoadReport.Builder report) {
-		this.peers.live(instance).ifPresent((peer) -> {
-			this.sequence++;
-			this.channel.write(report(report, loads()).toByteArray(), peer.address());
-			this.channel.flush();
-		});
+		sendTo(List.of(instance), report);
+	}
+
+	/**
+	 * Sends a report to some of the peers at once, to those of them that are live.
+	 * @param instances the names of the peers
+	 * @param report the content for these peers alone, to which that for all is added
+	 */
+	public void sendTo(Collection<String> instances, LoadReport.Builder report) {
+		List<Peer> live = instances.stream().flatMap((instance) -> this.peers.live(instance).stream()).toList();
+		if (live.isEmpty()) {
+			return;
+		}
+		this.sequence++;
+		byte[] bytes = report(report, loads()).toByteArray();
+		live.forEach((peer) -> this.channel.write(bytes, peer.address()));
+		this.channel.flush();
 	}
 
 	/**
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
@@ -237,7 +237,7 @@
 						this.peers.fleet()::liveOtherEntries),
 				connections, this.platform.headers(), this.platform.promptFormat(), this.ticker, this.timers,
 				ThreadLocalRandom.current(), this.suspects, this.metrics, this.peers.dispatchClient(),
-				this.peers.dispatch()::loadChanged, this.peers.exchange()::flush);
+				this.peers.origins(), this.peers.dispatch()::loadChanged, this.peers.exchange()::flush);
 		CallerAccess access = callerAccess();
 		JobReader reader = JobReader.of(this.jobs, this.peers.results(), this.timers);
 		this.peers.results().onUpdate(reader::onResultsReported);
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/PeerReports.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/PeerReports.java
@@ -7,6 +7,7 @@
 import org.ragworthook.core.time.Timers;
 import org.ragworthook.gateway.dispatch.DispatchClient;
 import org.ragworthook.gateway.dispatch.DispatchReports;
+import org.ragworthook.gateway.origin.StreamOriginReports;
 import org.ragworthook.gateway.peer.FleetView;
 import org.ragworthook.gateway.peer.JobChangeReports;
 import org.ragworthook.gateway.peer.LoadExchange;
@@ -23,10 +24,12 @@
  * @param dispatchClient requests slots for online requests of this process
  * @param results the section with published results
  * @param jobChanges the section with jobs that were accepted or ended
+ * @param origins the section with the origins of streams
  * @param pauseDetector detects pauses, after which received reports cannot be trusted
  */
 record PeerReports(LoadExchange exchange, DispatchReports dispatch, DispatchClient dispatchClient,
-		ResultReports results, JobChangeReports jobChanges, PauseDetector pauseDetector) implements AutoCloseable {
+		ResultReports results, JobChangeReports jobChanges, StreamOriginReports origins,
+		PauseDetector pauseDetector) implements AutoCloseable {
 
 	PeerReports {
 		Objects.requireNonNull(exchange, "exchange is null");
@@ -34,6 +37,7 @@
 		Objects.requireNonNull(dispatchClient, "dispatchClient is null");
 		Objects.requireNonNull(results, "results is null");
 		Objects.requireNonNull(jobChanges, "jobChanges is null");
+		Objects.requireNonNull(origins, "origins is null");
 		Objects.requireNonNull(pauseDetector, "pauseDetector is null");
 	}
 
@@ -57,7 +61,7 @@
 		PauseDetector pauseDetector = PauseDetector.start(ticker, timers);
 		return new PeerReports(exchange, dispatch, dispatchClient,
 				ResultReports.attach(exchange, pauseDetector::stable), JobChangeReports.attach(exchange, ticker),
-				pauseDetector);
+				StreamOriginReports.attach(exchange, ticker, timers), pauseDetector);
 	}
 
 	/**
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/route/Route.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/route/Route.java
@@ -87,6 +87,15 @@
 		return this.kind == RouteKind.IDEMPOTENT || (this.kind == RouteKind.STREAM && this.resumable);
 	}
 
+	/**
+	 * Returns whether requests of this route may be sent to a service.
+	 * @param service the name of the service
+	 * @return whether the route names it
+	 */
+	public boolean leadsTo(String service) {
+		return this.services.stream().anyMatch((candidate) -> candidate.service().equals(service));
+	}
+
 	/**
 	 * Picks a service according to the weights.
 	 * @param draw a random number from 0 (inclusive) to 1 (exclusive)
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/job/ItemOrderTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/job/ItemOrderTests.java
@@ -10,6 +10,8 @@
 import java.util.function.BiConsumer;
 
 import org.junit.jupiter.api.Test;
+import org.ragworthook.gateway.origin.StreamOrigin;
+import org.ragworthook.gateway.upstream.SoftwareVersion;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -18,6 +20,8 @@
  */
 class ItemOrderTests {
 
+	private static final StreamOrigin ORIGIN = new StreamOrigin("svc", SoftwareVersion.of("v1"));
+
 	private static final long COMPLETION_TARGET_MILLIS = 18_000;
 
 	private static final long ITEM_MILLIS = 6_000;
@@ -70,9 +74,9 @@
 	void shouldSortItemsWithMostEventsFirst() {
 		this.order.recordCompletion(ITEM_MILLIS, 188);
 		ItemRun half = item("half", 4_000);
-		half.resumeFrom(new ItemProgress("job-half", "half", 94, "x"));
+		half.resumeFrom(new ItemProgress("job-half", "half", 94, Optional.of(ORIGIN), "x"));
 		ItemRun late = item("late", 0);
-		late.resumeFrom(new ItemProgress("job-late", "late", 10, "x"));
+		late.resumeFrom(new ItemProgress("job-late", "late", 10, Optional.of(ORIGIN), "x"));
 		assertThat(sorted(14_000, item("early", 3_000), late, half)).containsExactly("half", "early", "late").inOrder();
 	}
 
@@ -195,7 +199,7 @@
 		private void advance(ItemRun run, long now) {
 			this.startedMillis.putIfAbsent(run, now);
 			long next = run.lastEvent() + ITEM_EVENTS * STEP_MILLIS / ITEM_MILLIS;
-			run.resumeFrom(new ItemProgress(run.job().id(), run.item().id(), next, "x"));
+			run.resumeFrom(new ItemProgress(run.job().id(), run.item().id(), next, Optional.of(ORIGIN), "x"));
 			if (next >= this.events.get(run)) {
 				this.order.recordCompletion(now + STEP_MILLIS - this.startedMillis.get(run), next);
 				this.inTime += (now + STEP_MILLIS <= run.dueMillis()) ? 1 : 0;
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/job/ItemRunTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/job/ItemRunTests.java
@@ -25,6 +25,7 @@
 import org.ragworthook.core.time.Ticker;
 import org.ragworthook.gateway.dialect.HeaderNames;
 import org.ragworthook.gateway.http.ConnectionPool;
+import org.ragworthook.gateway.origin.StreamOrigin;
 import org.ragworthook.gateway.peer.Loopback;
 import org.ragworthook.gateway.upstream.SoftwareVersion;
 import org.ragworthook.gateway.upstream.TrackedUpstream;
@@ -39,6 +40,8 @@
  */
 class ItemRunTests {
 
+	private static final StreamOrigin ORIGIN = new StreamOrigin("svc", SoftwareVersion.of("v1"));
+
 	private static final HeaderNames NAMES = new HeaderNames("X-Request-Id", "X-Deadline-Ms", "X-Prompt-Prefix",
 			"Last-Event-Id", "Resumes", "X-Response-Signature", "X-Expect-Instance", "X-Not-Executed", "X-Wait-Ms",
 			"X-Api-Key", "X-Tenant");
@@ -192,7 +195,7 @@
 	void shouldSaveTheTextUpToTheLastNumberedEvent() throws Exception {
 		this.upstream.reply(STREAM_HEAD + ScriptedUpstream.events(1, 2) + ScriptedUpstream.chunk("data: more\n\n"));
 		assertThat(runOnce()).isEmpty();
-		assertThat(this.run.progress()).hasValue(new ItemProgress("job", "item", 2, text(2)));
+		assertThat(this.run.progress()).hasValue(new ItemProgress("job", "item", 2, Optional.of(ORIGIN), text(2)));
 	}
 
 	/**
@@ -206,7 +209,8 @@
 			.get();
 		Loopback.await(() -> this.loop.submit(this.run::lastEvent).syncUninterruptibly().getNow() == 2);
 		this.loop.submit(this.run::stop).get();
-		this.loop.submit(() -> this.run.resumeFrom(new ItemProgress("job", "item", 3, text(3)))).get();
+		this.loop.submit(() -> this.run.resumeFrom(new ItemProgress("job", "item", 3, Optional.of(ORIGIN), text(3))))
+			.get();
 		this.upstream.reply(STREAM_HEAD + ScriptedUpstream.events(4, EVENTS) + ScriptedUpstream.LAST_CHUNK);
 		assertThat(runOnce()).isEqualTo(completed(text(EVENTS)));
 		assertThat(this.upstream.received().get(1).header("last-event-id")).hasValue("3");
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/job/ProgressSaverTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/job/ProgressSaverTests.java
@@ -23,6 +23,8 @@
 import org.ragworthook.gateway.feed.Change;
 import org.ragworthook.gateway.feed.Changes;
 import org.ragworthook.gateway.feed.Feed;
+import org.ragworthook.gateway.origin.StreamOrigin;
+import org.ragworthook.gateway.upstream.SoftwareVersion;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -31,6 +33,8 @@
  */
 class ProgressSaverTests {
 
+	private static final StreamOrigin ORIGIN = new StreamOrigin("svc", SoftwareVersion.of("v1"));
+
 	private final AtomicLong nanos = new AtomicLong();
 
 	private final MemoryStore store = new MemoryStore();
@@ -62,7 +66,7 @@
 		job.openItems();
 		progress.forEach((id, last) -> {
 			if (last > 0) {
-				job.resumeFrom(new ItemProgress("job", id, last, "text of " + id + last), 1);
+				job.resumeFrom(new ItemProgress("job", id, last, Optional.of(ORIGIN), "text of " + id + last), 1);
 			}
 		});
 		return List.of(job);
@@ -118,7 +122,7 @@
 	void shouldNotTakeTheProgressOfAnotherItem(String jobId, String itemId, String otherJobId, String otherItemId) {
 		ItemRun run = run(jobId, itemId);
 		ProgressSaver.SavedProgress saved = ProgressSaver.SavedProgress
-			.of(List.of(new ItemProgress(otherJobId, otherItemId, 3, "other")));
+			.of(List.of(new ItemProgress(otherJobId, otherItemId, 3, Optional.of(ORIGIN), "other")));
 		assertThat(saved.find(run)).isEqualTo(Optional.empty());
 	}
 
--- a/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReport.java
+++ b/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReport.java
@@ -46,6 +46,9 @@
     changedJobs_ = java.util.Collections.emptyList();
     accountUsages_ = java.util.Collections.emptyList();
     confirmations_ = java.util.Collections.emptyList();
+    streamOrigins_ = java.util.Collections.emptyList();
+    originQueries_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -900,6 +903,120 @@
     return confirmations_.get(index);
   }
 
+  public static final int STREAM_ORIGINS_FIELD_NUMBER = 25;
+  @SuppressWarnings("serial")
+  private java.util.List<org.ragworthook.wire.load.StreamOriginEntry> streamOrigins_;
+  /**
+   * <pre>
+   * for the peer that gets this report
+   * </pre>
+   *
+   * <code>repeated .ragworthook.StreamOriginEntry stream_origins = 25;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.ragworthook.wire.load.StreamOriginEntry> getStreamOriginsList() {
+    return streamOrigins_;
+  }
+  /**
+   * <pre>
+   * for the peer that gets this report
+   * </pre>
+   *
+   * <code>repeated .ragworthook.StreamOriginEntry stream_origins = 25;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.ragworthook.wire.load.StreamOriginEntryOrBuilder> 
+      getStreamOriginsOrBuilderList() {
+    return streamOrigins_;
+  }
+  /**
+   * <pre>
+   * for the peer that gets this report
+   * </pre>
+   *
+   * <code>repeated .ragworthook.StreamOriginEntry stream_origins = 25;</code>
+   */
+  @java.lang.Override
+  public int getStreamOriginsCount() {
+    return streamOrigins_.size();
+  }
+  /**
+   * <pre>
+   * for the peer that gets this report
+   * </pre>
+   *
+   * <code>repeated .ragworthook.StreamOriginEntry stream_origins = 25;</code>
+   */
+  @java.lang.Override
+  public org.ragworthook.wire.load.StreamOriginEntry getStreamOrigins(int index) {
+    return streamOrigins_.get(index);
+  }
+  /**
+   * <pre>
+   * for the peer that gets this report
+   * </pre>
+   *
+   * <code>repeated .ragworthook.StreamOriginEntry stream_origins = 25;</code>
+   */
+  @java.lang.Override
+  public org.ragworthook.wire.load.StreamOriginEntryOrBuilder getStreamOriginsOrBuilder(
+      int index) {
+    return streamOrigins_.get(index);
+  }
+
+  public static final int ORIGIN_QUERIES_FIELD_NUMBER = 26;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList originQueries_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <pre>
+   * ids of requests whose origin the sender asks for
+   * </pre>
+   *
+   * <code>repeated string origin_queries = 26;</code>
+   * @return A list containing the originQueries.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getOriginQueriesList() {
+    return originQueries_;
+  }
+  /**
+   * <pre>
+   * ids of requests whose origin the sender asks for
+   * </pre>
+   *
+   * <code>repeated string origin_queries = 26;</code>
+   * @return The count of originQueries.
+   */
+  public int getOriginQueriesCount() {
+    return originQueries_.size();
+  }
+  /**
+   * <pre>
+   * ids of requests whose origin the sender asks for
+   * </pre>
+   *
+   * <code>repeated string origin_queries = 26;</code>
+   * @param index The index of the element to return.
+   * @return The originQueries at the given index.
+   */
+  public java.lang.String getOriginQueries(int index) {
+    return originQueries_.get(index);
+  }
+  /**
+   * <pre>
+   * ids of requests whose origin the sender asks for
+   * </pre>
+   *
+   * <code>repeated string origin_queries = 26;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the originQueries at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getOriginQueriesBytes(int index) {
+    return originQueries_.getByteString(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -986,6 +1103,12 @@
     for (int i = 0; i < confirmations_.size(); i++) {
       output.writeMessage(24, confirmations_.get(i));
     }
+    for (int i = 0; i < streamOrigins_.size(); i++) {
+      output.writeMessage(25, streamOrigins_.get(i));
+    }
+    for (int i = 0; i < originQueries_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 26, originQueries_.getRaw(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -1133,6 +1256,23 @@
           }
           size += 2 * count;
         }
+
+        {
+          final int count = streamOrigins_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(streamOrigins_.get(i));
+          }
+          size += 2 * count;
+        }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < originQueries_.size(); i++) {
+        dataSize += computeStringSizeNoTag(originQueries_.getRaw(i));
+      }
+      size += dataSize;
+      size += 2 * getOriginQueriesList().size();
+    }
     return size;
   }
   @java.lang.Override
@@ -1208,6 +1348,10 @@
         != other.getConfigurationVersion()) return false;
     if (!getConfirmationsList()
         .equals(other.getConfirmationsList())) return false;
+    if (!getStreamOriginsList()
+        .equals(other.getStreamOriginsList())) return false;
+    if (!getOriginQueriesList()
+        .equals(other.getOriginQueriesList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -1299,6 +1443,14 @@
       hash = (37 * hash) + CONFIRMATIONS_FIELD_NUMBER;
       hash = (53 * hash) + getConfirmationsList().hashCode();
     }
+    if (getStreamOriginsCount() > 0) {
+      hash = (37 * hash) + STREAM_ORIGINS_FIELD_NUMBER;
+      hash = (53 * hash) + getStreamOriginsList().hashCode();
+    }
+    if (getOriginQueriesCount() > 0) {
+      hash = (37 * hash) + ORIGIN_QUERIES_FIELD_NUMBER;
+      hash = (53 * hash) + getOriginQueriesList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1519,6 +1671,15 @@
         confirmationsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00800000);
+      if (streamOriginsBuilder_ == null) {
+        streamOrigins_ = java.util.Collections.emptyList();
+      } else {
+        streamOrigins_ = null;
+        streamOriginsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x01000000);
+      originQueries_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
       return this;
     }
 
@@ -1642,6 +1803,15 @@
       } else {
         result.confirmations_ = confirmationsBuilder_.build();
       }
+      if (streamOriginsBuilder_ == null) {
+        if (((bitField0_ & 0x01000000) != 0)) {
+          streamOrigins_ = java.util.Collections.unmodifiableList(streamOrigins_);
+          bitField0_ = (bitField0_ & ~0x01000000);
+        }
+        result.streamOrigins_ = streamOrigins_;
+      } else {
+        result.streamOrigins_ = streamOriginsBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.ragworthook.wire.load.LoadReport result) {
@@ -1690,6 +1860,10 @@
       if (((from_bitField0_ & 0x00400000) != 0)) {
         result.configurationVersion_ = configurationVersion_;
       }
+      if (((from_bitField0_ & 0x02000000) != 0)) {
+        originQueries_.makeImmutable();
+        result.originQueries_ = originQueries_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -2013,6 +2187,42 @@
           }
         }
       }
+      if (streamOriginsBuilder_ == null) {
+        if (!other.streamOrigins_.isEmpty()) {
+          if (streamOrigins_.isEmpty()) {
+            streamOrigins_ = other.streamOrigins_;
+            bitField0_ = (bitField0_ & ~0x01000000);
+          } else {
+            ensureStreamOriginsIsMutable();
+            streamOrigins_.addAll(other.streamOrigins_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.streamOrigins_.isEmpty()) {
+          if (streamOriginsBuilder_.isEmpty()) {
+            streamOriginsBuilder_.dispose();
+            streamOriginsBuilder_ = null;
+            streamOrigins_ = other.streamOrigins_;
+            bitField0_ = (bitField0_ & ~0x01000000);
+            streamOriginsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetStreamOriginsFieldBuilder() : null;
+          } else {
+            streamOriginsBuilder_.addAllMessages(other.streamOrigins_);
+          }
+        }
+      }
+      if (!other.originQueries_.isEmpty()) {
+        if (originQueries_.isEmpty()) {
+          originQueries_ = other.originQueries_;
+          bitField0_ |= 0x02000000;
+        } else {
+          ensureOriginQueriesIsMutable();
+          originQueries_.addAll(other.originQueries_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -2237,6 +2447,24 @@
               }
               break;
             } // case 194
+            case 202: {
+              org.ragworthook.wire.load.StreamOriginEntry m =
+                  input.readMessage(
+                      org.ragworthook.wire.load.StreamOriginEntry.parser(),
+                      extensionRegistry);
+              if (streamOriginsBuilder_ == null) {
+                ensureStreamOriginsIsMutable();
+                streamOrigins_.add(m);
+              } else {
+                streamOriginsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 202
+            case 210: {
+              ensureOriginQueriesIsMutable();
+              originQueries_.add(input.readStringRequireUtf8());
+              break;
+            } // case 210
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -5760,6 +5988,459 @@
       return confirmationsBuilder_;
     }
 
+    private java.util.List<org.ragworthook.wire.load.StreamOriginEntry> streamOrigins_ =
+      java.util.Collections.emptyList();
+    private void ensureStreamOriginsIsMutable() {
+      if (!((bitField0_ & 0x01000000) != 0)) {
+        streamOrigins_ = new java.util.ArrayList<org.ragworthook.wire.load.StreamOriginEntry>(streamOrigins_);
+        bitField0_ |= 0x01000000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.ragworthook.wire.load.StreamOriginEntry, org.ragworthook.wire.load.StreamOriginEntry.Builder, org.ragworthook.wire.load.StreamOriginEntryOrBuilder> streamOriginsBuilder_;
+
+    /**
+     * <pre>
+     * for the peer that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.StreamOriginEntry stream_origins = 25;</code>
+     */
+    public java.util.List<org.ragworthook.wire.load.StreamOriginEntry> getStreamOriginsList() {
+      if (streamOriginsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(streamOrigins_);
+      } else {
+        return streamOriginsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * for the peer that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.StreamOriginEntry stream_origins = 25;</code>
+     */
+    public int getStreamOriginsCount() {
+      if (streamOriginsBuilder_ == null) {
+        return streamOrigins_.size();
+      } else {
+        return streamOriginsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * for the peer that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.StreamOriginEntry stream_origins = 25;</code>
+     */
+    public org.ragworthook.wire.load.StreamOriginEntry getStreamOrigins(int index) {
+      if (streamOriginsBuilder_ == null) {
+        return streamOrigins_.get(index);
+      } else {
+        return streamOriginsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * for the peer that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.StreamOriginEntry stream_origins = 25;</code>
+     */
+    public Builder setStreamOrigins(
+        int index, org.ragworthook.wire.load.StreamOriginEntry value) {
+      if (streamOriginsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureStreamOriginsIsMutable();
+        streamOrigins_.set(index, value);
+        onChanged();
+      } else {
+        streamOriginsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * for the peer that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.StreamOriginEntry stream_origins = 25;</code>
+     */
+    public Builder setStreamOrigins(
+        int index, org.ragworthook.wire.load.StreamOriginEntry.Builder builderForValue) {
+      if (streamOriginsBuilder_ == null) {
+        ensureStreamOriginsIsMutable();
+        streamOrigins_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        streamOriginsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * for the peer that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.StreamOriginEntry stream_origins = 25;</code>
+     */
+    public Builder addStreamOrigins(org.ragworthook.wire.load.StreamOriginEntry value) {
+      if (streamOriginsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureStreamOriginsIsMutable();
+        streamOrigins_.add(value);
+        onChanged();
+      } else {
+        streamOriginsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * for the peer that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.StreamOriginEntry stream_origins = 25;</code>
+     */
+    public Builder addStreamOrigins(
+        int index, org.ragworthook.wire.load.StreamOriginEntry value) {
+      if (streamOriginsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureStreamOriginsIsMutable();
+        streamOrigins_.add(index, value);
+        onChanged();
+      } else {
+        streamOriginsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * for the peer that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.StreamOriginEntry stream_origins = 25;</code>
+     */
+    public Builder addStreamOrigins(
+        org.ragworthook.wire.load.StreamOriginEntry.Builder builderForValue) {
+      if (streamOriginsBuilder_ == null) {
+        ensureStreamOriginsIsMutable();
+        streamOrigins_.add(builderForValue.build());
+        onChanged();
+      } else {
+        streamOriginsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * for the peer that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.StreamOriginEntry stream_origins = 25;</code>
+     */
+    public Builder addStreamOrigins(
+        int index, org.ragworthook.wire.load.StreamOriginEntry.Builder builderForValue) {
+      if (streamOriginsBuilder_ == null) {
+        ensureStreamOriginsIsMutable();
+        streamOrigins_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        streamOriginsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * for the peer that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.StreamOriginEntry stream_origins = 25;</code>
+     */
+    public Builder addAllStreamOrigins(
+        java.lang.Iterable<? extends org.ragworthook.wire.load.StreamOriginEntry> values) {
+      if (streamOriginsBuilder_ == null) {
+        ensureStreamOriginsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, streamOrigins_);
+        onChanged();
+      } else {
+        streamOriginsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * for the peer that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.StreamOriginEntry stream_origins = 25;</code>
+     */
+    public Builder clearStreamOrigins() {
+      if (streamOriginsBuilder_ == null) {
+        streamOrigins_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x01000000);
+        onChanged();
+      } else {
+        streamOriginsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * for the peer that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.StreamOriginEntry stream_origins = 25;</code>
+     */
+    public Builder removeStreamOrigins(int index) {
+      if (streamOriginsBuilder_ == null) {
+        ensureStreamOriginsIsMutable();
+        streamOrigins_.remove(index);
+        onChanged();
+      } else {
+        streamOriginsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * for the peer that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.StreamOriginEntry stream_origins = 25;</code>
+     */
+    public org.ragworthook.wire.load.StreamOriginEntry.Builder getStreamOriginsBuilder(
+        int index) {
+      return internalGetStreamOriginsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * for the peer that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.StreamOriginEntry stream_origins = 25;</code>
+     */
+    public org.ragworthook.wire.load.StreamOriginEntryOrBuilder getStreamOriginsOrBuilder(
+        int index) {
+      if (streamOriginsBuilder_ == null) {
+        return streamOrigins_.get(index);  } else {
+        return streamOriginsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * for the peer that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.StreamOriginEntry stream_origins = 25;</code>
+     */
+    public java.util.List<? extends org.ragworthook.wire.load.StreamOriginEntryOrBuilder> 
+         getStreamOriginsOrBuilderList() {
+      if (streamOriginsBuilder_ != null) {
+        return streamOriginsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(streamOrigins_);
+      }
+    }
+    /**
+     * <pre>
+     * for the peer that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.StreamOriginEntry stream_origins = 25;</code>
+     */
+    public org.ragworthook.wire.load.StreamOriginEntry.Builder addStreamOriginsBuilder() {
+      return internalGetStreamOriginsFieldBuilder().addBuilder(
+          org.ragworthook.wire.load.StreamOriginEntry.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * for the peer that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.StreamOriginEntry stream_origins = 25;</code>
+     */
+    public org.ragworthook.wire.load.StreamOriginEntry.Builder addStreamOriginsBuilder(
+        int index) {
+      return internalGetStreamOriginsFieldBuilder().addBuilder(
+          index, org.ragworthook.wire.load.StreamOriginEntry.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * for the peer that gets this report
+     * </pre>
+     *
+     * <code>repeated .ragworthook.StreamOriginEntry stream_origins = 25;</code>
+     */
+    public java.util.List<org.ragworthook.wire.load.StreamOriginEntry.Builder> 
+         getStreamOriginsBuilderList() {
+      return internalGetStreamOriginsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.ragworthook.wire.load.StreamOriginEntry, org.ragworthook.wire.load.StreamOriginEntry.Builder, org.ragworthook.wire.load.StreamOriginEntryOrBuilder> 
+        internalGetStreamOriginsFieldBuilder() {
+      if (streamOriginsBuilder_ == null) {
+        streamOriginsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.ragworthook.wire.load.StreamOriginEntry, org.ragworthook.wire.load.StreamOriginEntry.Builder, org.ragworthook.wire.load.StreamOriginEntryOrBuilder>(
+                streamOrigins_,
+                ((bitField0_ & 0x01000000) != 0),
+                getParentForChildren(),
+                isClean());
+        streamOrigins_ = null;
+      }
+      return streamOriginsBuilder_;
+    }
+
+    private com.google.protobuf.LazyStringArrayList originQueries_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureOriginQueriesIsMutable() {
+      if (!originQueries_.isModifiable()) {
+        originQueries_ = new com.google.protobuf.LazyStringArrayList(originQueries_);
+      }
+      bitField0_ |= 0x02000000;
+    }
+    /**
+     * <pre>
+     * ids of requests whose origin the sender asks for
+     * </pre>
+     *
+     * <code>repeated string origin_queries = 26;</code>
+     * @return A list containing the originQueries.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getOriginQueriesList() {
+      originQueries_.makeImmutable();
+      return originQueries_;
+    }
+    /**
+     * <pre>
+     * ids of requests whose origin the sender asks for
+     * </pre>
+     *
+     * <code>repeated string origin_queries = 26;</code>
+     * @return The count of originQueries.
+     */
+    public int getOriginQueriesCount() {
+      return originQueries_.size();
+    }
+    /**
+     * <pre>
+     * ids of requests whose origin the sender asks for
+     * </pre>
+     *
+     * <code>repeated string origin_queries = 26;</code>
+     * @param index The index of the element to return.
+     * @return The originQueries at the given index.
+     */
+    public java.lang.String getOriginQueries(int index) {
+      return originQueries_.get(index);
+    }
+    /**
+     * <pre>
+     * ids of requests whose origin the sender asks for
+     * </pre>
+     *
+     * <code>repeated string origin_queries = 26;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the originQueries at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getOriginQueriesBytes(int index) {
+      return originQueries_.getByteString(index);
+    }
+    /**
+     * <pre>
+     * ids of requests whose origin the sender asks for
+     * </pre>
+     *
+     * <code>repeated string origin_queries = 26;</code>
+     * @param index The index to set the value at.
+     * @param value The originQueries to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOriginQueries(
+        int index, java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      ensureOriginQueriesIsMutable();
+      originQueries_.set(index, value);
+      bitField0_ |= 0x02000000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * ids of requests whose origin the sender asks for
+     * </pre>
+     *
+     * <code>repeated string origin_queries = 26;</code>
+     * @param value The originQueries to add.
+     * @return This builder for chaining.
+     */
+    public Builder addOriginQueries(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      ensureOriginQueriesIsMutable();
+      originQueries_.add(value);
+      bitField0_ |= 0x02000000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * ids of requests whose origin the sender asks for
+     * </pre>
+     *
+     * <code>repeated string origin_queries = 26;</code>
+     * @param values The originQueries to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllOriginQueries(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureOriginQueriesIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, originQueries_);
+      bitField0_ |= 0x02000000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * ids of requests whose origin the sender asks for
+     * </pre>
+     *
+     * <code>repeated string origin_queries = 26;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearOriginQueries() {
+      originQueries_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x02000000);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * ids of requests whose origin the sender asks for
+     * </pre>
+     *
+     * <code>repeated string origin_queries = 26;</code>
+     * @param value The bytes of the originQueries to add.
+     * @return This builder for chaining.
+     */
+    public Builder addOriginQueriesBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      ensureOriginQueriesIsMutable();
+      originQueries_.add(value);
+      bitField0_ |= 0x02000000;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:ragworthook.LoadReport)
   }
 
--- a/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReportOrBuilder.java
+++ b/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReportOrBuilder.java
@@ -533,4 +533,89 @@
    */
   org.ragworthook.wire.load.ConfirmationOrBuilder getConfirmationsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * for the peer that gets this report
+   * </pre>
+   *
+   * <code>repeated .ragworthook.StreamOriginEntry stream_origins = 25;</code>
+   */
+  java.util.List<org.ragworthook.wire.load.StreamOriginEntry> 
+      getStreamOriginsList();
+  /**
+   * <pre>
+   * for the peer that gets this report
+   * </pre>
+   *
+   * <code>repeated .ragworthook.StreamOriginEntry stream_origins = 25;</code>
+   */
+  org.ragworthook.wire.load.StreamOriginEntry getStreamOrigins(int index);
+  /**
+   * <pre>
+   * for the peer that gets this report
+   * </pre>
+   *
+   * <code>repeated .ragworthook.StreamOriginEntry stream_origins = 25;</code>
+   */
+  int getStreamOriginsCount();
+  /**
+   * <pre>
+   * for the peer that gets this report
+   * </pre>
+   *
+   * <code>repeated .ragworthook.StreamOriginEntry stream_origins = 25;</code>
+   */
+  java.util.List<? extends org.ragworthook.wire.load.StreamOriginEntryOrBuilder> 
+      getStreamOriginsOrBuilderList();
+  /**
+   * <pre>
+   * for the peer that gets this report
+   * </pre>
+   *
+   * <code>repeated .ragworthook.StreamOriginEntry stream_origins = 25;</code>
+   */
+  org.ragworthook.wire.load.StreamOriginEntryOrBuilder getStreamOriginsOrBuilder(
+      int index);
+
+  /**
+   * <pre>
+   * ids of requests whose origin the sender asks for
+   * </pre>
+   *
+   * <code>repeated string origin_queries = 26;</code>
+   * @return A list containing the originQueries.
+   */
+  java.util.List<java.lang.String>
+      getOriginQueriesList();
+  /**
+   * <pre>
+   * ids of requests whose origin the sender asks for
+   * </pre>
+   *
+   * <code>repeated string origin_queries = 26;</code>
+   * @return The count of originQueries.
+   */
+  int getOriginQueriesCount();
+  /**
+   * <pre>
+   * ids of requests whose origin the sender asks for
+   * </pre>
+   *
+   * <code>repeated string origin_queries = 26;</code>
+   * @param index The index of the element to return.
+   * @return The originQueries at the given index.
+   */
+  java.lang.String getOriginQueries(int index);
+  /**
+   * <pre>
+   * ids of requests whose origin the sender asks for
+   * </pre>
+   *
+   * <code>repeated string origin_queries = 26;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the originQueries at the given index.
+   */
+  com.google.protobuf.ByteString
+      getOriginQueriesBytes(int index);
 }
