Tell the caller why its stream is not continued

A caller whose stream no upstream may continue was told that no upstream had room. The 503 now says whether the version that began the stream is unknown or has no upstream left.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
@@ -144,7 +144,7 @@
 		if (origin.filter((known) -> this.request.route().leadsTo(known.service())).isEmpty()) {
 			LOG.info("not_continued", "request", this.request.id(), "origin",
 					origin.map(String::valueOf).orElse("unknown"));
-			reject(DEFAULT_RETRY_AFTER);
+			reject(DEFAULT_RETRY_AFTER, "it is not known which software version began the stream");
 			return;
 		}
 		this.service = origin.get().service();
@@ -167,7 +167,7 @@
 		}
 		LOG.info("not_continued", "request", this.request.id(), "origin", this.response.origin().get(), "upstreams",
 				candidates.size());
-		reject(DEFAULT_RETRY_AFTER);
+		reject(DEFAULT_RETRY_AFTER, "no upstream of the software version that began the stream is left");
 		return true;
 	}
 
@@ -326,6 +326,10 @@
 	 * @param retryAfter the time after which the caller may retry
 	 */
 	void reject(Duration retryAfter) {
+		reject(retryAfter, "no upstream has room");
+	}
+
+	private void reject(Duration retryAfter, String reason) {
 		if (this.ended) {
 			return;
 		}
@@ -334,7 +338,7 @@
 			return;
 		}
 		finish("refused", UNAVAILABLE);
-		this.response.reject(UNAVAILABLE, "not run: no upstream has room", retryAfter);
+		this.response.reject(UNAVAILABLE, "not run: " + reason, retryAfter);
 	}
 
 	private void timedOut() {
