Log the parts of a prompt with each failed attempt

Requests with one part in common kept crashing upstreams (BUDGET). The log named request and upstream of each lost connection, but not what the requests had in common. attempt_failed now lists the ids of the parts.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/Frontend.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/Frontend.java
@@ -1,6 +1,7 @@
 package org.ragworthook.gateway.online;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
@@ -24,6 +25,7 @@
 import org.ragworthook.gateway.route.Route;
 import org.ragworthook.gateway.route.RouteKind;
 import org.ragworthook.gateway.upstream.PrefixAffinity;
+import org.ragworthook.gateway.upstream.PromptSegment;
 
 /**
  * The HTTP server for callers. Reads each request completely, finds its route and passes
@@ -340,18 +342,20 @@
 		Duration left = allowed.minusNanos(this.context.ticker().nanos() - incoming.arrivalNanos);
 		Optional<Long> lastEvent = Optional.ofNullable(request.getHeader(this.context.headers().lastEventId()))
 			.flatMap(Frontend::number);
+		List<PromptSegment> prompt = prompt(request);
 		OnlineRequest online = new OnlineRequest(id, request.method().name(), request.uri(), headers, body, route,
 				configuration.version(), Deadline.after(this.context.ticker(), left), lastEvent,
-				Optional.ofNullable(request.getHeader(this.context.headers().resumes())), prefixAffinity(request));
+				Optional.ofNullable(request.getHeader(this.context.headers().resumes())), prompt,
+				PrefixAffinity.of(prompt));
 		OnlineExchange exchange = new OnlineExchange(this.context, online, response, this.queues, quota.get());
 		incoming.lifecycle.exchange = exchange;
 		exchange.start();
 	}
 
-	private PrefixAffinity prefixAffinity(HttpServerRequest request) {
+	private List<PromptSegment> prompt(HttpServerRequest request) {
 		return Optional.ofNullable(request.getHeader(this.context.headers().promptParts()))
-			.map((parts) -> PrefixAffinity.of(this.context.promptFormat().parse(parts)))
-			.orElse(PrefixAffinity.none());
+			.map(this.context.promptFormat()::parse)
+			.orElse(List.of());
 	}
 
 	private static Optional<Long> number(String text) {
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
@@ -22,6 +22,7 @@
 import org.ragworthook.gateway.suspect.PoisonRequestDetector;
 import org.ragworthook.gateway.upstream.Placement;
 import org.ragworthook.gateway.upstream.PrefixAffinity;
+import org.ragworthook.gateway.upstream.PromptSegment;
 import org.ragworthook.gateway.upstream.SlotSharing;
 import org.ragworthook.gateway.upstream.TrackedUpstream;
 import org.ragworthook.gateway.upstream.UpstreamDescriptor;
@@ -540,7 +541,8 @@
 				exchange.context.poisonRequests().recordConnectionLoss(exchange.fingerprint);
 			}
 			LOG.info("attempt_failed", "request", exchange.request.id(), "upstream", failing, "failure", failure,
-					"sends", exchange.attempts, "last_event", exchange.response.lastEvent());
+					"sends", exchange.attempts, "last_event", exchange.response.lastEvent(), "prompt",
+					String.join(",", exchange.request.prompt().stream().map(PromptSegment::id).toList()));
 			exchange.context.metrics().attemptFailed(failure.name().toLowerCase(Locale.ROOT));
 			exchange.queues.upstreamFailed(failing, failure);
 			follow(RetryPolicy.afterFailure(exchange.request.route(), exchange.attempts, exchange.response.progress(),
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineRequest.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineRequest.java
@@ -1,5 +1,6 @@
 package org.ragworthook.gateway.online;
 
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 
@@ -7,6 +8,7 @@
 import org.ragworthook.core.retry.Deadline;
 import org.ragworthook.gateway.route.Route;
 import org.ragworthook.gateway.upstream.PrefixAffinity;
+import org.ragworthook.gateway.upstream.PromptSegment;
 
 /**
  * A request of a caller that has been read completely.
@@ -22,11 +24,12 @@
  * @param lastEvent the id of the last event that the caller has, if it resumes a stream
  * @param resumes the id of the request that brought the first event of that stream, if
  * the caller states it
+ * @param prompt the parts of the prompt in order; empty if the caller states none
  * @param prefixAffinity the upstreams that are likely to have parts of the prompt cached
  */
 record OnlineRequest(String id, String method, String uri, HttpHeaders headers, byte[] body, Route route,
 		long configurationVersion, Deadline deadline, Optional<Long> lastEvent, Optional<String> resumes,
-		PrefixAffinity prefixAffinity) {
+		List<PromptSegment> prompt, PrefixAffinity prefixAffinity) {
 
 	OnlineRequest {
 		Objects.requireNonNull(id, "id is null");
@@ -38,6 +41,7 @@
 		Objects.requireNonNull(deadline, "deadline is null");
 		Objects.requireNonNull(lastEvent, "lastEvent is null");
 		Objects.requireNonNull(resumes, "resumes is null");
+		prompt = List.copyOf(prompt);
 		Objects.requireNonNull(prefixAffinity, "prefixAffinity is null");
 	}
 
