--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
@@ -325,6 +325,7 @@
 
 		@Override
 		public void data(byte[] data) {
+			this.listener.received(this.upstream);
 			if (!this.eventStream) {
 				return;
 			}
@@ -368,6 +369,9 @@
 					this.statusCode, "end", end.label(), "stream", this.eventStream, "first_event",
 					this.resumedAfter + 1, "last_event", run.lastEvent, "server_errors", run.serverErrors);
 			if (this.statusCode == OK) {
+				if (end != ResponseEnd.CONNECTION_CLOSED) {
+					this.listener.succeeded(run);
+				}
 				keepUnnumbered();
 				this.listener.ended(run, Optional.of(new ItemOutcome(run.item.id(), true, run.output.toString())));
 			}
@@ -408,7 +412,7 @@
 			LOG.info("item_broke_off", "job", run.job.id(), "item", run.item.id(), "upstream", this.upstream, "failure",
 					failure, "status", this.statusCode, "stream", this.eventStream, "first_event",
 					this.resumedAfter + 1, "last_event", run.lastEvent, "unnumbered", this.unnumbered.length());
-			this.listener.failed(this.upstream);
+			this.listener.failed(run, this.upstream, failure);
 			run.current = null;
 			boolean ranWithoutProgress = failure != SendFailure.NOT_SENT && run.lastEvent == this.resumedAfter;
 			run.runsWithoutProgress = ranWithoutProgress ? run.runsWithoutProgress + 1 : 0;
@@ -446,9 +450,24 @@
 
 		/**
 		 * Called when an upstream interrupted a run or could not be reached.
+		 * @param run the item
+		 * @param upstream the upstream
+		 * @param failure how the run failed
+		 */
+		void failed(ItemRun run, TrackedUpstream upstream, SendFailure failure);
+
+		/**
+		 * Called when a run has ended with a response that the upstream has marked as
+		 * complete.
+		 * @param run the item
+		 */
+		void succeeded(ItemRun run);
+
+		/**
+		 * Called when an upstream has sent a part of its response.
 		 * @param upstream the upstream
 		 */
-		void failed(TrackedUpstream upstream);
+		void received(TrackedUpstream upstream);
 
 		/**
 		 * Returns the ticker's reading at the end of a delay that starts now.
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobItem.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobItem.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 
 /**
  * A request of a batch job.
@@ -24,4 +25,17 @@
 		headers = Map.copyOf(headers);
 	}
 
+	/**
+	 * Returns the value of a header.
+	 * @param name the name of the header, in any case
+	 * @return the value, or empty if the item does not have the header
+	 */
+	public Optional<String> header(String name) {
+		return this.headers.entrySet()
+			.stream()
+			.filter((header) -> header.getKey().equalsIgnoreCase(name))
+			.map(Map.Entry::getValue)
+			.findFirst();
+	}
+
 }
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.Executor;
 import java.util.function.BooleanSupplier;
 import java.util.function.DoubleSupplier;
+import java.util.function.Function;
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 
@@ -21,10 +22,12 @@
 import org.ragworthook.core.time.Timers;
 import org.ragworthook.gateway.dialect.HeaderNames;
 import org.ragworthook.gateway.http.ConnectionPool;
+import org.ragworthook.gateway.http.SendFailure;
 import org.ragworthook.gateway.metrics.GatewayMetrics;
 import org.ragworthook.gateway.route.ActiveConfiguration;
 import org.ragworthook.gateway.route.Configuration;
 import org.ragworthook.gateway.route.Route;
+import org.ragworthook.gateway.suspect.PoisonPartDetector;
 import org.ragworthook.gateway.upstream.Placement;
 import org.ragworthook.gateway.upstream.SlotClaimOrder;
 import org.ragworthook.gateway.upstream.TrackedUpstream;
@@ -263,10 +266,18 @@
 			giveUpItems(job);
 			this.publisher.publishIfDue(job);
 			long now = this.dependencies.ticker().nanos();
-			job.runs().stream().filter((run) -> run.mayStart(now)).forEach(ready::add);
+			job.runs().stream().filter((run) -> run.mayStart(now) && !poison(run)).forEach(ready::add);
 		}
 	}
 
+	private boolean poison(ItemRun run) {
+		return this.dependencies.poisonParts().refused(sharedParts(run));
+	}
+
+	private List<Long> sharedParts(ItemRun run) {
+		return this.dependencies.sharedParts().apply(run.item());
+	}
+
 	private void markDone(OwnedJob job) {
 		job.phase(OwnedJob.Phase.DONE);
 		job.stopRuns();
@@ -328,12 +339,25 @@
 		}
 
 		@Override
-		public void failed(TrackedUpstream upstream) {
+		public void failed(ItemRun run, TrackedUpstream upstream, SendFailure failure) {
+			if (failure == SendFailure.BROKEN || failure == SendFailure.MALFORMED) {
+				JobRunner.this.dependencies.poisonParts().recordConnectionLoss(sharedParts(run), upstream.key());
+			}
 			if (upstream.recordFailure() > 1) {
 				upstream.avoidUntil(nanosAfter(FAILURE_COOLDOWN));
 			}
 		}
 
+		@Override
+		public void succeeded(ItemRun run) {
+			JobRunner.this.dependencies.poisonParts().recordSuccess(sharedParts(run));
+		}
+
+		@Override
+		public void received(TrackedUpstream upstream) {
+			upstream.recordActivity(nanosAfter(Duration.ZERO));
+		}
+
 		@Override
 		public long nanosAfter(Duration delay) {
 			return JobRunner.this.dependencies.ticker().nanos() + delay.toNanos();
@@ -369,13 +393,17 @@
 	 * process hears from
 	 * @param sendReport sends the peers a report at once, with the current published
 	 * results
+	 * @param poisonParts detects the parts of prompts that crash upstreams
+	 * @param sharedParts gives the parts of an item's prompt that other requests can have
+	 * as well
 	 */
 	public record Dependencies(JobStore store, ProgressStore progress, JobOwners owners,
 			BooleanSupplier membershipSettled, Supplier<SlotClaimOrder> slotClaimOrder,
 			ActiveConfiguration configuration, UpstreamRegistry upstreams, Placement placement,
 			ConnectionPool connections, HeaderNames headers, Ticker ticker, Supplier<Long> wallMillis, Timers timers,
 			DoubleSupplier random, Executor loop, GatewayMetrics metrics, Duration maxQueueTime, IntSupplier pauseCount,
-			Supplier<Set<String>> liveRunners, Runnable sendReport) {
+			Supplier<Set<String>> liveRunners, Runnable sendReport, PoisonPartDetector poisonParts,
+			Function<JobItem, List<Long>> sharedParts) {
 	}
 
 }
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineContext.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineContext.java
@@ -12,6 +12,7 @@
 import org.ragworthook.gateway.metrics.GatewayMetrics;
 import org.ragworthook.gateway.origin.StreamOriginReports;
 import org.ragworthook.gateway.route.ActiveConfiguration;
+import org.ragworthook.gateway.suspect.PoisonPartDetector;
 import org.ragworthook.gateway.suspect.PoisonRequestDetector;
 import org.ragworthook.gateway.upstream.Placement;
 import org.ragworthook.gateway.upstream.UnreportedPlacements;
@@ -32,6 +33,7 @@
  * @param timers runs tasks later, on the event loop of the connections
  * @param random draws the service of a route by weight
  * @param poisonRequests detects the requests that crash upstreams
+ * @param poisonParts detects the parts of prompts that crash upstreams
  * @param metrics counts requests and failed attempts
  * @param dispatch requests slots from the dispatcher while they are scarce
  * @param origins finds the software that began a stream
@@ -41,8 +43,8 @@
 public record OnlineContext(ActiveConfiguration configuration, UpstreamRegistry upstreams, Placement placement,
 		UnreportedPlacements unreported, ConnectionPool connections, HeaderNames headers, PromptFormat promptFormat,
 		Ticker ticker, Timers timers, RandomGenerator random, PoisonRequestDetector poisonRequests,
-		GatewayMetrics metrics, DispatchClient dispatch, StreamOriginReports origins, Runnable loadChanged,
-		Runnable flushLoadReport) {
+		PoisonPartDetector poisonParts, GatewayMetrics metrics, DispatchClient dispatch, StreamOriginReports origins,
+		Runnable loadChanged, Runnable flushLoadReport) {
 
 	/**
 	 * Checks that no component is null.
@@ -59,6 +61,7 @@
 		Objects.requireNonNull(timers, "timers is null");
 		Objects.requireNonNull(random, "random is null");
 		Objects.requireNonNull(poisonRequests, "poisonRequests is null");
+		Objects.requireNonNull(poisonParts, "poisonParts is null");
 		Objects.requireNonNull(metrics, "metrics is null");
 		Objects.requireNonNull(dispatch, "dispatch is null");
 		Objects.requireNonNull(origins, "origins is null");
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
@@ -19,6 +19,7 @@
 import org.ragworthook.gateway.http.ResponseEnd;
 import org.ragworthook.gateway.http.SendFailure;
 import org.ragworthook.gateway.origin.StreamOrigin;
+import org.ragworthook.gateway.suspect.PoisonPartDetector;
 import org.ragworthook.gateway.suspect.PoisonRequestDetector;
 import org.ragworthook.gateway.upstream.Placement;
 import org.ragworthook.gateway.upstream.PrefixAffinity;
@@ -72,6 +73,9 @@
 
 	private final long fingerprint;
 
+	/** The parts of the prompt that other requests can have as well. */
+	private final List<Long> sharedParts;
+
 	private final TriedUpstreams tried = new TriedUpstreams();
 
 	private final SlotRequest slotRequest = new SlotRequest();
@@ -109,6 +113,7 @@
 		this.quota = quota;
 		this.service = request.route().pickService(context.random().nextDouble());
 		this.clock = new RequestClock(context.ticker());
+		this.sharedParts = PoisonPartDetector.sharedParts(request.prompt());
 		this.fingerprint = PoisonRequestDetector.fingerprint(request.route().host(), request.uri(), request.body());
 	}
 
@@ -183,17 +188,30 @@
 	}
 
 	private void place() {
-		if (this.context.poisonRequests().refused(this.fingerprint)) {
-			LOG.info("quarantined_rejected", "request", this.request.id(), "fingerprint",
-					Long.toHexString(this.fingerprint), "sends", this.attempts);
-			reject(QUARANTINED_RETRY_AFTER);
-			return;
-		}
-		if (!endedWithoutUpstream() && !this.queues.requestSlot(this.service, this)) {
+		if (!endedBeforePlacement() && !this.queues.requestSlot(this.service, this)) {
 			placeLocally();
 		}
 	}
 
+	/**
+	 * Ends a request that must not be sent to any upstream.
+	 * @return whether the request has ended
+	 */
+	private boolean endedBeforePlacement() {
+		return this.ended || endedAsPoison() || endedWithoutUpstream();
+	}
+
+	private boolean endedAsPoison() {
+		boolean poisonPart = this.context.poisonParts().refused(this.sharedParts);
+		if (!poisonPart && !this.context.poisonRequests().refused(this.fingerprint)) {
+			return false;
+		}
+		LOG.info("quarantined_rejected", "request", this.request.id(), "fingerprint",
+				Long.toHexString(this.fingerprint), "poison_part", poisonPart, "sends", this.attempts);
+		reject(QUARANTINED_RETRY_AFTER, "requests like this one crash upstreams");
+		return true;
+	}
+
 	private void placeLocally() {
 		if (!tryPlace()) {
 			this.queues.enqueue(this.service, this);
@@ -205,7 +223,7 @@
 	 * @return whether the request no longer has to wait
 	 */
 	boolean tryPlace() {
-		if (this.ended || endedWithoutUpstream()) {
+		if (endedBeforePlacement()) {
 			return true;
 		}
 		Optional<TrackedUpstream> choice = choose(this.queues.onlineCapacity());
@@ -296,6 +314,9 @@
 	 * @param stalledUpstream the upstream that the request is moved from
 	 */
 	private void move(TrackedUpstream stalledUpstream) {
+		if (this.context.poisonParts().refused(this.sharedParts)) {
+			return;
+		}
 		long now = this.context.ticker().nanos();
 		Optional<TrackedUpstream> other = choose((candidate) -> candidate != stalledUpstream
 				&& SlotSharing.hasFreeSlot(candidate) && !candidate.avoided(now));
@@ -447,7 +468,7 @@
 		@Override
 		public void granted(int upstreamKey, boolean yields) {
 			OnlineExchange exchange = OnlineExchange.this;
-			if (exchange.ended) {
+			if (exchange.endedBeforePlacement()) {
 				return;
 			}
 			Optional<TrackedUpstream> upstream = exchange.context.upstreams()
@@ -506,6 +527,9 @@
 			OnlineExchange exchange = OnlineExchange.this;
 			exchange.attempts++;
 			logAttemptEnd(end.label());
+			if (end != ResponseEnd.CONNECTION_CLOSED && exchange.attempt.status() / 100 == 2) {
+				exchange.context.poisonParts().recordSuccess(exchange.sharedParts);
+			}
 			exchange.finish("answered", exchange.response.status());
 			exchange.response.complete();
 		}
@@ -539,6 +563,7 @@
 			}
 			if (failure == SendFailure.BROKEN || failure == SendFailure.MALFORMED) {
 				exchange.context.poisonRequests().recordConnectionLoss(exchange.fingerprint);
+				exchange.context.poisonParts().recordConnectionLoss(exchange.sharedParts, failing.key());
 			}
 			LOG.info("attempt_failed", "request", exchange.request.id(), "upstream", failing, "failure", failure,
 					"sends", exchange.attempts, "last_event", exchange.response.lastEvent(), "prompt",
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
@@ -37,6 +37,7 @@
 import org.ragworthook.gateway.feed.UpstreamFeedListener;
 import org.ragworthook.gateway.http.ConnectionPool;
 import org.ragworthook.gateway.job.Job;
+import org.ragworthook.gateway.job.JobItem;
 import org.ragworthook.gateway.job.JobOwners;
 import org.ragworthook.gateway.job.JobReader;
 import org.ragworthook.gateway.job.JobRunner;
@@ -55,6 +56,8 @@
 import org.ragworthook.gateway.peer.RendezvousOwners;
 import org.ragworthook.gateway.route.ActiveConfiguration;
 import org.ragworthook.gateway.route.Configuration;
+import org.ragworthook.gateway.suspect.PoisonPartDetector;
+import org.ragworthook.gateway.suspect.PoisonPartReports;
 import org.ragworthook.gateway.suspect.PoisonRequestDetector;
 import org.ragworthook.gateway.upstream.Placement;
 import org.ragworthook.gateway.upstream.UnreportedPlacements;
@@ -108,6 +111,8 @@
 
 	private final PoisonRequestDetector suspects = PoisonRequestDetector.empty(this.ticker);
 
+	private final PoisonPartDetector poisonParts = PoisonPartDetector.empty(this.ticker, this.upstreams::activeAfter);
+
 	private final ServerStarter servers;
 
 	private final Platform platform;
@@ -155,6 +160,7 @@
 				settings.runsJobs());
 		this.peers = PeerReports.start(this.self, settings.failureDomain(), this.upstreams, this.suspects, this.loop,
 				this.ticker, this.timers);
+		PoisonPartReports.attach(this.peers.exchange(), this.poisonParts);
 		this.lease = settings.bounds().maxRevocationDelay().map(this::lease);
 		this.accessControl = AccessControl.of(this::accounts, this.lease);
 		this.upstreamFeed = UpstreamFeedListener.of(this.upstreams, this.health, this.timers);
@@ -236,7 +242,7 @@
 				UnreportedPlacements.of(this.ticker, LoadExchange.MEAN_REPORT_AGE,
 						this.peers.fleet()::liveOtherEntries),
 				connections, this.platform.headers(), this.platform.promptFormat(), this.ticker, this.timers,
-				ThreadLocalRandom.current(), this.suspects, this.metrics, this.peers.dispatchClient(),
+				ThreadLocalRandom.current(), this.suspects, this.poisonParts, this.metrics, this.peers.dispatchClient(),
 				this.peers.origins(), this.peers.dispatch()::loadChanged, this.peers.exchange()::flush);
 		CallerAccess access = callerAccess();
 		JobReader reader = JobReader.of(this.jobs, this.peers.results(), this.timers);
@@ -293,7 +299,8 @@
 				this.peers.fleet()::settled, this.peers.fleet()::slotClaimOrder, this.configuration, this.upstreams,
 				placement, connections, this.platform.headers(), this.ticker, System::currentTimeMillis, this.timers,
 				ThreadLocalRandom.current()::nextDouble, this.loop, this.metrics, this.settings.queueTimeout(),
-				this.peers.pauseDetector()::pauses, this.peers.fleet()::runnerStates, this.peers.exchange()::flush));
+				this.peers.pauseDetector()::pauses, this.peers.fleet()::runnerStates, this.peers.exchange()::flush,
+				this.poisonParts, this::sharedParts));
 		this.runner = Optional.of(jobRunner);
 		this.peers.dispatch()
 			.dispatcher(Dispatcher.of(this.upstreams, this.ticker, ThreadLocalRandom.current(), firstGrant(),
@@ -308,6 +315,13 @@
 		jobRunner.start();
 	}
 
+	private List<Long> sharedParts(JobItem item) {
+		return item.header(this.platform.headers().promptParts())
+			.map(this.platform.promptFormat()::parse)
+			.map(PoisonPartDetector::sharedParts)
+			.orElse(List.of());
+	}
+
 	private void followJobs(JobRunner jobRunner, JobOwners owners) {
 		FeedFollower<Job> follower = follow(this.platform.jobs(), new JobListener(jobRunner),
 				() -> CoalescingDelay.forJobs(this.peers.fleet().liveRunners().size()));
--- /dev/null
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/suspect/PoisonPartDetector.java
@@ -0,0 +1,402 @@
+package org.ragworthook.gateway.suspect;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import org.ragworthook.core.log.EventLog;
+import org.ragworthook.core.time.Ticker;
+import org.ragworthook.gateway.upstream.PromptSegment;
+
+/**
+ * Detects parts of prompts that crash every upstream which runs a request with them,
+ * whatever else the request contains.
+ * <p>
+ * An upstream that crashes breaks off all its requests, so the parts of sound requests
+ * are lost with it as well. They are told apart by what a poison part never has: a
+ * complete response. The crashes of a part count from its last complete response on, and
+ * a crash that a poison part explains counts for no other part. Of two parts with the
+ * same crashes the one that stands behind the other is blamed, since fewer requests share
+ * it, and parts that occurred in the same requests only are refused only together. An
+ * upstream that sends something after its connections were lost has not crashed.
+ * Upstreams that restart have another id, so each crash of one counts once.
+ * <p>
+ * Processes exchange what they have observed with its age, so each knows the crashes that
+ * any of them has seen, also those before its own start. Not thread-safe: used on the
+ * event loop.
+ */
+public final class PoisonPartDetector {
+
+	private static final EventLog LOG = EventLog.of(PoisonPartDetector.class);
+
+	/** Crashes after which requests with a part are refused. */
+	static final int THRESHOLD = 3;
+
+	/**
+	 * The same for a part that has had a complete response before. A part that most
+	 * requests share has one all the time, unless most upstreams crash at once.
+	 */
+	static final int THRESHOLD_AFTER_SUCCESS = 6;
+
+	/** How long crashes and complete responses count. */
+	static final Duration RETENTION = Duration.ofSeconds(120);
+
+	/**
+	 * Time after the loss of a connection from which on bytes of the upstream show that
+	 * it has not crashed; earlier ones may have been sent before.
+	 */
+	static final Duration SETTLE_TIME = Duration.ofMillis(300);
+
+	/**
+	 * How long a complete response that contradicts crashes is reported: in several
+	 * reports, since single ones may be lost.
+	 */
+	private static final Duration REPORT_PERIOD = Duration.ofSeconds(1);
+
+	/** How often changes by the passage of time are looked for. */
+	private static final Duration REFRESH_INTERVAL = Duration.ofMillis(100);
+
+	/** Limits the memory; the parts that were used least recently are evicted first. */
+	private static final int MAX_PARTS = 4_000;
+
+	/** More crashes of a part than any threshold needs. */
+	private static final int MAX_CRASHES = 16;
+
+	private final Ticker ticker;
+
+	private final UpstreamActivity activity;
+
+	/** The parts with crashes, oldest first. */
+	private final Map<Long, Suspect> suspects = new LinkedHashMap<>();
+
+	/** The last complete response of each part, as a reading of the ticker. */
+	private final Map<Long, Long> successes = new LinkedHashMap<>(16, 0.75f, true);
+
+	/** When a complete response has contradicted the crashes of a part. */
+	private final Map<Long, Long> contradicted = new HashMap<>();
+
+	/** The parts that are refused where they occur together; mostly a single one. */
+	private Set<Set<Long>> poison = Set.of();
+
+	private long refreshedNanos;
+
+	private Runnable listener = () -> {
+	};
+
+	private PoisonPartDetector(Ticker ticker, UpstreamActivity activity) {
+		this.ticker = Objects.requireNonNull(ticker, "ticker is null");
+		this.activity = Objects.requireNonNull(activity, "activity is null");
+	}
+
+	/**
+	 * Returns a detector without observations.
+	 * @param ticker the monotonic clock
+	 * @param activity knows when upstreams have sent something
+	 * @return a new detector
+	 */
+	public static PoisonPartDetector empty(Ticker ticker, UpstreamActivity activity) {
+		return new PoisonPartDetector(ticker, activity);
+	}
+
+	/**
+	 * Returns the keys of the parts that requests can have in common.
+	 * @param prompt the parts of a prompt in order; the last one belongs to the request
+	 * itself or to its session
+	 * @return a hash of each other part in order, the same in every process
+	 */
+	public static List<Long> sharedParts(List<PromptSegment> prompt) {
+		return prompt.stream().limit(Math.max(0, prompt.size() - 1)).map((part) -> Fnv.hash(part.id())).toList();
+	}
+
+	/**
+	 * Sets the listener for observations that the peers should receive soon.
+	 * @param onObservation called on the event loop
+	 */
+	public void onObservation(Runnable onObservation) {
+		this.listener = Objects.requireNonNull(onObservation, "onObservation is null");
+	}
+
+	/**
+	 * Called when the connection to an upstream was lost while it ran a request.
+	 * @param parts the request's shared parts in order
+	 * @param upstreamKey the key of the upstream
+	 */
+	public void recordConnectionLoss(List<Long> parts, int upstreamKey) {
+		long now = this.ticker.nanos();
+		for (int position = 0; position < parts.size(); position++) {
+			addCrash(parts.get(position), position, parts, upstreamKey, now);
+		}
+		if (!parts.isEmpty()) {
+			refresh(now);
+			this.listener.run();
+		}
+	}
+
+	/**
+	 * Called when a response has ended that its upstream had marked as complete. The end
+	 * of a connection is no such mark, since a crash closes it as well.
+	 * @param parts the request's shared parts
+	 */
+	public void recordSuccess(Collection<Long> parts) {
+		long now = this.ticker.nanos();
+		boolean suspected = false;
+		for (long part : parts) {
+			addSuccess(part, now);
+			if (this.suspects.containsKey(part)) {
+				this.contradicted.put(part, now);
+				suspected = true;
+			}
+		}
+		if (suspected) {
+			refresh(now);
+			this.listener.run();
+		}
+	}
+
+	/**
+	 * Returns whether a request must not be run.
+	 * @param parts the request's shared parts
+	 * @return whether one of them is known to crash upstreams
+	 */
+	public boolean refused(Collection<Long> parts) {
+		if (this.suspects.isEmpty()) {
+			return false;
+		}
+		long now = this.ticker.nanos();
+		if (now - this.refreshedNanos >= REFRESH_INTERVAL.toNanos()) {
+			refresh(now);
+		}
+		return this.poison.stream().anyMatch(parts::containsAll);
+	}
+
+	/**
+	 * Returns what is to be reported to the peers: the parts with crashes, and those
+	 * whose crashes were contradicted a moment ago.
+	 * @return the observations of this process and those that it has received
+	 */
+	public List<PartObservation> observations() {
+		if (this.suspects.isEmpty() && this.contradicted.isEmpty()) {
+			return List.of();
+		}
+		long now = this.ticker.nanos();
+		refresh(now);
+		Set<Long> parts = new HashSet<>(this.suspects.keySet());
+		parts.addAll(this.contradicted.keySet());
+		return parts.stream().map((part) -> observation(part, now)).toList();
+	}
+
+	private PartObservation observation(long part, long now) {
+		Suspect suspect = this.suspects.getOrDefault(part, new Suspect(List.of()));
+		Map<Integer, Duration> ages = new HashMap<>();
+		suspect.crashNanos.forEach((upstream, nanos) -> ages.put(upstream, Duration.ofNanos(now - nanos)));
+		return new PartObservation(part, suspect.position, suspect.companions, ages,
+				successNanos(part, now).map((nanos) -> Duration.ofNanos(now - nanos)));
+	}
+
+	private Optional<Long> successNanos(long part, long now) {
+		return Optional.ofNullable(this.successes.get(part)).filter((nanos) -> now - nanos < RETENTION.toNanos());
+	}
+
+	/**
+	 * Adds what a peer has reported. If this process knows of a later complete response
+	 * of a part, the peers receive that.
+	 * @param observations the peer's observations
+	 */
+	public void add(List<PartObservation> observations) {
+		if (observations.isEmpty()) {
+			return;
+		}
+		long now = this.ticker.nanos();
+		boolean contradicts = false;
+		for (PartObservation observation : observations) {
+			contradicts |= contradicts(observation, now);
+			long part = observation.part();
+			observation.successAge().ifPresent((age) -> addSuccess(part, now - age.toNanos()));
+			observation.crashAges()
+				.forEach((upstream, age) -> addCrash(part, observation.position(), observation.companions(), upstream,
+						now - age.toNanos()));
+		}
+		refresh(now);
+		if (contradicts) {
+			this.listener.run();
+		}
+	}
+
+	private boolean contradicts(PartObservation observation, long now) {
+		Optional<Long> own = successNanos(observation.part(), now);
+		boolean later = own.isPresent() && !observation.crashAges().isEmpty()
+				&& observation.successAge()
+					.map((age) -> now - age.toNanos() + SETTLE_TIME.toNanos() < own.get())
+					.orElse(true);
+		if (later) {
+			this.contradicted.put(observation.part(), now);
+		}
+		return later;
+	}
+
+	private void addCrash(long part, int position, Collection<Long> companions, int upstreamKey, long nanos) {
+		Suspect suspect = this.suspects.computeIfAbsent(part, (key) -> new Suspect(companions));
+		suspect.companions.retainAll(companions);
+		suspect.position = Math.max(suspect.position, position);
+		if (suspect.crashNanos.size() < MAX_CRASHES || suspect.crashNanos.containsKey(upstreamKey)) {
+			suspect.crashNanos.merge(upstreamKey, nanos, Math::min);
+		}
+		evict(this.suspects);
+	}
+
+	private void addSuccess(long part, long nanos) {
+		this.successes.merge(part, nanos, Math::max);
+		evict(this.successes);
+	}
+
+	private static void evict(Map<Long, ?> parts) {
+		if (parts.size() > MAX_PARTS) {
+			parts.remove(parts.keySet().iterator().next());
+		}
+	}
+
+	private void refresh(long now) {
+		this.refreshedNanos = now;
+		this.contradicted.values().removeIf((nanos) -> now - nanos >= REPORT_PERIOD.toNanos());
+		this.suspects.forEach((part, suspect) -> {
+			long since = successNanos(part, now).orElse(now - RETENTION.toNanos());
+			suspect.crashNanos.entrySet()
+				.removeIf((crash) -> crash.getValue() - since <= 0 || alive(crash.getKey(), crash.getValue()));
+		});
+		this.suspects.values().removeIf((suspect) -> suspect.crashNanos.isEmpty());
+		Set<Set<Long>> found = findPoison(now);
+		found.stream()
+			.filter((parts) -> !this.poison.contains(parts))
+			.forEach((parts) -> LOG.warning("poison_part_detected", "parts", hex(parts), "crashes",
+					this.suspects.get(parts.iterator().next()).crashNanos.size()));
+		this.poison.stream()
+			.filter((parts) -> !found.contains(parts))
+			.forEach((parts) -> LOG.info("poison_part_cleared", "parts", hex(parts)));
+		this.poison = found;
+	}
+
+	private static String hex(Set<Long> parts) {
+		return String.join(",", parts.stream().map(Long::toHexString).sorted().toList());
+	}
+
+	private boolean alive(int upstreamKey, long lossNanos) {
+		return this.activity.activeAfter(upstreamKey, lossNanos + SETTLE_TIME.toNanos());
+	}
+
+	/**
+	 * Finds the parts that explain the crashes: those that never had a complete response
+	 * first, of these the parts with more crashes, then those that stand behind others.
+	 * @param now the ticker's reading
+	 * @return the keys of the parts; sets of parts that only together explain them
+	 */
+	private Set<Set<Long>> findPoison(long now) {
+		List<Long> candidates = new ArrayList<>(this.suspects.keySet());
+		candidates.removeIf((part) -> this.suspects.get(part).crashNanos.size() < THRESHOLD);
+		Comparator<Long> rank = Comparator.comparing((Long part) -> successNanos(part, now).isPresent())
+			.thenComparing((part) -> -this.suspects.get(part).crashNanos.size())
+			.thenComparing((part) -> -this.suspects.get(part).position);
+		candidates.sort(rank);
+		Set<Integer> explained = new HashSet<>();
+		Set<Integer> explainedByEqualRank = new HashSet<>();
+		Set<Set<Long>> found = new HashSet<>();
+		Long previous = null;
+		for (Long part : candidates) {
+			if (previous != null && rank.compare(previous, part) != 0) {
+				explained.addAll(explainedByEqualRank);
+			}
+			previous = part;
+			boolean hadSuccess = successNanos(part, now).isPresent();
+			Set<Integer> crashes = this.suspects.get(part).crashNanos.keySet();
+			long unexplained = crashes.stream().filter((upstream) -> !explained.contains(upstream)).count();
+			if (unexplained >= (hadSuccess ? THRESHOLD_AFTER_SUCCESS : THRESHOLD)) {
+				found.add(hadSuccess ? Set.of(part) : inseparable(part, now));
+				explainedByEqualRank.addAll(crashes);
+			}
+		}
+		return found;
+	}
+
+	/**
+	 * Returns a part and those that occurred in the same requests only.
+	 * @param part the key of a part without complete response
+	 * @param now the ticker's reading
+	 * @return the keys of the parts without complete response
+	 */
+	private Set<Long> inseparable(Long part, long now) {
+		return this.suspects.get(part).companions.stream()
+			.filter((other) -> successNanos(other, now).isEmpty())
+			.filter((other) -> this.suspects.containsKey(other) && this.suspects.get(other).companions.contains(part))
+			.collect(Collectors.toSet());
+	}
+
+	/** A part with crashes. */
+	private static final class Suspect {
+
+		/** The greatest position of the part in a prompt, from 0. */
+		private int position;
+
+		/** The parts that all lost requests with this part had, itself included. */
+		private final Set<Long> companions;
+
+		/** When the upstreams were lost, by their key, as readings of the ticker. */
+		private final Map<Integer, Long> crashNanos = new LinkedHashMap<>();
+
+		Suspect(Collection<Long> companions) {
+			this.companions = new HashSet<>(companions);
+		}
+
+	}
+
+	/**
+	 * Knows when upstreams have sent something.
+	 */
+	@FunctionalInterface
+	public interface UpstreamActivity {
+
+		/**
+		 * Returns whether an upstream has sent anything after a given time.
+		 * @param upstreamKey the key of the upstream
+		 * @param nanos the given time, as a reading of the ticker in nanoseconds
+		 * @return false also if the upstream is not known
+		 */
+		boolean activeAfter(int upstreamKey, long nanos);
+
+	}
+
+	/**
+	 * What a process has observed of a part.
+	 *
+	 * @param part the key of the part
+	 * @param position the greatest position of the part in a prompt, from 0
+	 * @param companions the parts that all lost requests with the part had, itself
+	 * included
+	 * @param crashAges the upstreams that were lost while they ran requests with the
+	 * part, by their key, and how long ago
+	 * @param successAge how long ago the last complete response to a request with the
+	 * part ended, or empty if there was none
+	 */
+	public record PartObservation(long part, int position, Set<Long> companions, Map<Integer, Duration> crashAges,
+			Optional<Duration> successAge) {
+
+		/**
+		 * Copies the collections.
+		 */
+		public PartObservation {
+			companions = Set.copyOf(companions);
+			crashAges = Map.copyOf(crashAges);
+			Objects.requireNonNull(successAge, "successAge is null");
+		}
+
+	}
+
+}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/suspect/PoisonRequestDetector.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/suspect/PoisonRequestDetector.java
@@ -39,10 +39,6 @@
 
 	private static final EventLog LOG = EventLog.of(PoisonRequestDetector.class);
 
-	private static final long FNV_OFFSET = 0xcbf29ce484222325L;
-
-	private static final long FNV_PRIME = 0x100000001b3L;
-
 	private final Ticker ticker;
 
 	private final Map<Long, ConnectionLosses> ownLosses = new LinkedHashMap<>();
@@ -70,17 +66,7 @@
 	 * @return a hash that is the same in every process
 	 */
 	public static long fingerprint(String host, String uri, byte[] body) {
-		long hash = hash(FNV_OFFSET, host.getBytes(StandardCharsets.UTF_8));
-		hash = hash(hash, uri.getBytes(StandardCharsets.UTF_8));
-		return hash(hash, body);
-	}
-
-	private static long hash(long start, byte[] bytes) {
-		long hash = start;
-		for (byte next : bytes) {
-			hash = (hash ^ (next & 0xff)) * FNV_PRIME;
-		}
-		return (hash ^ bytes.length) * FNV_PRIME;
+		return Fnv.hash(Fnv.hash(Fnv.hash(host), uri.getBytes(StandardCharsets.UTF_8)), body);
 	}
 
 	/**
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/upstream/UpstreamRegistry.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/upstream/UpstreamRegistry.java
@@ -114,6 +114,16 @@
 		return Optional.ofNullable(this.byKey.get(key));
 	}
 
+	/**
+	 * Returns whether an upstream has sent anything to this process after a given time.
+	 * @param key the upstream's {@link TrackedUpstream#key() key}
+	 * @param nanos the given time, as a reading of the ticker in nanoseconds
+	 * @return false also if the upstream is not known
+	 */
+	public boolean activeAfter(int key, long nanos) {
+		return byKey(key).filter((upstream) -> !upstream.silentSince(nanos)).isPresent();
+	}
+
 	private void publish() {
 		Map<String, List<TrackedUpstream>> services = new HashMap<>();
 		Map<Integer, TrackedUpstream> keys = new HashMap<>();
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/job/ItemRunTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/job/ItemRunTests.java
@@ -25,6 +25,7 @@
 import org.ragworthook.core.time.Ticker;
 import org.ragworthook.gateway.dialect.HeaderNames;
 import org.ragworthook.gateway.http.ConnectionPool;
+import org.ragworthook.gateway.http.SendFailure;
 import org.ragworthook.gateway.origin.StreamOrigin;
 import org.ragworthook.gateway.peer.Loopback;
 import org.ragworthook.gateway.upstream.SoftwareVersion;
@@ -265,10 +266,19 @@
 		}
 
 		@Override
-		public void failed(TrackedUpstream upstream) {
+		public void failed(ItemRun run, TrackedUpstream upstream, SendFailure failure) {
 			upstream.recordFailure();
 		}
 
+		@Override
+		public void succeeded(ItemRun run) {
+		}
+
+		@Override
+		public void received(TrackedUpstream upstream) {
+			upstream.recordActivity(0);
+		}
+
 		@Override
 		public long nanosAfter(Duration delay) {
 			return delay.toNanos();
--- /dev/null
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/suspect/PoisonPartDetectorTests.java
@@ -0,0 +1,204 @@
+package org.ragworthook.gateway.suspect;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
+import java.util.stream.LongStream;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.ragworthook.core.time.ManualTime;
+import org.ragworthook.gateway.upstream.PromptSegment;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against a part of prompts that crashes one upstream after the other, and against
+ * a sound part that is taken for one.
+ */
+class PoisonPartDetectorTests {
+
+	private static final long FIRST = 1;
+
+	private static final long POISON = 2;
+
+	private static final long OTHER = 3;
+
+	private final ManualTime time = ManualTime.of();
+
+	private final Set<Integer> alive = new HashSet<>();
+
+	private final PoisonPartDetector detector = newDetector();
+
+	private PoisonPartDetector newDetector() {
+		return PoisonPartDetector.empty(this.time, (upstream, nanos) -> this.alive.contains(upstream));
+	}
+
+	private void crash(PoisonPartDetector observer, int upstream, long... parts) {
+		observer.recordConnectionLoss(LongStream.of(parts).boxed().toList(), upstream);
+		this.time.advance(Duration.ofMillis(20));
+	}
+
+	private void crashes(int count, long... parts) {
+		IntStream.range(0, count).forEach((upstream) -> crash(this.detector, upstream, parts));
+	}
+
+	private boolean refuses(long part) {
+		return this.detector.refused(Set.of(part));
+	}
+
+	@Test
+	void shouldRefuseAPartAfterThreeCrashes() {
+		crashes(2, POISON);
+		assertThat(refuses(POISON)).isFalse();
+		crash(this.detector, 2, POISON);
+		assertThat(refuses(POISON)).isTrue();
+		assertThat(refuses(OTHER)).isFalse();
+	}
+
+	/** One crash breaks off several requests with the part. */
+	@Test
+	void shouldCountEachCrashOnce() {
+		IntStream.range(0, 8).forEach((request) -> crash(this.detector, 1, POISON));
+		assertThat(refuses(POISON)).isFalse();
+	}
+
+	/** All requests of a route share the first part, which is lost with each crash. */
+	@ParameterizedTest
+	@ValueSource(ints = { 3, 5, 12 })
+	void shouldServeTheFirstPartOfPoisonRequests(int count) {
+		this.detector.recordSuccess(Set.of(FIRST));
+		for (int upstream = 0; upstream < count; upstream++) {
+			crash(this.detector, upstream, FIRST, OTHER);
+			crash(this.detector, upstream, FIRST, POISON);
+		}
+		assertThat(refuses(POISON)).isTrue();
+		assertThat(refuses(FIRST)).isFalse();
+	}
+
+	@Test
+	void shouldServeAPartThatHasCompleteResponses() {
+		for (int upstream = 0; upstream < 20; upstream++) {
+			crash(this.detector, upstream, OTHER);
+			if (upstream % 2 == 1) {
+				this.detector.recordSuccess(Set.of(OTHER));
+			}
+			assertThat(refuses(OTHER)).isFalse();
+		}
+	}
+
+	/** The route has no complete response yet; its sound requests are to get one. */
+	@ParameterizedTest
+	@ValueSource(ints = { 3, 5, 12 })
+	void shouldServeTheFirstPartBeforeItHasACompleteResponse(int count) {
+		for (int upstream = 0; upstream < count; upstream++) {
+			crash(this.detector, upstream, FIRST);
+			crash(this.detector, upstream, FIRST, POISON);
+		}
+		assertThat(this.detector.refused(List.of(FIRST, POISON))).isTrue();
+		assertThat(refuses(FIRST)).isFalse();
+	}
+
+	/** Two parts have occurred in the same requests only, and one of them is sound. */
+	@Test
+	void shouldRefusePartsWithTheSameCrashesOnlyTogether() {
+		crashes(3, FIRST, POISON, OTHER);
+		assertThat(this.detector.refused(List.of(FIRST, POISON, OTHER))).isTrue();
+		assertThat(this.detector.refused(List.of(FIRST, OTHER))).isFalse();
+		assertThat(this.detector.refused(List.of(FIRST, POISON))).isFalse();
+		crash(this.detector, 3, FIRST, POISON);
+		assertThat(this.detector.refused(List.of(FIRST, POISON))).isTrue();
+		this.detector.recordSuccess(List.of(FIRST, OTHER));
+		assertThat(this.detector.refused(List.of(POISON))).isTrue();
+		assertThat(this.detector.refused(List.of(FIRST, OTHER))).isFalse();
+	}
+
+	/** A sound part was on all upstreams that crashed, but never in a poison request. */
+	@Test
+	void shouldRefuseAPoisonPartAmongPartsWithTheSameCrashes() {
+		this.detector.recordSuccess(List.of(FIRST));
+		for (int upstream = 0; upstream < 3; upstream++) {
+			crash(this.detector, upstream, FIRST, OTHER);
+			crash(this.detector, upstream, FIRST, POISON);
+		}
+		assertThat(refuses(POISON)).isTrue();
+		this.detector.recordSuccess(List.of(FIRST, OTHER));
+		assertThat(refuses(OTHER)).isFalse();
+		assertThat(refuses(POISON)).isTrue();
+	}
+
+	/** A part that was sound before is detected later, but is detected. */
+	@Test
+	void shouldRefuseAPartThatHadACompleteResponseBefore() {
+		this.detector.recordSuccess(Set.of(POISON));
+		this.time.advance(Duration.ofMillis(20));
+		crashes(PoisonPartDetector.THRESHOLD_AFTER_SUCCESS - 1, POISON);
+		assertThat(refuses(POISON)).isFalse();
+		crash(this.detector, 100, POISON);
+		assertThat(refuses(POISON)).isTrue();
+	}
+
+	/** Connections were reset, but the upstreams go on. */
+	@Test
+	void shouldServeAPartWhoseUpstreamsAreAlive() {
+		crashes(3, OTHER);
+		this.alive.addAll(List.of(0, 1));
+		this.time.advance(PoisonPartDetector.SETTLE_TIME);
+		assertThat(refuses(OTHER)).isFalse();
+	}
+
+	@Test
+	void shouldForgetOldCrashes() {
+		crashes(3, POISON);
+		this.time.advance(PoisonPartDetector.RETENTION);
+		assertThat(refuses(POISON)).isFalse();
+		assertThat(this.detector.observations()).isEmpty();
+	}
+
+	/** Each of three entries has seen one crash, and a fourth has started later. */
+	@Test
+	void shouldCountCrashesThatPeersHaveSeen() {
+		PoisonPartDetector later = newDetector();
+		for (int entry = 0; entry < 3; entry++) {
+			PoisonPartDetector peer = newDetector();
+			crash(peer, entry, FIRST, POISON);
+			this.detector.add(peer.observations());
+		}
+		assertThat(this.detector.refused(List.of(FIRST, POISON))).isTrue();
+		this.time.advance(Duration.ofSeconds(60));
+		later.add(this.detector.observations());
+		assertThat(later.refused(List.of(FIRST, POISON))).isTrue();
+		this.time.advance(Duration.ofSeconds(60));
+		assertThat(later.refused(List.of(FIRST, POISON))).isFalse();
+	}
+
+	/** A peer has had complete responses of a part that this process saw crash only. */
+	@Test
+	void shouldReceiveCompleteResponsesFromPeers() {
+		PoisonPartDetector peer = newDetector();
+		List<String> reports = new ArrayList<>();
+		peer.onObservation(() -> reports.add("report"));
+		crashes(3, OTHER);
+		peer.recordSuccess(Set.of(OTHER));
+		assertThat(reports).isEmpty();
+		peer.add(this.detector.observations());
+		assertThat(reports).hasSize(1);
+		this.detector.add(peer.observations());
+		assertThat(refuses(OTHER)).isFalse();
+	}
+
+	@Test
+	void shouldLeaveOutTheLastPart() {
+		List<PromptSegment> prompt = List.of(new PromptSegment("a", 1), new PromptSegment("b", 2),
+				new PromptSegment("own", 3));
+		assertThat(PoisonPartDetector.sharedParts(prompt)).hasSize(2);
+		assertThat(PoisonPartDetector.sharedParts(prompt.subList(0, 2)))
+			.isEqualTo(PoisonPartDetector.sharedParts(List.of(new PromptSegment("a", 9), new PromptSegment("z", 2))));
+		assertThat(PoisonPartDetector.sharedParts(List.of())).isEmpty();
+	}
+
+}
--- a/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReport.java
+++ b/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReport.java
@@ -49,6 +49,7 @@
     streamOrigins_ = java.util.Collections.emptyList();
     originQueries_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
+    suspectParts_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -1017,6 +1018,67 @@
     return originQueries_.getByteString(index);
   }
 
+  public static final int SUSPECT_PARTS_FIELD_NUMBER = 27;
+  @SuppressWarnings("serial")
+  private java.util.List<org.ragworthook.wire.load.SuspectPart> suspectParts_;
+  /**
+   * <pre>
+   * that the sender has observed or been told of
+   * </pre>
+   *
+   * <code>repeated .ragworthook.SuspectPart suspect_parts = 27;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.ragworthook.wire.load.SuspectPart> getSuspectPartsList() {
+    return suspectParts_;
+  }
+  /**
+   * <pre>
+   * that the sender has observed or been told of
+   * </pre>
+   *
+   * <code>repeated .ragworthook.SuspectPart suspect_parts = 27;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.ragworthook.wire.load.SuspectPartOrBuilder> 
+      getSuspectPartsOrBuilderList() {
+    return suspectParts_;
+  }
+  /**
+   * <pre>
+   * that the sender has observed or been told of
+   * </pre>
+   *
+   * <code>repeated .ragworthook.SuspectPart suspect_parts = 27;</code>
+   */
+  @java.lang.Override
+  public int getSuspectPartsCount() {
+    return suspectParts_.size();
+  }
+  /**
+   * <pre>
+   * that the sender has observed or been told of
+   * </pre>
+   *
+   * <code>repeated .ragworthook.SuspectPart suspect_parts = 27;</code>
+   */
+  @java.lang.Override
+  public org.ragworthook.wire.load.SuspectPart getSuspectParts(int index) {
+    return suspectParts_.get(index);
+  }
+  /**
+   * <pre>
+   * that the sender has observed or been told of
+   * </pre>
+   *
+   * <code>repeated .ragworthook.SuspectPart suspect_parts = 27;</code>
+   */
+  @java.lang.Override
+  public org.ragworthook.wire.load.SuspectPartOrBuilder getSuspectPartsOrBuilder(
+      int index) {
+    return suspectParts_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -1109,6 +1171,9 @@
     for (int i = 0; i < originQueries_.size(); i++) {
       com.google.protobuf.GeneratedMessage.writeString(output, 26, originQueries_.getRaw(i));
     }
+    for (int i = 0; i < suspectParts_.size(); i++) {
+      output.writeMessage(27, suspectParts_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -1273,6 +1338,15 @@
       size += dataSize;
       size += 2 * getOriginQueriesList().size();
     }
+
+        {
+          final int count = suspectParts_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(suspectParts_.get(i));
+          }
+          size += 2 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -1352,6 +1426,8 @@
         .equals(other.getStreamOriginsList())) return false;
     if (!getOriginQueriesList()
         .equals(other.getOriginQueriesList())) return false;
+    if (!getSuspectPartsList()
+        .equals(other.getSuspectPartsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -1451,6 +1527,10 @@
       hash = (37 * hash) + ORIGIN_QUERIES_FIELD_NUMBER;
       hash = (53 * hash) + getOriginQueriesList().hashCode();
     }
+    if (getSuspectPartsCount() > 0) {
+      hash = (37 * hash) + SUSPECT_PARTS_FIELD_NUMBER;
+      hash = (53 * hash) + getSuspectPartsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1680,6 +1760,13 @@
       bitField0_ = (bitField0_ & ~0x01000000);
       originQueries_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
+      if (suspectPartsBuilder_ == null) {
+        suspectParts_ = java.util.Collections.emptyList();
+      } else {
+        suspectParts_ = null;
+        suspectPartsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x04000000);
       return this;
     }
 
@@ -1812,6 +1899,15 @@
       } else {
         result.streamOrigins_ = streamOriginsBuilder_.build();
       }
+      if (suspectPartsBuilder_ == null) {
+        if (((bitField0_ & 0x04000000) != 0)) {
+          suspectParts_ = java.util.Collections.unmodifiableList(suspectParts_);
+          bitField0_ = (bitField0_ & ~0x04000000);
+        }
+        result.suspectParts_ = suspectParts_;
+      } else {
+        result.suspectParts_ = suspectPartsBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.ragworthook.wire.load.LoadReport result) {
@@ -2223,6 +2319,32 @@
         }
         onChanged();
       }
+      if (suspectPartsBuilder_ == null) {
+        if (!other.suspectParts_.isEmpty()) {
+          if (suspectParts_.isEmpty()) {
+            suspectParts_ = other.suspectParts_;
+            bitField0_ = (bitField0_ & ~0x04000000);
+          } else {
+            ensureSuspectPartsIsMutable();
+            suspectParts_.addAll(other.suspectParts_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.suspectParts_.isEmpty()) {
+          if (suspectPartsBuilder_.isEmpty()) {
+            suspectPartsBuilder_.dispose();
+            suspectPartsBuilder_ = null;
+            suspectParts_ = other.suspectParts_;
+            bitField0_ = (bitField0_ & ~0x04000000);
+            suspectPartsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetSuspectPartsFieldBuilder() : null;
+          } else {
+            suspectPartsBuilder_.addAllMessages(other.suspectParts_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -2465,6 +2587,19 @@
               originQueries_.add(input.readStringRequireUtf8());
               break;
             } // case 210
+            case 218: {
+              org.ragworthook.wire.load.SuspectPart m =
+                  input.readMessage(
+                      org.ragworthook.wire.load.SuspectPart.parser(),
+                      extensionRegistry);
+              if (suspectPartsBuilder_ == null) {
+                ensureSuspectPartsIsMutable();
+                suspectParts_.add(m);
+              } else {
+                suspectPartsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 218
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -6441,6 +6576,312 @@
       return this;
     }
 
+    private java.util.List<org.ragworthook.wire.load.SuspectPart> suspectParts_ =
+      java.util.Collections.emptyList();
+    private void ensureSuspectPartsIsMutable() {
+      if (!((bitField0_ & 0x04000000) != 0)) {
+        suspectParts_ = new java.util.ArrayList<org.ragworthook.wire.load.SuspectPart>(suspectParts_);
+        bitField0_ |= 0x04000000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.ragworthook.wire.load.SuspectPart, org.ragworthook.wire.load.SuspectPart.Builder, org.ragworthook.wire.load.SuspectPartOrBuilder> suspectPartsBuilder_;
+
+    /**
+     * <pre>
+     * that the sender has observed or been told of
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SuspectPart suspect_parts = 27;</code>
+     */
+    public java.util.List<org.ragworthook.wire.load.SuspectPart> getSuspectPartsList() {
+      if (suspectPartsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(suspectParts_);
+      } else {
+        return suspectPartsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * that the sender has observed or been told of
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SuspectPart suspect_parts = 27;</code>
+     */
+    public int getSuspectPartsCount() {
+      if (suspectPartsBuilder_ == null) {
+        return suspectParts_.size();
+      } else {
+        return suspectPartsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * that the sender has observed or been told of
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SuspectPart suspect_parts = 27;</code>
+     */
+    public org.ragworthook.wire.load.SuspectPart getSuspectParts(int index) {
+      if (suspectPartsBuilder_ == null) {
+        return suspectParts_.get(index);
+      } else {
+        return suspectPartsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * that the sender has observed or been told of
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SuspectPart suspect_parts = 27;</code>
+     */
+    public Builder setSuspectParts(
+        int index, org.ragworthook.wire.load.SuspectPart value) {
+      if (suspectPartsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureSuspectPartsIsMutable();
+        suspectParts_.set(index, value);
+        onChanged();
+      } else {
+        suspectPartsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * that the sender has observed or been told of
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SuspectPart suspect_parts = 27;</code>
+     */
+    public Builder setSuspectParts(
+        int index, org.ragworthook.wire.load.SuspectPart.Builder builderForValue) {
+      if (suspectPartsBuilder_ == null) {
+        ensureSuspectPartsIsMutable();
+        suspectParts_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        suspectPartsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * that the sender has observed or been told of
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SuspectPart suspect_parts = 27;</code>
+     */
+    public Builder addSuspectParts(org.ragworthook.wire.load.SuspectPart value) {
+      if (suspectPartsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureSuspectPartsIsMutable();
+        suspectParts_.add(value);
+        onChanged();
+      } else {
+        suspectPartsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * that the sender has observed or been told of
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SuspectPart suspect_parts = 27;</code>
+     */
+    public Builder addSuspectParts(
+        int index, org.ragworthook.wire.load.SuspectPart value) {
+      if (suspectPartsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureSuspectPartsIsMutable();
+        suspectParts_.add(index, value);
+        onChanged();
+      } else {
+        suspectPartsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * that the sender has observed or been told of
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SuspectPart suspect_parts = 27;</code>
+     */
+    public Builder addSuspectParts(
+        org.ragworthook.wire.load.SuspectPart.Builder builderForValue) {
+      if (suspectPartsBuilder_ == null) {
+        ensureSuspectPartsIsMutable();
+        suspectParts_.add(builderForValue.build());
+        onChanged();
+      } else {
+        suspectPartsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * that the sender has observed or been told of
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SuspectPart suspect_parts = 27;</code>
+     */
+    public Builder addSuspectParts(
+        int index, org.ragworthook.wire.load.SuspectPart.Builder builderForValue) {
+      if (suspectPartsBuilder_ == null) {
+        ensureSuspectPartsIsMutable();
+        suspectParts_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        suspectPartsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * that the sender has observed or been told of
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SuspectPart suspect_parts = 27;</code>
+     */
+    public Builder addAllSuspectParts(
+        java.lang.Iterable<? extends org.ragworthook.wire.load.SuspectPart> values) {
+      if (suspectPartsBuilder_ == null) {
+        ensureSuspectPartsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, suspectParts_);
+        onChanged();
+      } else {
+        suspectPartsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * that the sender has observed or been told of
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SuspectPart suspect_parts = 27;</code>
+     */
+    public Builder clearSuspectParts() {
+      if (suspectPartsBuilder_ == null) {
+        suspectParts_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x04000000);
+        onChanged();
+      } else {
+        suspectPartsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * that the sender has observed or been told of
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SuspectPart suspect_parts = 27;</code>
+     */
+    public Builder removeSuspectParts(int index) {
+      if (suspectPartsBuilder_ == null) {
+        ensureSuspectPartsIsMutable();
+        suspectParts_.remove(index);
+        onChanged();
+      } else {
+        suspectPartsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * that the sender has observed or been told of
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SuspectPart suspect_parts = 27;</code>
+     */
+    public org.ragworthook.wire.load.SuspectPart.Builder getSuspectPartsBuilder(
+        int index) {
+      return internalGetSuspectPartsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * that the sender has observed or been told of
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SuspectPart suspect_parts = 27;</code>
+     */
+    public org.ragworthook.wire.load.SuspectPartOrBuilder getSuspectPartsOrBuilder(
+        int index) {
+      if (suspectPartsBuilder_ == null) {
+        return suspectParts_.get(index);  } else {
+        return suspectPartsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * that the sender has observed or been told of
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SuspectPart suspect_parts = 27;</code>
+     */
+    public java.util.List<? extends org.ragworthook.wire.load.SuspectPartOrBuilder> 
+         getSuspectPartsOrBuilderList() {
+      if (suspectPartsBuilder_ != null) {
+        return suspectPartsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(suspectParts_);
+      }
+    }
+    /**
+     * <pre>
+     * that the sender has observed or been told of
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SuspectPart suspect_parts = 27;</code>
+     */
+    public org.ragworthook.wire.load.SuspectPart.Builder addSuspectPartsBuilder() {
+      return internalGetSuspectPartsFieldBuilder().addBuilder(
+          org.ragworthook.wire.load.SuspectPart.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * that the sender has observed or been told of
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SuspectPart suspect_parts = 27;</code>
+     */
+    public org.ragworthook.wire.load.SuspectPart.Builder addSuspectPartsBuilder(
+        int index) {
+      return internalGetSuspectPartsFieldBuilder().addBuilder(
+          index, org.ragworthook.wire.load.SuspectPart.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * that the sender has observed or been told of
+     * </pre>
+     *
+     * <code>repeated .ragworthook.SuspectPart suspect_parts = 27;</code>
+     */
+    public java.util.List<org.ragworthook.wire.load.SuspectPart.Builder> 
+         getSuspectPartsBuilderList() {
+      return internalGetSuspectPartsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.ragworthook.wire.load.SuspectPart, org.ragworthook.wire.load.SuspectPart.Builder, org.ragworthook.wire.load.SuspectPartOrBuilder> 
+        internalGetSuspectPartsFieldBuilder() {
+      if (suspectPartsBuilder_ == null) {
+        suspectPartsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.ragworthook.wire.load.SuspectPart, org.ragworthook.wire.load.SuspectPart.Builder, org.ragworthook.wire.load.SuspectPartOrBuilder>(
+                suspectParts_,
+                ((bitField0_ & 0x04000000) != 0),
+                getParentForChildren(),
+                isClean());
+        suspectParts_ = null;
+      }
+      return suspectPartsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:ragworthook.LoadReport)
   }
 
--- a/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReportOrBuilder.java
+++ b/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReportOrBuilder.java
@@ -618,4 +618,48 @@
    */
   com.google.protobuf.ByteString
       getOriginQueriesBytes(int index);
+
+  /**
+   * <pre>
+   * that the sender has observed or been told of
+   * </pre>
+   *
+   * <code>repeated .ragworthook.SuspectPart suspect_parts = 27;</code>
+   */
+  java.util.List<org.ragworthook.wire.load.SuspectPart> 
+      getSuspectPartsList();
+  /**
+   * <pre>
+   * that the sender has observed or been told of
+   * </pre>
+   *
+   * <code>repeated .ragworthook.SuspectPart suspect_parts = 27;</code>
+   */
+  org.ragworthook.wire.load.SuspectPart getSuspectParts(int index);
+  /**
+   * <pre>
+   * that the sender has observed or been told of
+   * </pre>
+   *
+   * <code>repeated .ragworthook.SuspectPart suspect_parts = 27;</code>
+   */
+  int getSuspectPartsCount();
+  /**
+   * <pre>
+   * that the sender has observed or been told of
+   * </pre>
+   *
+   * <code>repeated .ragworthook.SuspectPart suspect_parts = 27;</code>
+   */
+  java.util.List<? extends org.ragworthook.wire.load.SuspectPartOrBuilder> 
+      getSuspectPartsOrBuilderList();
+  /**
+   * <pre>
+   * that the sender has observed or been told of
+   * </pre>
+   *
+   * <code>repeated .ragworthook.SuspectPart suspect_parts = 27;</code>
+   */
+  org.ragworthook.wire.load.SuspectPartOrBuilder getSuspectPartsOrBuilder(
+      int index);
 }
