Keep the crashes of a poison part under a flood of made-up parts

Parts with the fewest crashes are evicted and left out of reports first, and only the first 16 parts of a prompt count, so that a caller cannot evict the crashes of a poison part by requests with many parts of its own. An upstream whose entry states another software version than before is tracked as a new one: a stream that it began keeps its origin. Both were found by reading; no run has shown them.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/suspect/PoisonPartDetector.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/suspect/PoisonPartDetector.java
@@ -66,9 +66,15 @@
 	/** How often changes by the passage of time are looked for. */
 	private static final Duration REFRESH_INTERVAL = Duration.ofMillis(100);
 
-	/** Limits the memory; the parts that were used least recently are evicted first. */
+	/**
+	 * Limits the memory. The parts with the fewest crashes are evicted first, and the
+	 * complete responses of the parts that were used least recently.
+	 */
 	private static final int MAX_PARTS = 4_000;
 
+	/** Later parts of a prompt are ignored, so that one request cannot evict others. */
+	private static final int MAX_PARTS_OF_PROMPT = 16;
+
 	/** More crashes of a part than any threshold needs. */
 	private static final int MAX_CRASHES = 16;
 
@@ -112,10 +118,12 @@
 	 * Returns the keys of the parts that requests can have in common.
 	 * @param prompt the parts of a prompt in order; the last one belongs to the request
 	 * itself or to its session
-	 * @return a hash of each other part in order, the same in every process
+	 * @return a hash of each other part in order, of the first 16 at most, the same in
+	 * every process
 	 */
 	public static List<Long> sharedParts(List<PromptSegment> prompt) {
-		return prompt.stream().limit(Math.max(0, prompt.size() - 1)).map((part) -> Fnv.hash(part.id())).toList();
+		int count = Math.max(0, Math.min(prompt.size() - 1, MAX_PARTS_OF_PROMPT));
+		return prompt.stream().limit(count).map((part) -> Fnv.hash(part.id())).toList();
 	}
 
 	/**
@@ -180,8 +188,8 @@
 	}
 
 	/**
-	 * Returns what is to be reported to the peers: the parts with crashes, and those
-	 * whose crashes were contradicted a moment ago.
+	 * Returns what is to be reported to the peers: the parts with crashes, the most
+	 * crashes first, and those whose crashes were contradicted a moment ago.
 	 * @return the observations of this process and those that it has received
 	 */
 	public List<PartObservation> observations() {
@@ -192,7 +200,10 @@
 		refresh(now);
 		Set<Long> parts = new HashSet<>(this.suspects.keySet());
 		parts.addAll(this.contradicted.keySet());
-		return parts.stream().map((part) -> observation(part, now)).toList();
+		return parts.stream()
+			.sorted(Comparator.comparingInt(this::crashCount).reversed())
+			.map((part) -> observation(part, now))
+			.toList();
 	}
 
 	private PartObservation observation(long part, long now) {
@@ -251,18 +262,23 @@
 		if (suspect.crashNanos.size() < MAX_CRASHES || suspect.crashNanos.containsKey(upstreamKey)) {
 			suspect.crashNanos.merge(upstreamKey, nanos, Math::min);
 		}
-		evict(this.suspects);
+		if (this.suspects.size() > MAX_PARTS) {
+			this.suspects.keySet()
+				.stream()
+				.min(Comparator.comparingInt(this::crashCount))
+				.ifPresent(this.suspects::remove);
+		}
 	}
 
 	private void addSuccess(long part, long nanos) {
 		this.successes.merge(part, nanos, Math::max);
-		evict(this.successes);
+		if (this.successes.size() > MAX_PARTS) {
+			this.successes.remove(this.successes.keySet().iterator().next());
+		}
 	}
 
-	private static void evict(Map<Long, ?> parts) {
-		if (parts.size() > MAX_PARTS) {
-			parts.remove(parts.keySet().iterator().next());
-		}
+	private int crashCount(long part) {
+		return this.suspects.containsKey(part) ? this.suspects.get(part).crashNanos.size() : 0;
 	}
 
 	private void refresh(long now) {
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/upstream/UpstreamRegistry.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/upstream/UpstreamRegistry.java
@@ -48,7 +48,9 @@
 
 	/**
 	 * Adds or updates an upstream. A draining upstream is no longer listed as serving,
-	 * but the requests that it runs continue.
+	 * but the requests that it runs continue. An upstream that states another software
+	 * version than before is tracked as a new one, so that requests which it has begun
+	 * keep the version that began them.
 	 * @param descriptor the upstream's latest descriptor
 	 */
 	public synchronized void put(UpstreamDescriptor descriptor) {
@@ -56,7 +58,7 @@
 		if (upstream != null && upstream.descriptor().equals(descriptor)) {
 			return;
 		}
-		if (upstream == null) {
+		if (upstream == null || !upstream.descriptor().version().equals(descriptor.version())) {
 			this.byId.put(descriptor.id(), new TrackedUpstream(descriptor));
 		}
 		else {
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/suspect/PoisonPartDetectorTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/suspect/PoisonPartDetectorTests.java
@@ -191,6 +191,15 @@
 		assertThat(refuses(OTHER)).isFalse();
 	}
 
+	/** A caller makes up parts whose requests lose their connections. */
+	@Test
+	void shouldKeepCrashesDespiteAFloodOfParts() {
+		crashes(3, POISON);
+		LongStream.range(1_000, 9_000).forEach((part) -> this.detector.recordConnectionLoss(List.of(part), 50));
+		assertThat(refuses(POISON)).isTrue();
+		assertThat(this.detector.observations().get(0).part()).isEqualTo(POISON);
+	}
+
 	@Test
 	void shouldLeaveOutTheLastPart() {
 		List<PromptSegment> prompt = List.of(new PromptSegment("a", 1), new PromptSegment("b", 2),
