--- a/modules/gateway/src/main/java/org/ragworthook/gateway/suspect/PoisonPartDetector.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/suspect/PoisonPartDetector.java
@@ -42,11 +42,14 @@
 	/** Crashes after which requests with a part are refused. */
 	static final int THRESHOLD = 3;
 
+	/** The same for a part that has had a complete response before. */
+	static final int THRESHOLD_AFTER_SUCCESS = 6;
+
 	/**
-	 * The same for a part that has had a complete response before. A part that most
-	 * requests share has one all the time, unless most upstreams crash at once.
+	 * Age from which a crash counts for such a part. When all connections are reset at
+	 * once, the next complete response comes before.
 	 */
-	static final int THRESHOLD_AFTER_SUCCESS = 6;
+	static final Duration CONFIRMATION_TIME = Duration.ofSeconds(1);
 
 	/** How long crashes and complete responses count. */
 	static final Duration RETENTION = Duration.ofSeconds(120);
@@ -332,7 +335,8 @@
 			}
 			previous = part;
 			boolean hadSuccess = successNanos(part, now).isPresent();
-			Set<Integer> crashes = this.suspects.get(part).crashNanos.keySet();
+			Set<Integer> crashes = this.suspects.get(part)
+				.crashesBefore(hadSuccess ? now - CONFIRMATION_TIME.toNanos() : now);
 			long unexplained = crashes.stream().filter((upstream) -> !explained.contains(upstream)).count();
 			if (unexplained >= (hadSuccess ? THRESHOLD_AFTER_SUCCESS : THRESHOLD)) {
 				found.add(hadSuccess ? Set.of(part) : inseparable(part, now));
@@ -371,6 +375,19 @@
 			this.companions = new HashSet<>(companions);
 		}
 
+		/**
+		 * Returns the upstreams that were lost up to a given time.
+		 * @param nanos the given time, as a reading of the ticker in nanoseconds
+		 * @return the keys of the upstreams
+		 */
+		Set<Integer> crashesBefore(long nanos) {
+			return this.crashNanos.entrySet()
+				.stream()
+				.filter((crash) -> crash.getValue() - nanos <= 0)
+				.map(Map.Entry::getKey)
+				.collect(Collectors.toSet());
+		}
+
 	}
 
 	/**
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/suspect/PoisonPartDetectorTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/suspect/PoisonPartDetectorTests.java
@@ -139,6 +139,8 @@
 		crashes(PoisonPartDetector.THRESHOLD_AFTER_SUCCESS - 1, POISON);
 		assertThat(refuses(POISON)).isFalse();
 		crash(this.detector, 100, POISON);
+		assertThat(refuses(POISON)).isFalse();
+		this.time.advance(PoisonPartDetector.CONFIRMATION_TIME);
 		assertThat(refuses(POISON)).isTrue();
 	}
 
