Split the attribution of crashes from what was observed

PoisonPartDetector kept observations, ranked them and decided in one file of 440 lines. SuspectedPart holds the crashes of a part, CrashAttribution decides which parts explain them, as a function of these; behaviour is the same, but for one case found by reading: a report that names no parts beside the suspected one left an empty set behind, and every request contains that. The part itself now always belongs to its set.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/suspect/PoisonPartDetector.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/suspect/PoisonPartDetector.java
@@ -1,7 +1,6 @@
 package org.ragworthook.gateway.suspect;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -12,7 +11,6 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
-import java.util.stream.Collectors;
 
 import org.ragworthook.core.log.EventLog;
 import org.ragworthook.core.time.Ticker;
@@ -39,18 +37,6 @@
 
 	private static final EventLog LOG = EventLog.of(PoisonPartDetector.class);
 
-	/** Crashes after which requests with a part are refused. */
-	static final int THRESHOLD = 3;
-
-	/** The same for a part that has had a complete response before. */
-	static final int THRESHOLD_AFTER_SUCCESS = 6;
-
-	/**
-	 * Age from which a crash counts for such a part. When all connections are reset at
-	 * once, the next complete response comes before.
-	 */
-	static final Duration CONFIRMATION_TIME = Duration.ofSeconds(1);
-
 	/** How long crashes and complete responses count. */
 	static final Duration RETENTION = Duration.ofSeconds(120);
 
@@ -78,15 +64,12 @@
 	/** Later parts of a prompt are ignored, so that one request cannot evict others. */
 	private static final int MAX_PARTS_OF_PROMPT = 16;
 
-	/** More crashes of a part than any threshold needs. */
-	private static final int MAX_CRASHES = 16;
-
 	private final Ticker ticker;
 
 	private final UpstreamActivity activity;
 
 	/** The parts with crashes, oldest first. */
-	private final Map<Long, Suspect> suspects = new LinkedHashMap<>();
+	private final Map<Long, SuspectedPart> suspects = new LinkedHashMap<>();
 
 	/** The last complete response of each part, as a reading of the ticker. */
 	private final Map<Long, Long> successes = new LinkedHashMap<>(16, 0.75f, true);
@@ -218,10 +201,10 @@
 	}
 
 	private PartObservation observation(long part, long now) {
-		Suspect suspect = this.suspects.getOrDefault(part, new Suspect(List.of()));
+		SuspectedPart suspect = this.suspects.getOrDefault(part, new SuspectedPart(List.of()));
 		Map<Integer, Duration> ages = new HashMap<>();
-		suspect.crashNanos.forEach((upstream, nanos) -> ages.put(upstream, Duration.ofNanos(now - nanos)));
-		return new PartObservation(part, suspect.position, suspect.companions, ages,
+		suspect.crashNanos().forEach((upstream, nanos) -> ages.put(upstream, Duration.ofNanos(now - nanos)));
+		return new PartObservation(part, suspect.position(), suspect.companions(), ages,
 				successNanos(part, now).map((nanos) -> Duration.ofNanos(now - nanos)));
 	}
 
@@ -267,12 +250,8 @@
 	}
 
 	private void addCrash(long part, int position, Collection<Long> companions, int upstreamKey, long nanos) {
-		Suspect suspect = this.suspects.computeIfAbsent(part, (key) -> new Suspect(companions));
-		suspect.companions.retainAll(companions);
-		suspect.position = Math.max(suspect.position, position);
-		if (suspect.crashNanos.size() < MAX_CRASHES || suspect.crashNanos.containsKey(upstreamKey)) {
-			suspect.crashNanos.merge(upstreamKey, nanos, Math::min);
-		}
+		this.suspects.computeIfAbsent(part, (key) -> new SuspectedPart(companions))
+			.addCrash(upstreamKey, nanos, position, companions);
 		if (this.suspects.size() > MAX_PARTS) {
 			this.suspects.keySet()
 				.stream()
@@ -289,7 +268,7 @@
 	}
 
 	private int crashCount(long part) {
-		return this.suspects.containsKey(part) ? this.suspects.get(part).crashNanos.size() : 0;
+		return this.suspects.containsKey(part) ? this.suspects.get(part).crashCount() : 0;
 	}
 
 	private void refresh(long now) {
@@ -297,15 +276,15 @@
 		this.contradicted.values().removeIf((nanos) -> now - nanos >= REPORT_PERIOD.toNanos());
 		this.suspects.forEach((part, suspect) -> {
 			long since = successNanos(part, now).orElse(now - RETENTION.toNanos());
-			suspect.crashNanos.entrySet()
-				.removeIf((crash) -> crash.getValue() - since <= 0 || alive(crash.getKey(), crash.getValue()));
+			suspect.removeCrashesIf((upstream, nanos) -> nanos - since <= 0 || alive(upstream, nanos));
 		});
-		this.suspects.values().removeIf((suspect) -> suspect.crashNanos.isEmpty());
-		Set<Set<Long>> found = findPoison(now);
+		this.suspects.values().removeIf((suspect) -> suspect.crashCount() == 0);
+		Set<Set<Long>> found = CrashAttribution.poisonParts(this.suspects,
+				(part) -> successNanos(part, now).isPresent(), now);
 		found.stream()
 			.filter((parts) -> !this.poison.contains(parts))
 			.forEach((parts) -> LOG.warning("poison_part_detected", "parts", hex(parts), "crashes",
-					this.suspects.get(parts.iterator().next()).crashNanos.size()));
+					crashCount(parts.iterator().next())));
 		this.poison.stream()
 			.filter((parts) -> !found.contains(parts))
 			.forEach((parts) -> LOG.info("poison_part_cleared", "parts", hex(parts)));
@@ -320,84 +299,6 @@
 		return this.activity.activeAfter(upstreamKey, lossNanos + SETTLE_TIME.toNanos());
 	}
 
-	/**
-	 * Finds the parts that explain the crashes: those that never had a complete response
-	 * first, of these the parts with more crashes, then those that stand behind others.
-	 * @param now the ticker's reading
-	 * @return the keys of the parts; sets of parts that only together explain them
-	 */
-	private Set<Set<Long>> findPoison(long now) {
-		List<Long> candidates = new ArrayList<>(this.suspects.keySet());
-		candidates.removeIf((part) -> this.suspects.get(part).crashNanos.size() < THRESHOLD);
-		Comparator<Long> rank = Comparator.comparing((Long part) -> successNanos(part, now).isPresent())
-			.thenComparing((part) -> -this.suspects.get(part).crashNanos.size())
-			.thenComparing((part) -> -this.suspects.get(part).position);
-		candidates.sort(rank);
-		Set<Integer> explained = new HashSet<>();
-		Set<Integer> explainedByEqualRank = new HashSet<>();
-		Set<Set<Long>> found = new HashSet<>();
-		Long previous = null;
-		for (Long part : candidates) {
-			if (previous != null && rank.compare(previous, part) != 0) {
-				explained.addAll(explainedByEqualRank);
-			}
-			previous = part;
-			boolean hadSuccess = successNanos(part, now).isPresent();
-			Set<Integer> crashes = this.suspects.get(part)
-				.crashesBefore(hadSuccess ? now - CONFIRMATION_TIME.toNanos() : now);
-			long unexplained = crashes.stream().filter((upstream) -> !explained.contains(upstream)).count();
-			if (unexplained >= (hadSuccess ? THRESHOLD_AFTER_SUCCESS : THRESHOLD)) {
-				found.add(hadSuccess ? Set.of(part) : inseparable(part, now));
-				explainedByEqualRank.addAll(crashes);
-			}
-		}
-		return found;
-	}
-
-	/**
-	 * Returns a part and those that occurred in the same requests only.
-	 * @param part the key of a part without complete response
-	 * @param now the ticker's reading
-	 * @return the keys of the parts without complete response
-	 */
-	private Set<Long> inseparable(Long part, long now) {
-		return this.suspects.get(part).companions.stream()
-			.filter((other) -> successNanos(other, now).isEmpty())
-			.filter((other) -> this.suspects.containsKey(other) && this.suspects.get(other).companions.contains(part))
-			.collect(Collectors.toSet());
-	}
-
-	/** A part with crashes. */
-	private static final class Suspect {
-
-		/** The greatest position of the part in a prompt, from 0. */
-		private int position;
-
-		/** The parts that all lost requests with this part had, itself included. */
-		private final Set<Long> companions;
-
-		/** When the upstreams were lost, by their key, as readings of the ticker. */
-		private final Map<Integer, Long> crashNanos = new LinkedHashMap<>();
-
-		Suspect(Collection<Long> companions) {
-			this.companions = new HashSet<>(companions);
-		}
-
-		/**
-		 * Returns the upstreams that were lost up to a given time.
-		 * @param nanos the given time, as a reading of the ticker in nanoseconds
-		 * @return the keys of the upstreams
-		 */
-		Set<Integer> crashesBefore(long nanos) {
-			return this.crashNanos.entrySet()
-				.stream()
-				.filter((crash) -> crash.getValue() - nanos <= 0)
-				.map(Map.Entry::getKey)
-				.collect(Collectors.toSet());
-		}
-
-	}
-
 	/**
 	 * Knows when upstreams have sent something.
 	 */
@@ -414,30 +315,4 @@
 
 	}
 
-	/**
-	 * What a process has observed of a part.
-	 *
-	 * @param part the key of the part
-	 * @param position the greatest position of the part in a prompt, from 0
-	 * @param companions the parts that all lost requests with the part had, itself
-	 * included
-	 * @param crashAges the upstreams that were lost while they ran requests with the
-	 * part, by their key, and how long ago
-	 * @param successAge how long ago the last complete response to a request with the
-	 * part ended, or empty if there was none
-	 */
-	public record PartObservation(long part, int position, Set<Long> companions, Map<Integer, Duration> crashAges,
-			Optional<Duration> successAge) {
-
-		/**
-		 * Copies the collections.
-		 */
-		public PartObservation {
-			companions = Set.copyOf(companions);
-			crashAges = Map.copyOf(crashAges);
-			Objects.requireNonNull(successAge, "successAge is null");
-		}
-
-	}
-
 }
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/suspect/PoisonPartReports.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/suspect/PoisonPartReports.java
@@ -58,15 +58,15 @@
 		this.detector.add(report.getSuspectPartsList().stream().map(PoisonPartReports::observation).toList());
 	}
 
-	private static PoisonPartDetector.PartObservation observation(SuspectPart part) {
+	private static PartObservation observation(SuspectPart part) {
 		Map<Integer, Duration> ages = new HashMap<>();
 		List<Integer> upstreams = part.getUpstreamsList();
 		for (int i = 0; i < Math.min(upstreams.size(), part.getAgesMillisCount()); i++) {
 			ages.put(upstreams.get(i), Duration.ofMillis(part.getAgesMillis(i)));
 		}
-		return new PoisonPartDetector.PartObservation(part.getPart(), part.getPosition(),
-				Set.copyOf(part.getCompanionsList()), ages, part.hasSuccessAgeMillis()
-						? Optional.of(Duration.ofMillis(part.getSuccessAgeMillis())) : Optional.empty());
+		return new PartObservation(part.getPart(), part.getPosition(), Set.copyOf(part.getCompanionsList()), ages,
+				part.hasSuccessAgeMillis() ? Optional.of(Duration.ofMillis(part.getSuccessAgeMillis()))
+						: Optional.empty());
 	}
 
 }
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/suspect/PoisonPartDetectorTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/suspect/PoisonPartDetectorTests.java
@@ -4,6 +4,8 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.IntStream;
 import java.util.stream.LongStream;
@@ -136,11 +138,11 @@
 	void shouldRefuseAPartThatHadACompleteResponseBefore() {
 		this.detector.recordSuccess(Set.of(POISON));
 		this.time.advance(Duration.ofMillis(20));
-		crashes(PoisonPartDetector.THRESHOLD_AFTER_SUCCESS - 1, POISON);
+		crashes(CrashAttribution.THRESHOLD_AFTER_SUCCESS - 1, POISON);
 		assertThat(refuses(POISON)).isFalse();
 		crash(this.detector, 100, POISON);
 		assertThat(refuses(POISON)).isFalse();
-		this.time.advance(PoisonPartDetector.CONFIRMATION_TIME);
+		this.time.advance(CrashAttribution.CONFIRMATION_TIME);
 		assertThat(refuses(POISON)).isTrue();
 	}
 
@@ -202,6 +204,16 @@
 		assertThat(this.detector.observations().get(0).part()).isEqualTo(POISON);
 	}
 
+	/** A report that states no parts beside the suspected one must not refuse all. */
+	@Test
+	void shouldRefuseOnlyThePartOfAReportWithoutCompanions() {
+		this.detector.add(List.of(new PartObservation(POISON, 1, Set.of(),
+				Map.of(1, Duration.ZERO, 2, Duration.ZERO, 3, Duration.ZERO), Optional.empty())));
+		assertThat(refuses(POISON)).isTrue();
+		assertThat(refuses(OTHER)).isFalse();
+		assertThat(this.detector.refused(List.of())).isFalse();
+	}
+
 	@Test
 	void shouldLeaveOutTheLastPart() {
 		List<PromptSegment> prompt = List.of(new PromptSegment("a", 1), new PromptSegment("b", 2),
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/suspect/PoisonPartSimulation.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/suspect/PoisonPartSimulation.java
@@ -322,7 +322,7 @@
 
 		@Override
 		public void reportTo(Rule other, ManualTime time, Duration delay) {
-			List<PoisonPartDetector.PartObservation> observations = this.detector.observations();
+			List<PartObservation> observations = this.detector.observations();
 			if (!observations.isEmpty()) {
 				time.schedule(delay, () -> ((Detecting) other).detector.add(observations));
 			}
