Limit stored objects by the bytes of their encoding

Cause: segments of results were limited to 600,000 characters, which was taken to be less than the store's limit of 1,048,576 bytes. A character of Japanese text takes three bytes, a quote four after two escapes. The store refused a segment of 1.77 MB with 413; the refusal was taken for a write whose outcome is unknown, and the owner sent the same segment again for good.

What exceeds an object alone (one result, or a chunk of items) is stored in pieces named by digests; the object lists them. A 413 is a refusal without effect, and lowers the limit of the process. The same cause is removed where progress is saved, where pages of results and the cache of results are limited (both by characters), and where a job with large bodies or headers is stored.

--- a/modules/core/src/main/java/org/ragworthook/core/store/RecordStore.java
+++ b/modules/core/src/main/java/org/ragworthook/core/store/RecordStore.java
@@ -14,6 +14,15 @@
  */
 public interface RecordStore {
 
+	/**
+	 * Returns the platform's limit on the size of an object.
+	 * @return the limit in bytes, counted as the platform stores the object, with its
+	 * metadata
+	 */
+	default long maxObjectBytes() {
+		return Draft.MAX_BYTES;
+	}
+
 	/**
 	 * Reads an object.
 	 * @param key the object's key
@@ -32,6 +41,17 @@
 		return read(key);
 	}
 
+	/**
+	 * Reads an object that never changes, or of which an older version is good enough:
+	 * from the copy if that has it.
+	 * @param key the object's key
+	 * @return some version of the object, or empty if the object does not exist
+	 */
+	default CompletableFuture<Optional<Stored>> readPossiblyStale(ObjectKey key) {
+		return readCopy(key)
+			.thenCompose((copy) -> copy.isPresent() ? CompletableFuture.completedFuture(copy) : read(key));
+	}
+
 	/**
 	 * Creates an object if none with the same key exists.
 	 * @param key the object's key
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobDocuments.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobDocuments.java
@@ -26,6 +26,13 @@
 
 	private static final ObjectMapper MAPPER = new ObjectMapper();
 
+	private static final String PIECES = "pieces";
+
+	private static final String PIECES_START = "{\"" + PIECES + "\":";
+
+	/** Keys, quotes and numbers of an outcome or of an item's progress, at most. */
+	private static final int RECORD_BYTES = 200;
+
 	private JobDocuments() {
 	}
 
@@ -107,6 +114,55 @@
 		return items;
 	}
 
+	/**
+	 * Writes the list of the pieces of a document that exceeds an object.
+	 * @param digests the digests of the pieces in order
+	 * @return the list
+	 */
+	static String writePieces(List<String> digests) {
+		ObjectNode node = MAPPER.createObjectNode();
+		ArrayNode array = node.putArray(PIECES);
+		digests.forEach(array::add);
+		return text(node);
+	}
+
+	/**
+	 * Reads a list of pieces.
+	 * @param text the text of an object, a whole document or a list of its pieces
+	 * @return the digests of the pieces in order, or empty if the text is no such list
+	 */
+	static Optional<List<String>> readPieces(String text) {
+		if (!text.startsWith(PIECES_START)) {
+			return Optional.empty();
+		}
+		List<String> digests = new ArrayList<>();
+		require(parse(text).path(PIECES), JsonNode::isArray)
+			.forEach((digest) -> digests.add(require(digest, JsonNode::isTextual).textValue()));
+		return Optional.of(digests);
+	}
+
+	/**
+	 * Returns the maximum size of an outcome in a stored segment.
+	 * @param outcome the outcome
+	 * @return the size in bytes, encoded as part of a JSON string
+	 */
+	static long maxSize(ItemOutcome outcome) {
+		return RECORD_BYTES + JsonSize.maxNested(outcome.itemId()) + JsonSize.maxNested(outcome.output());
+	}
+
+	/**
+	 * Returns the maximum size of an item's progress in a stored document.
+	 * @param item the progress
+	 * @return the size in bytes, encoded as part of a JSON string
+	 */
+	static long maxSize(ItemProgress item) {
+		long origin = item.origin()
+			.map((from) -> JsonSize.maxNested(from.service()) + JsonSize.maxNested(from.version().label().orElse("")))
+			.orElse(0L);
+		return RECORD_BYTES + origin + JsonSize.maxNested(item.jobId()) + JsonSize.maxNested(item.itemId())
+				+ JsonSize.maxNested(item.output());
+	}
+
 	private static Optional<StreamOrigin> origin(JsonNode node) {
 		return Optional.ofNullable(node.path("service").textValue())
 			.map((service) -> new StreamOrigin(service, SoftwareVersion.of(text(node, "version"))));
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobReader.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobReader.java
@@ -25,13 +25,16 @@
 	private static final EventLog LOG = EventLog.of(JobReader.class);
 
 	/**
-	 * Maximum text of one page of results, in characters; calls are limited to a
-	 * megabyte.
+	 * Maximum size of a page with more than one result, in bytes of JSON; calls are
+	 * limited to a megabyte.
 	 */
-	private static final int MAX_PAGE_CHARS = 700_000;
+	private static final long MAX_PAGE_BYTES = 700_000;
 
-	/** Maximum text of cached results, in characters. */
-	private static final long MAX_CACHED_CHARS = 24_000_000;
+	/** Keys and quotes of a result in a page, at most. */
+	private static final int RESULT_BYTES = 100;
+
+	/** Maximum size of cached results, in bytes. */
+	private static final long MAX_CACHED_BYTES = 24_000_000;
 
 	private final JobStore store;
 
@@ -43,7 +46,7 @@
 
 	private final Map<String, CachedResults> cache = new LinkedHashMap<>(16, 0.75f, true);
 
-	private long cachedChars;
+	private long cachedBytes;
 
 	private JobReader(JobStore store, PublishedResultsView published, Timers timers) {
 		this.store = Objects.requireNonNull(store, "store is null");
@@ -143,20 +146,24 @@
 	private void addSegment(CachedResults cached, List<ItemOutcome> segment) {
 		cached.outcomes.addAll(segment);
 		cached.segments++;
-		long chars = segment.stream().mapToLong((outcome) -> outcome.output().length()).sum();
-		cached.chars += chars;
-		this.cachedChars += chars;
+		long bytes = segment.stream().mapToLong(JobReader::size).sum();
+		cached.bytes += bytes;
+		this.cachedBytes += bytes;
 		LOG.info("results_read", "job", cached.jobId, "segment", cached.segments - 1, "listed", cached.outcomes.size(),
 				"total", cached.itemCount);
 		evict(cached);
 	}
 
+	private static long size(ItemOutcome outcome) {
+		return RESULT_BYTES + JsonSize.utf8(outcome.itemId()) + JsonSize.utf8(outcome.output());
+	}
+
 	private void evict(CachedResults retained) {
 		var oldest = this.cache.values().iterator();
-		while (this.cachedChars > MAX_CACHED_CHARS && oldest.hasNext()) {
+		while (this.cachedBytes > MAX_CACHED_BYTES && oldest.hasNext()) {
 			CachedResults cached = oldest.next();
 			if (cached != retained) {
-				this.cachedChars -= cached.chars;
+				this.cachedBytes -= cached.bytes;
 				oldest.remove();
 			}
 		}
@@ -224,7 +231,7 @@
 
 		private int segments;
 
-		private long chars;
+		private long bytes;
 
 		CachedResults(String jobId, int itemCount) {
 			this.jobId = jobId;
@@ -233,11 +240,11 @@
 
 		Page page(int position) {
 			List<ItemOutcome> page = new ArrayList<>();
-			int chars = 0;
+			long bytes = 0;
 			for (int at = position; at < this.outcomes.size(); at++) {
 				ItemOutcome outcome = this.outcomes.get(at);
-				chars += outcome.output().length();
-				if (!page.isEmpty() && chars > MAX_PAGE_CHARS) {
+				bytes += size(outcome);
+				if (!page.isEmpty() && bytes > MAX_PAGE_BYTES) {
 					break;
 				}
 				page.add(outcome);
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobStore.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobStore.java
@@ -9,7 +9,6 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.regex.Pattern;
 
 import org.ragworthook.core.error.ErrorCode;
@@ -17,7 +16,6 @@
 import org.ragworthook.core.error.StoreException;
 import org.ragworthook.core.store.ConditionalWriter;
 import org.ragworthook.core.store.Kind;
-import org.ragworthook.core.store.Labels;
 import org.ragworthook.core.store.ObjectKey;
 import org.ragworthook.core.store.RecordStore;
 import org.ragworthook.core.store.Stored;
@@ -34,10 +32,10 @@
 public final class JobStore {
 
 	/**
-	 * Maximum text of one object, in characters; with what escaping adds, the object
-	 * stays below the store's size limit.
+	 * Maximum text of a chunk with more than one item, in characters. Must not change:
+	 * processes of all versions that store the same job have to divide it equally.
 	 */
-	static final int MAX_OBJECT_CHARS = 600_000;
+	static final int MAX_CHUNK_CHARS = 600_000;
 
 	/** Pause before a retry after the store did not answer or refused a call. */
 	static final Duration RETRY_DELAY = Duration.ofMillis(300);
@@ -50,9 +48,15 @@
 
 	private final ConditionalWriter writer;
 
+	private final ObjectSizeLimit limit;
+
+	private final LargeDocuments documents;
+
 	private JobStore(RecordStore store, ConditionalWriter writer) {
 		this.store = Objects.requireNonNull(store, "store is null");
 		this.writer = Objects.requireNonNull(writer, "writer is null");
+		this.limit = ObjectSizeLimit.of(store);
+		this.documents = new LargeDocuments(store, writer, this.limit);
 	}
 
 	/**
@@ -65,6 +69,14 @@
 		return new JobStore(store, writer);
 	}
 
+	/**
+	 * Returns the maximum size of a document that is stored in one object.
+	 * @return the size in bytes, encoded as a JSON string
+	 */
+	long maxDocumentBytes() {
+		return this.limit.bytes();
+	}
+
 	/**
 	 * Stores a new job. Items that are too large for one object are stored before the job
 	 * itself, so that a job is stored completely or not at all.
@@ -73,25 +85,37 @@
 	 */
 	public CompletableFuture<Boolean> create(Job job) {
 		List<List<JobItem>> chunks = chunks(job.items());
-		if (chunks.size() <= 1) {
-			return createIfAbsent(key(Kind.JOB, job.id()), JobDocuments.writeJob(job));
+		String document = JobDocuments.writeJob(job);
+		if (chunks.size() > 1 || !this.documents.fits(document)) {
+			return createInChunks(job, chunks);
 		}
+		return this.documents.createObject(key(Kind.JOB, job.id()), document).handle((created, failure) -> {
+			if (failure == null) {
+				return CompletableFuture.completedFuture(created);
+			}
+			return ObjectSizeLimit.isTooLarge(failure) ? createInChunks(job, chunks)
+					: CompletableFuture.<Boolean>failedFuture(Failures.root(failure));
+		}).thenCompose((result) -> result);
+	}
+
+	private CompletableFuture<Boolean> createInChunks(Job job, List<List<JobItem>> chunks) {
 		List<CompletableFuture<Boolean>> written = new ArrayList<>();
 		for (int n = 0; n < chunks.size(); n++) {
-			written.add(createIfAbsent(partKey(Kind.CHUNK, job.id(), n), JobDocuments.writeItems(chunks.get(n))));
+			written
+				.add(this.documents.create(partKey(Kind.CHUNK, job.id(), n), JobDocuments.writeItems(chunks.get(n))));
 		}
 		Job head = new Job(job.id(), job.account(), job.host(), job.path(), job.acceptedMillis(),
 				job.configurationVersion(), job.itemCount(), chunks.size(), job.tokens(), false, List.of());
 		return CompletableFuture.allOf(written.toArray(CompletableFuture[]::new))
-			.thenCompose((done) -> createIfAbsent(key(Kind.JOB, job.id()), JobDocuments.writeJob(head)));
+			.thenCompose((done) -> this.documents.createObject(key(Kind.JOB, job.id()), JobDocuments.writeJob(head)));
 	}
 
 	private static List<List<JobItem>> chunks(List<JobItem> items) {
 		List<List<JobItem>> chunks = new ArrayList<>();
-		int size = MAX_OBJECT_CHARS;
+		int size = MAX_CHUNK_CHARS;
 		for (JobItem item : items) {
 			int length = item.body().length() + item.path().length() + item.headers().toString().length();
-			if (size + length > MAX_OBJECT_CHARS) {
+			if (size + length > MAX_CHUNK_CHARS) {
 				chunks.add(new ArrayList<>());
 				size = 0;
 			}
@@ -101,22 +125,6 @@
 		return chunks;
 	}
 
-	private CompletableFuture<Boolean> createIfAbsent(ObjectKey key, String text) {
-		return this.writer.create(key, text, Labels.empty()).handle((stored, failure) -> {
-			if (failure == null) {
-				return true;
-			}
-			if (isConflict(failure)) {
-				return false;
-			}
-			throw new CompletionException(Failures.root(failure));
-		});
-	}
-
-	private static boolean isConflict(Throwable failure) {
-		return ConditionalWriter.codeOf(failure).filter((code) -> code == ErrorCode.STORE_CONFLICT).isPresent();
-	}
-
 	/**
 	 * Reads a job.
 	 * @param id the job's id
@@ -137,17 +145,7 @@
 	 * there is none
 	 */
 	public CompletableFuture<Optional<Job>> readPossiblyStale(String id) {
-		return readPossiblyStale(key(Kind.JOB, id)).thenApply((found) -> found.map(JobStore::job));
-	}
-
-	/**
-	 * Reads an object that never changes, or of which an older version is good enough.
-	 * @param key the object's key
-	 * @return the object, or empty if the store has none
-	 */
-	private CompletableFuture<Optional<Stored>> readPossiblyStale(ObjectKey key) {
-		return this.store.readCopy(key)
-			.thenCompose((copy) -> copy.isPresent() ? CompletableFuture.completedFuture(copy) : this.store.read(key));
+		return this.store.readPossiblyStale(key(Kind.JOB, id)).thenApply((found) -> found.map(JobStore::job));
 	}
 
 	/**
@@ -168,14 +166,13 @@
 		if (job.chunks() == 0) {
 			return CompletableFuture.completedFuture(job);
 		}
-		List<CompletableFuture<Optional<Stored>>> reads = new ArrayList<>();
+		List<CompletableFuture<Optional<String>>> reads = new ArrayList<>();
 		for (int n = 0; n < job.chunks(); n++) {
-			reads.add(readPossiblyStale(partKey(Kind.CHUNK, job.id(), n)));
+			reads.add(this.documents.readPossiblyStale(partKey(Kind.CHUNK, job.id(), n)));
 		}
 		return CompletableFuture.allOf(reads.toArray(CompletableFuture[]::new)).thenApply((done) -> {
 			List<JobItem> items = new ArrayList<>();
-			reads.forEach(
-					(read) -> read.join().ifPresent((stored) -> items.addAll(JobDocuments.readItems(stored.text()))));
+			reads.forEach((read) -> read.join().map(JobDocuments::readItems).ifPresent(items::addAll));
 			if (items.size() != job.itemCount()) {
 				throw new StoreException(ErrorCode.STORE_UNAVAILABLE,
 						"the store returned " + items.size() + " of " + job.itemCount() + " items of job " + job.id());
@@ -209,7 +206,7 @@
 	 * @return its results, or empty if it is not written yet
 	 */
 	public CompletableFuture<Optional<List<ItemOutcome>>> segment(String jobId, int number) {
-		return this.store.read(partKey(Kind.RESULT, jobId, number)).thenApply(JobStore::outcomes);
+		return this.documents.read(partKey(Kind.RESULT, jobId, number)).thenApply(JobStore::outcomes);
 	}
 
 	/**
@@ -220,11 +217,11 @@
 	 * @return its results, or empty if it is not written yet
 	 */
 	public CompletableFuture<Optional<List<ItemOutcome>>> segmentPossiblyStale(String jobId, int number) {
-		return readPossiblyStale(partKey(Kind.RESULT, jobId, number)).thenApply(JobStore::outcomes);
+		return this.documents.readPossiblyStale(partKey(Kind.RESULT, jobId, number)).thenApply(JobStore::outcomes);
 	}
 
-	private static Optional<List<ItemOutcome>> outcomes(Optional<Stored> found) {
-		return found.map((stored) -> JobDocuments.readOutcomes(stored.text()));
+	private static Optional<List<ItemOutcome>> outcomes(Optional<String> segment) {
+		return segment.map(JobDocuments::readOutcomes);
 	}
 
 	/**
@@ -236,7 +233,7 @@
 	 * @return whether it was written; otherwise another process has written that segment
 	 */
 	public CompletableFuture<Boolean> append(String jobId, int number, List<ItemOutcome> outcomes) {
-		return createIfAbsent(partKey(Kind.RESULT, jobId, number), JobDocuments.writeOutcomes(outcomes));
+		return this.documents.create(partKey(Kind.RESULT, jobId, number), JobDocuments.writeOutcomes(outcomes));
 	}
 
 	private static ObjectKey partKey(Kind kind, String jobId, int number) {
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/OwnedJob.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/OwnedJob.java
@@ -209,14 +209,15 @@
 
 	/**
 	 * Returns the unpublished outcomes, as many as fit into one segment.
+	 * @param maxBytes the maximum size of a segment with more than one outcome, in bytes
 	 * @return the outcomes, oldest first
 	 */
-	List<ItemOutcome> nextSegment() {
+	List<ItemOutcome> nextSegment(long maxBytes) {
 		List<ItemOutcome> segment = new ArrayList<>();
-		int chars = 0;
+		long bytes = 0;
 		for (ItemOutcome outcome : this.unpublished) {
-			chars += outcome.output().length();
-			if (!segment.isEmpty() && chars > JobStore.MAX_OBJECT_CHARS) {
+			bytes += JobDocuments.maxSize(outcome);
+			if (!segment.isEmpty() && bytes > maxBytes) {
 				break;
 			}
 			segment.add(outcome);
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ProgressSaver.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ProgressSaver.java
@@ -51,11 +51,8 @@
 	 */
 	private static final Duration SHUTDOWN_TIMEOUT = Duration.ofMillis(400);
 
-	/**
-	 * Maximum text of one save, in characters; with what escaping adds, the object stays
-	 * below the store's size limit.
-	 */
-	private static final int MAX_OBJECT_CHARS = 600_000;
+	/** Maximum size of one save, in bytes, which leaves room on the link for results. */
+	private static final long MAX_SAVE_BYTES = 600_000;
 
 	private final ProgressStore store;
 
@@ -135,20 +132,21 @@
 	/**
 	 * Selects the progress that is most worth saving.
 	 * @param jobs the jobs of this process
-	 * @return the progress of items, the furthest first, as much as fits into one object
+	 * @return the progress of items, the furthest first, as much as fits into one object;
+	 * an item whose output alone exceeds it is left out
 	 */
-	private static List<ItemProgress> selectItems(List<OwnedJob> jobs) {
+	private List<ItemProgress> selectItems(List<OwnedJob> jobs) {
 		List<ItemProgress> items = new ArrayList<>();
-		int chars = 0;
+		long bytesLeft = Math.min(MAX_SAVE_BYTES, this.store.maxDocumentBytes());
 		for (ItemProgress item : jobs.stream()
 			.flatMap((job) -> job.progress().stream())
 			.sorted(Comparator.comparingLong(ItemProgress::lastEvent).reversed())
 			.toList()) {
-			chars += item.output().length();
-			if (chars > MAX_OBJECT_CHARS) {
-				break;
+			long bytes = JobDocuments.maxSize(item);
+			if (bytes <= bytesLeft) {
+				bytesLeft -= bytes;
+				items.add(item);
 			}
-			items.add(item);
 		}
 		return items;
 	}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ProgressStore.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ProgressStore.java
@@ -28,6 +28,8 @@
 
 	private final ObjectKey key;
 
+	private final ObjectSizeLimit limit;
+
 	/** The object of this process as last written, or empty if that is uncertain. */
 	private Optional<Stored> lastWritten = Optional.empty();
 
@@ -36,6 +38,7 @@
 		this.writer = Objects.requireNonNull(writer, "writer is null");
 		this.feed = Objects.requireNonNull(feed, "feed is null");
 		this.key = key;
+		this.limit = ObjectSizeLimit.of(store);
 	}
 
 	/**
@@ -60,6 +63,14 @@
 		return JobDocuments.readProgress(stored.text());
 	}
 
+	/**
+	 * Returns the maximum size of the progress of one process.
+	 * @return the size in bytes, encoded as a JSON string
+	 */
+	long maxDocumentBytes() {
+		return this.limit.bytes();
+	}
+
 	/**
 	 * Replaces the progress of this process. Must not be called before the previous write
 	 * has completed.
@@ -71,9 +82,13 @@
 		CompletableFuture<Optional<Stored>> existing = this.lastWritten.isPresent()
 				? CompletableFuture.completedFuture(this.lastWritten) : this.store.read(this.key);
 		this.lastWritten = Optional.empty();
-		return existing
-			.thenCompose((found) -> found.isPresent() ? this.writer.update(found.get(), text)
-					: this.writer.create(this.key, text, Labels.empty()))
+		return existing.thenCompose((found) -> found.isPresent() ? this.writer.update(found.get(), text)
+				: this.writer.create(this.key, text, Labels.empty()))
+			.whenComplete((stored, failure) -> {
+				if (failure != null) {
+					this.limit.writeFailed(text, failure);
+				}
+			})
 			.thenAccept((stored) -> this.lastWritten = Optional.of(stored));
 	}
 
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ResultPublisher.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ResultPublisher.java
@@ -62,8 +62,9 @@
 		this.authority.onWriteStarted(job.job().id());
 		this.dependencies.sendReport().run();
 		int number = job.segments();
-		List<ItemOutcome> outcomes = job.nextSegment();
-		this.dependencies.store().append(job.job().id(), number, outcomes).thenAcceptAsync((written) -> {
+		JobStore store = this.dependencies.store();
+		List<ItemOutcome> outcomes = job.nextSegment(store.maxDocumentBytes());
+		store.append(job.job().id(), number, outcomes).thenAcceptAsync((written) -> {
 			job.writing(false);
 			LOG.info("results_listed", "job", job.job().id(), "segment", number, "results", outcomes.size(), "written",
 					written, "open_items", job.openCount());
@@ -79,8 +80,8 @@
 				job.phase(OwnedJob.Phase.NOT_LOADED);
 			}
 		}, this.dependencies.loop()).exceptionally((failure) -> {
-			LOG.warning("results_not_listed", "job", job.job().id(), "segment", number, "error",
-					Failures.root(failure));
+			LOG.warning("results_not_listed", "job", job.job().id(), "segment", number, "results", outcomes.size(),
+					"bytes", outcomes.stream().mapToLong(JobDocuments::maxSize).sum(), "error", Failures.root(failure));
 			this.dependencies.timers().schedule(JobStore.RETRY_DELAY, () -> {
 				job.writing(false);
 				this.authority.revoke(job.job().id());
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/JobAdmission.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/JobAdmission.java
@@ -188,6 +188,13 @@
 				response.status(202, "", Optional.empty());
 				return;
 			}
+			if (ConditionalWriter.codeOf(failure).filter((code) -> code == ErrorCode.STORE_TOO_LARGE).isPresent()) {
+				LOG.warning("job_too_large", "job", job.id(), "items", job.itemCount(), "error",
+						Failures.root(failure));
+				response.status(ErrorCode.STORE_TOO_LARGE.httpStatus(), "the store does not take a job of this size",
+						Optional.empty());
+				return;
+			}
 			boolean unknown = outcomeUnknown || ConditionalWriter.codeOf(failure)
 				.filter((code) -> code == ErrorCode.STORE_UNAVAILABLE || code == ErrorCode.STORE_RATE_LIMITED)
 				.isEmpty();
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/job/JobStoreTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/job/JobStoreTests.java
@@ -32,7 +32,7 @@
 	private final JobStore store = JobStore.of(this.objects, this.writer);
 
 	private Job createLargeJob() {
-		String body = "A".repeat(JobStore.MAX_OBJECT_CHARS - 1_000);
+		String body = "A".repeat(JobStore.MAX_CHUNK_CHARS - 1_000);
 		List<JobItem> items = IntStream.range(0, ITEMS)
 			.mapToObj((number) -> new JobItem("i" + number, "/p", Map.of(), body, 1))
 			.toList();
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/job/OwnedJobTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/job/OwnedJobTests.java
@@ -14,6 +14,8 @@
  */
 class OwnedJobTests {
 
+	private static final long MAX_BYTES = 1_000_000;
+
 	private static final JobItem FIRST = new JobItem("first", "/p", Map.of(), "", 1);
 
 	private static final JobItem SECOND = new JobItem("second", "/p", Map.of(), "", 1);
@@ -51,7 +53,7 @@
 		ItemOutcome outcome = new ItemOutcome("first", true, "text");
 		this.job.finish(outcome, 1);
 		this.job.finish(outcome, 2);
-		assertThat(this.job.nextSegment()).containsExactly(outcome);
+		assertThat(this.job.nextSegment(MAX_BYTES)).containsExactly(outcome);
 		this.job.addSegment(0, List.of(outcome));
 		this.job.finish(outcome, 3);
 		assertThat(this.job.hasUnpublished()).isFalse();
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/job/ProgressSaverTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/job/ProgressSaverTests.java
@@ -8,6 +8,8 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -33,6 +35,8 @@
  */
 class ProgressSaverTests {
 
+	private static final long MAX_BYTES = 1_000_000;
+
 	private static final StreamOrigin ORIGIN = new StreamOrigin("svc", SoftwareVersion.of("v1"));
 
 	private final AtomicLong nanos = new AtomicLong();
@@ -152,7 +156,7 @@
 		OwnedJob restored = job(Map.of("a", 0L, "b", 0L)).get(0);
 		ProgressSaver.SavedProgress saved = saver("two").readSaved().join();
 		restored.runs().forEach((run) -> saved.find(run).ifPresent((progress) -> restored.resumeFrom(progress, 1)));
-		assertThat(restored.nextSegment()).containsExactly(new ItemOutcome("a", true, "all of a"));
+		assertThat(restored.nextSegment(MAX_BYTES)).containsExactly(new ItemOutcome("a", true, "all of a"));
 		assertThat(restored.runs().stream().map((run) -> run.item().id()).toList()).containsExactly("b");
 		assertThat(restored.runs().get(0).lastEvent()).isEqualTo(2);
 	}
@@ -174,6 +178,31 @@
 		assertThat(this.store.writes).isEqualTo(1);
 	}
 
+	/**
+	 * Guards against a save that the store refuses for good, and against an item whose
+	 * output alone is too large keeping the progress of all others out.
+	 * @param text the text that the outputs repeat
+	 * @param actualBytes the limit that the store enforces, below or at the one it states
+	 */
+	@ParameterizedTest
+	@CsvSource({ "a, 200000", "\u4e16, 200000", "'\"', 200000", "a, 60000", "\u4e16, 60000" })
+	void shouldSaveWhatFitsOfTheProgress(String text, int actualBytes) {
+		this.store.statedBytes = 200_000;
+		this.store.maxBytes = actualBytes;
+		List<OwnedJob> jobs = job(IntStream.range(0, 41).boxed().collect(Collectors.toMap((n) -> "i" + n, (n) -> 0L)));
+		jobs.get(0).finish(new ItemOutcome("i0", true, text.repeat(300_000)), 1);
+		IntStream.range(1, 41)
+			.forEach((n) -> jobs.get(0).finish(new ItemOutcome("i" + n, true, text.repeat(5_000)), 1));
+		ProgressSaver saver = saver("one");
+		for (int round = 0; round < 10; round++) {
+			advance(ProgressSaver.MIN_INTERVAL);
+			saver.saveIfDue(jobs, 1);
+		}
+		ProgressSaver.SavedProgress saved = saver("two").readSaved().join();
+		assertThat(saved.find(item("i0"))).isEqualTo(Optional.empty());
+		assertThat(saved.find(item("i1")).map(ItemProgress::output)).isEqualTo(Optional.of(text.repeat(5_000)));
+	}
+
 	/**
 	 * Many jobs are loaded at the same moment. They share one listing instead of making a
 	 * store call each.
@@ -202,8 +231,17 @@
 
 		private boolean unavailable;
 
+		private long statedBytes = Draft.MAX_BYTES;
+
+		private long maxBytes = Draft.MAX_BYTES;
+
 		private long version;
 
+		@Override
+		public long maxObjectBytes() {
+			return this.statedBytes;
+		}
+
 		@Override
 		public CompletableFuture<Optional<Stored>> read(ObjectKey key) {
 			return CompletableFuture.completedFuture(Optional.ofNullable(this.objects.get(key)));
@@ -224,6 +262,9 @@
 			if (this.unavailable) {
 				return CompletableFuture.failedFuture(new StoreException(ErrorCode.STORE_UNAVAILABLE, "away"));
 			}
+			if (JsonSize.max(key.name() + draft.text()) > this.maxBytes) {
+				return CompletableFuture.failedFuture(new StoreException(ErrorCode.STORE_TOO_LARGE, "refused"));
+			}
 			this.writes++;
 			Stored stored = new Stored(key, ++this.version, draft);
 			this.objects.put(key, stored);
