Count a poison part wherever it stands in a prompt

Cause: the detector kept the first 16 parts of a prompt, so that one request could not evict others from the 4,000 parts that it remembers. A part behind them was never counted.

Change: all parts but the last count. The memory is limited otherwise: one lost request adds at most a quarter of the capacity, parts without a complete response first; the parts of a lost request share one set of companions instead of a set each; complete responses are kept in a table of fixed size, since two hundred long prompts would displace 4,000 of them; evicted are parts with complete responses, then those with the fewest crashes, then those of the longest prompts. Reports are limited by bytes instead of parts, as they would have grown with the prompts; a report that leaves out companions says so in a new field, which older processes ignore.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/suspect/PartObservation.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/suspect/PartObservation.java
@@ -12,13 +12,14 @@
  * @param part the key of the part
  * @param position the greatest position of the part in a prompt, from 0
  * @param companions the parts that all lost requests with the part had, itself included
+ * @param companionsOmitted whether there may be such parts besides
  * @param crashAges the upstreams that were lost while they ran requests with the part, by
  * their key, and how long ago
  * @param successAge how long ago the last complete response to a request with the part
  * ended, or empty if there was none
  */
-public record PartObservation(long part, int position, Set<Long> companions, Map<Integer, Duration> crashAges,
-		Optional<Duration> successAge) {
+public record PartObservation(long part, int position, Set<Long> companions, boolean companionsOmitted,
+		Map<Integer, Duration> crashAges, Optional<Duration> successAge) {
 
 	/**
 	 * Copies the collections.
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/suspect/PoisonPartDetector.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/suspect/PoisonPartDetector.java
@@ -1,16 +1,20 @@
 package org.ragworthook.gateway.suspect;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.IdentityHashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.ragworthook.core.log.EventLog;
 import org.ragworthook.core.time.Ticker;
@@ -56,13 +60,16 @@
 	private static final Duration REFRESH_INTERVAL = Duration.ofMillis(100);
 
 	/**
-	 * Limits the memory. The parts with the fewest crashes are evicted first, and the
-	 * complete responses of the parts that were used least recently.
+	 * Limits the memory. Parts that had a complete response are evicted first, then those
+	 * with the fewest crashes, of these the parts of the longest prompts.
 	 */
-	private static final int MAX_PARTS = 4_000;
+	private static final int MAX_PARTS = 8_000;
 
-	/** Later parts of a prompt are ignored, so that one request cannot evict others. */
-	private static final int MAX_PARTS_OF_PROMPT = 16;
+	/** Parts that an eviction leaves, so that not each loss causes one. */
+	private static final int PARTS_AFTER_EVICTION = MAX_PARTS / 8 * 7;
+
+	/** Limits the parts that one lost request adds, so that it cannot evict others. */
+	private static final int MAX_NEW_PARTS = MAX_PARTS / 4;
 
 	private final Ticker ticker;
 
@@ -71,8 +78,7 @@
 	/** The parts with crashes, oldest first. */
 	private final Map<Long, SuspectedPart> suspects = new LinkedHashMap<>();
 
-	/** The last complete response of each part, as a reading of the ticker. */
-	private final Map<Long, Long> successes = new LinkedHashMap<>(16, 0.75f, true);
+	private final SuccessTimes successes = new SuccessTimes();
 
 	/** When a complete response has contradicted the crashes of a part. */
 	private final Map<Long, Long> contradicted = new HashMap<>();
@@ -82,6 +88,9 @@
 
 	private long refreshedNanos;
 
+	/** Where the next new parts of a request with too many of them are taken from. */
+	private int newPartsOffset;
+
 	/** Whether there are observations that the last refresh did not include. */
 	private boolean changed;
 
@@ -107,12 +116,10 @@
 	 * Returns the keys of the parts that requests can have in common.
 	 * @param prompt the parts of a prompt in order; the last one belongs to the request
 	 * itself or to its session
-	 * @return a hash of each other part in order, of the first 16 at most, the same in
-	 * every process
+	 * @return a hash of each other part in order, the same in every process
 	 */
 	public static List<Long> sharedParts(List<PromptSegment> prompt) {
-		int count = Math.max(0, Math.min(prompt.size() - 1, MAX_PARTS_OF_PROMPT));
-		return prompt.stream().limit(count).map((part) -> Fnv.hash(part.id())).toList();
+		return prompt.stream().limit(Math.max(0, prompt.size() - 1)).map((part) -> Fnv.hash(part.id())).toList();
 	}
 
 	/**
@@ -129,14 +136,83 @@
 	 * @param upstreamKey the key of the upstream
 	 */
 	public void recordConnectionLoss(List<Long> parts, int upstreamKey) {
+		if (parts.isEmpty()) {
+			return;
+		}
 		long now = this.ticker.nanos();
+		Set<Long> unproven = parts.stream()
+			.filter((part) -> successNanos(part, now).isEmpty())
+			.collect(Collectors.toUnmodifiableSet());
+		Set<Long> added = newParts(parts, unproven);
+		Map<Set<Long>, Set<Long>> narrowed = new IdentityHashMap<>();
 		for (int position = 0; position < parts.size(); position++) {
-			addCrash(parts.get(position), position, parts, upstreamKey, now);
+			long part = parts.get(position);
+			SuspectedPart suspect = this.suspects.get(part);
+			if (suspect != null) {
+				suspect.companions(narrowed.computeIfAbsent(suspect.companions(), (all) -> common(all, unproven)));
+				suspect.addCrash(upstreamKey, now, position);
+			}
+			else if (added.contains(part)) {
+				addSuspect(part, unproven, false).addCrash(upstreamKey, now, position);
+			}
 		}
-		if (!parts.isEmpty()) {
-			this.changed = true;
-			this.listener.run();
+		evict(now);
+		this.changed = true;
+		this.listener.run();
+	}
+
+	/**
+	 * Returns the parts of a lost request that become suspects: those without a complete
+	 * response first. If there are too many of them, each loss takes the next ones in
+	 * turn, so that a part which all such requests share is taken sooner or later,
+	 * wherever it stands.
+	 * @param parts the request's shared parts
+	 * @param unproven those that had no complete response
+	 * @return parts that are no suspects yet
+	 */
+	private Set<Long> newParts(List<Long> parts, Set<Long> unproven) {
+		List<Long> unknown = parts.stream().filter((part) -> !this.suspects.containsKey(part)).distinct().toList();
+		if (unknown.size() <= MAX_NEW_PARTS) {
+			return Set.copyOf(unknown);
+		}
+		List<Long> ranked = new ArrayList<>(unknown.stream().filter(unproven::contains).toList());
+		if (ranked.size() > MAX_NEW_PARTS) {
+			Collections.rotate(ranked, -this.newPartsOffset);
+			this.newPartsOffset += MAX_NEW_PARTS;
 		}
+		unknown.stream().filter((part) -> !unproven.contains(part)).forEach(ranked::add);
+		return Set.copyOf(ranked.subList(0, MAX_NEW_PARTS));
+	}
+
+	private SuspectedPart addSuspect(long part, Set<Long> companions, boolean companionsOmitted) {
+		SuspectedPart suspect = new SuspectedPart(companions, companionsOmitted);
+		this.suspects.put(part, suspect);
+		return suspect;
+	}
+
+	/**
+	 * Returns the elements that two sets have in common.
+	 * @param all a set that must not change
+	 * @param others the other set
+	 * @return the first set itself if the other one contains all of it
+	 */
+	private static Set<Long> common(Set<Long> all, Set<Long> others) {
+		return others.containsAll(all) ? all
+				: all.stream().filter(others::contains).collect(Collectors.toUnmodifiableSet());
+	}
+
+	private void evict(long now) {
+		if (this.suspects.size() <= MAX_PARTS) {
+			return;
+		}
+		List<Long> evicted = this.suspects.keySet()
+			.stream()
+			.sorted(Comparator.comparing((Long part) -> successNanos(part, now).isEmpty())
+				.thenComparingInt(this::crashCount)
+				.thenComparing((part) -> -Integer.highestOneBit(this.suspects.get(part).companions().size())))
+			.limit(this.suspects.size() - PARTS_AFTER_EVICTION)
+			.toList();
+		evicted.forEach(this.suspects::remove);
 	}
 
 	/**
@@ -148,7 +224,7 @@
 		long now = this.ticker.nanos();
 		boolean suspected = false;
 		for (long part : parts) {
-			addSuccess(part, now);
+			this.successes.add(part, now);
 			if (this.suspects.containsKey(part)) {
 				this.contradicted.put(part, now);
 				suspected = true;
@@ -181,12 +257,16 @@
 		if (this.changed || now - this.refreshedNanos >= REFRESH_INTERVAL.toNanos()) {
 			refresh(now);
 		}
-		return this.poison.stream().anyMatch(parts::containsAll);
+		if (this.poison.isEmpty()) {
+			return false;
+		}
+		Set<Long> present = new HashSet<>(parts);
+		return this.poison.stream().anyMatch(present::containsAll);
 	}
 
 	/**
-	 * Returns what is to be reported to the peers: the parts with crashes, the most
-	 * crashes first, and those whose crashes were contradicted a moment ago.
+	 * Returns what is to be reported to the peers: the parts with crashes, those that are
+	 * blamed first at the front, and those whose crashes were contradicted a moment ago.
 	 * @return the observations of this process and those that it has received
 	 */
 	public List<PartObservation> observations() {
@@ -198,21 +278,23 @@
 		Set<Long> parts = new HashSet<>(this.suspects.keySet());
 		parts.addAll(this.contradicted.keySet());
 		return parts.stream()
-			.sorted(Comparator.comparingInt(this::crashCount).reversed())
+			.sorted(Comparator.comparing((Long part) -> successNanos(part, now).isPresent())
+				.thenComparing((part) -> -crashCount(part))
+				.thenComparing((part) -> -position(part)))
 			.map((part) -> observation(part, now))
 			.toList();
 	}
 
 	private PartObservation observation(long part, long now) {
-		SuspectedPart suspect = this.suspects.getOrDefault(part, new SuspectedPart(List.of()));
+		SuspectedPart suspect = this.suspects.getOrDefault(part, new SuspectedPart(Set.of(), false));
 		Map<Integer, Duration> ages = new HashMap<>();
 		suspect.crashNanos().forEach((upstream, nanos) -> ages.put(upstream, Duration.ofNanos(now - nanos)));
-		return new PartObservation(part, suspect.position(), suspect.companions(), ages,
+		return new PartObservation(part, suspect.position(), suspect.companions(), suspect.companionsOmitted(), ages,
 				successNanos(part, now).map((nanos) -> Duration.ofNanos(now - nanos)));
 	}
 
 	private Optional<Long> successNanos(long part, long now) {
-		return Optional.ofNullable(this.successes.get(part)).filter((nanos) -> now - nanos < RETENTION.toNanos());
+		return this.successes.last(part).filter((nanos) -> now - nanos < RETENTION.toNanos());
 	}
 
 	/**
@@ -228,12 +310,15 @@
 		boolean contradicts = false;
 		for (PartObservation observation : observations) {
 			contradicts |= contradicts(observation, now);
-			long part = observation.part();
-			observation.successAge().ifPresent((age) -> addSuccess(part, now - age.toNanos()));
-			observation.crashAges()
-				.forEach((upstream, age) -> addCrash(part, observation.position(), observation.companions(), upstream,
-						now - age.toNanos()));
+			observation.successAge().ifPresent((age) -> this.successes.add(observation.part(), now - age.toNanos()));
+			if (!observation.crashAges().isEmpty()) {
+				SuspectedPart suspect = suspect(observation);
+				observation.crashAges()
+					.forEach(
+							(upstream, age) -> suspect.addCrash(upstream, now - age.toNanos(), observation.position()));
+			}
 		}
+		evict(now);
 		this.changed = true;
 		if (contradicts) {
 			this.listener.run();
@@ -252,28 +337,25 @@
 		return later;
 	}
 
-	private void addCrash(long part, int position, Collection<Long> companions, int upstreamKey, long nanos) {
-		this.suspects.computeIfAbsent(part, (key) -> new SuspectedPart(companions))
-			.addCrash(upstreamKey, nanos, position, companions);
-		if (this.suspects.size() > MAX_PARTS) {
-			this.suspects.keySet()
-				.stream()
-				.min(Comparator.comparingInt(this::crashCount))
-				.ifPresent(this.suspects::remove);
+	private SuspectedPart suspect(PartObservation observation) {
+		SuspectedPart known = this.suspects.get(observation.part());
+		if (known == null) {
+			return addSuspect(observation.part(), observation.companions(), observation.companionsOmitted());
 		}
-	}
-
-	private void addSuccess(long part, long nanos) {
-		this.successes.merge(part, nanos, Math::max);
-		if (this.successes.size() > MAX_PARTS) {
-			this.successes.remove(this.successes.keySet().iterator().next());
+		if (!observation.companionsOmitted()) {
+			known.companions(common(known.companions(), observation.companions()));
 		}
+		return known;
 	}
 
 	private int crashCount(long part) {
 		return this.suspects.containsKey(part) ? this.suspects.get(part).crashCount() : 0;
 	}
 
+	private int position(long part) {
+		return this.suspects.containsKey(part) ? this.suspects.get(part).position() : 0;
+	}
+
 	private void refresh(long now) {
 		this.refreshedNanos = now;
 		this.changed = false;
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/suspect/PoisonPartReports.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/suspect/PoisonPartReports.java
@@ -22,17 +22,20 @@
  */
 public final class PoisonPartReports implements ReportSection {
 
-	/** Parts with the most crashes, which every report contains. */
-	private static final int MAX_TOP_PARTS = 8;
-
 	/**
-	 * Parts in one report that take turns: as many of those whose crashes were
-	 * contradicted, which peers may still refuse, as of all others. While connections are
-	 * lost for another reason, hundreds of parts have one crash each; reports to all
-	 * peers, ten a second, have to leave most of a link of 15 Mbit/s free. 200 parts take
-	 * 2.5 s.
+	 * Most bytes of the parts that are blamed first, which every report contains, and of
+	 * the parts that take turns: as many for those whose crashes were contradicted, which
+	 * peers may still refuse, as for all others. While connections are lost for another
+	 * reason, hundreds of parts have one crash each; reports to all peers, ten a second,
+	 * have to leave most of a link of 15 Mbit/s free.
 	 */
-	private static final int MAX_PARTS_IN_TURN = 8;
+	private static final int MAX_GROUP_BYTES = 400;
+
+	/** Tag and length of a part in a report. */
+	private static final int PART_OVERHEAD_BYTES = 3;
+
+	/** The same subset of a part's companions is stated by all processes. */
+	private static final int MAX_COMPANIONS = 8;
 
 	/**
 	 * Time between two reports that observations cause ahead of the periodic ones. The
@@ -54,9 +57,6 @@
 
 	private boolean observedSinceReport;
 
-	/** Reports until each part was written once after the last observation. */
-	private int reportsDue;
-
 	private PoisonPartReports(PoisonPartDetector detector, Ticker ticker, Runnable flush) {
 		this.detector = Objects.requireNonNull(detector, "detector is null");
 		this.ticker = Objects.requireNonNull(ticker, "ticker is null");
@@ -99,7 +99,7 @@
 
 	@Override
 	public boolean hasChanges() {
-		return this.observedSinceReport || this.reportsDue > 0;
+		return this.observedSinceReport || this.contradicted.remaining() || this.others.remaining();
 	}
 
 	@Override
@@ -112,21 +112,48 @@
 		List<PartObservation> all = this.detector.observations();
 		List<PartObservation> suspected = all.stream().filter((part) -> !part.crashAges().isEmpty()).toList();
 		List<PartObservation> cleared = all.stream().filter((part) -> part.crashAges().isEmpty()).toList();
-		int top = Math.min(MAX_TOP_PARTS, suspected.size());
+		int top = addUpToLimit(report, suspected);
 		List<PartObservation> rest = suspected.subList(top, suspected.size());
-		int wholeTurn = (Math.max(cleared.size(), rest.size()) + MAX_PARTS_IN_TURN - 1) / MAX_PARTS_IN_TURN;
-		this.reportsDue = Math.max(0, (this.observedSinceReport ? wholeTurn : this.reportsDue) - 1);
+		if (this.observedSinceReport) {
+			this.contradicted.restart(cleared.size());
+			this.others.restart(rest.size());
+		}
 		this.observedSinceReport = false;
-		Stream.of(suspected.subList(0, top), this.contradicted.next(cleared), this.others.next(rest))
-			.flatMap(List::stream)
-			.forEach((part) -> report.addSuspectParts(suspect(part)));
+		this.contradicted.add(report, cleared);
+		this.others.add(report, rest);
+	}
+
+	/**
+	 * Adds parts to a report, as many as the limit of a group allows.
+	 * @param report the report
+	 * @param parts the parts in the order in which they are added
+	 * @return how many were added
+	 */
+	private static int addUpToLimit(LoadReport.Builder report, List<PartObservation> parts) {
+		int bytes = 0;
+		int count = 0;
+		for (PartObservation part : parts) {
+			SuspectPart suspect = suspect(part);
+			bytes += suspect.getSerializedSize() + PART_OVERHEAD_BYTES;
+			if (bytes > MAX_GROUP_BYTES) {
+				break;
+			}
+			report.addSuspectParts(suspect);
+			count++;
+		}
+		return count;
 	}
 
 	private static SuspectPart suspect(PartObservation part) {
+		List<Long> companions = Stream
+			.concat(Stream.of(part.part()), part.companions().stream().filter((other) -> other != part.part()).sorted())
+			.limit(MAX_COMPANIONS)
+			.toList();
 		SuspectPart.Builder suspect = SuspectPart.newBuilder()
 			.setPart(part.part())
 			.setPosition(part.position())
-			.addAllCompanions(part.companions());
+			.addAllCompanions(companions)
+			.setCompanionsOmitted(part.companionsOmitted() || part.companions().size() > MAX_COMPANIONS);
 		part.crashAges().forEach((upstream, age) -> suspect.addUpstreams(upstream).addAgesMillis((int) age.toMillis()));
 		part.successAge().ifPresent((age) -> suspect.setSuccessAgeMillis((int) age.toMillis()));
 		return suspect.build();
@@ -143,9 +170,9 @@
 		for (int i = 0; i < Math.min(upstreams.size(), part.getAgesMillisCount()); i++) {
 			ages.put(upstreams.get(i), Duration.ofMillis(part.getAgesMillis(i)));
 		}
-		return new PartObservation(part.getPart(), part.getPosition(), Set.copyOf(part.getCompanionsList()), ages,
-				part.hasSuccessAgeMillis() ? Optional.of(Duration.ofMillis(part.getSuccessAgeMillis()))
-						: Optional.empty());
+		return new PartObservation(part.getPart(), part.getPosition(), Set.copyOf(part.getCompanionsList()),
+				part.getCompanionsOmitted(), ages, part.hasSuccessAgeMillis()
+						? Optional.of(Duration.ofMillis(part.getSuccessAgeMillis())) : Optional.empty());
 	}
 
 	/**
@@ -155,24 +182,40 @@
 
 		private long last = Long.MIN_VALUE;
 
+		/** Parts that were not written since the last observation. */
+		private int remaining;
+
+		boolean remaining() {
+			return this.remaining > 0;
+		}
+
+		/**
+		 * Called when all parts have to be written once more.
+		 * @param parts their number
+		 */
+		void restart(int parts) {
+			this.remaining = parts;
+		}
+
 		/**
-		 * Returns the parts whose turn it is, beginning again after the last one.
+		 * Adds the parts whose turn it is to a report, beginning again after the last
+		 * one.
+		 * @param report the report
 		 * @param parts the parts that take turns now
-		 * @return some of them
 		 */
-		List<PartObservation> next(List<PartObservation> parts) {
+		void add(LoadReport.Builder report, List<PartObservation> parts) {
 			List<PartObservation> sorted = parts.stream()
 				.sorted(Comparator.comparingLong(PartObservation::part))
 				.toList();
-			List<PartObservation> chosen = Stream
+			List<PartObservation> inTurn = Stream
 				.concat(sorted.stream().filter((part) -> part.part() > this.last),
 						sorted.stream().filter((part) -> part.part() <= this.last))
-				.limit(MAX_PARTS_IN_TURN)
 				.toList();
-			if (!chosen.isEmpty()) {
-				this.last = chosen.get(chosen.size() - 1).part();
+			int added = addUpToLimit(report, inTurn);
+			this.remaining = Math.max(0, Math.min(this.remaining, parts.size()) - added);
+			if (added > 0) {
+				this.last = inTurn.get(added - 1).part();
 			}
-			return chosen;
 		}
 
 	}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/suspect/SuspectedPart.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/suspect/SuspectedPart.java
@@ -1,7 +1,5 @@
 package org.ragworthook.gateway.suspect;
 
-import java.util.Collection;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
@@ -17,7 +15,10 @@
 	/** More crashes than any threshold needs. */
 	private static final int MAX_CRASHES = 16;
 
-	private final Set<Long> companions;
+	private Set<Long> companions;
+
+	/** Whether there may be companions that are not known. */
+	private boolean companionsOmitted;
 
 	private final Map<Integer, Long> crashNanos = new LinkedHashMap<>();
 
@@ -25,10 +26,13 @@
 
 	/**
 	 * Creates a part without crashes.
-	 * @param companions the parts of the first lost request
+	 * @param companions the parts of the first lost request; shared by its parts, so it
+	 * must not change
+	 * @param companionsOmitted whether there were parts besides
 	 */
-	SuspectedPart(Collection<Long> companions) {
-		this.companions = new HashSet<>(companions);
+	SuspectedPart(Set<Long> companions, boolean companionsOmitted) {
+		this.companions = companions;
+		this.companionsOmitted = companionsOmitted;
 	}
 
 	/**
@@ -36,11 +40,9 @@
 	 * @param upstreamKey the key of the upstream
 	 * @param nanos when it was lost, as a reading of the ticker
 	 * @param newPosition the position of this part in the prompt, from 0
-	 * @param parts the parts of the lost request, this one included
 	 */
-	void addCrash(int upstreamKey, long nanos, int newPosition, Collection<Long> parts) {
+	void addCrash(int upstreamKey, long nanos, int newPosition) {
 		this.position = Math.max(this.position, newPosition);
-		this.companions.retainAll(parts);
 		if (this.crashNanos.size() < MAX_CRASHES || this.crashNanos.containsKey(upstreamKey)) {
 			this.crashNanos.merge(upstreamKey, nanos, Math::min);
 		}
@@ -95,4 +97,16 @@
 		return this.companions;
 	}
 
+	/**
+	 * Replaces the companions, of which another lost request did not have all.
+	 * @param remaining those that it had; must not change
+	 */
+	void companions(Set<Long> remaining) {
+		this.companions = remaining;
+	}
+
+	boolean companionsOmitted() {
+		return this.companionsOmitted;
+	}
+
 }
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/suspect/PoisonPartDetectorTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/suspect/PoisonPartDetectorTests.java
@@ -30,6 +30,9 @@
 
 	private static final long OTHER = 3;
 
+	/** The users count from the fifth crash on and accept three more requests. */
+	private static final int MAX_CRASHES = 5 + 3;
+
 	private final ManualTime time = ManualTime.of();
 
 	private final Set<Integer> alive = new HashSet<>();
@@ -155,6 +158,78 @@
 		assertThat(refuses(OTHER)).isFalse();
 	}
 
+	private static List<Long> conversation(long first, int length, long... last) {
+		return LongStream.concat(LongStream.range(first, first + length), LongStream.of(last)).boxed().toList();
+	}
+
+	/**
+	 * Guards against a part that is never detected because it stands behind many others.
+	 * @param before the number of parts before it
+	 */
+	@ParameterizedTest
+	@ValueSource(ints = { 15, 16, 17, 100, 3_000 })
+	void shouldRefuseAPartBehindManyOthers(int before) {
+		for (int upstream = 0; upstream < 3; upstream++) {
+			this.detector.recordSuccess(conversation(10_000, before));
+			this.detector.recordConnectionLoss(conversation(10_000, before, POISON), upstream);
+			this.detector.recordConnectionLoss(conversation(10_000, before), upstream);
+		}
+		assertThat(this.detector.refused(conversation(10_000, before, POISON))).isTrue();
+		assertThat(this.detector.refused(conversation(10_000, before))).isFalse();
+	}
+
+	/**
+	 * Guards against a part that is never detected because each request with it begins
+	 * with many parts of its own, which evict the others.
+	 * @param before the number of parts before it
+	 */
+	@ParameterizedTest
+	@ValueSource(ints = { 17, 300, 1_900, 6_000 })
+	void shouldRefuseAPartBehindManyThatOnlyOneRequestHas(int before) {
+		int crashes = 0;
+		for (long request = 1; !refuses(POISON) && request <= 12; request++) {
+			crashes++;
+			this.detector.recordConnectionLoss(conversation(request * 10_000, before, POISON), crashes);
+			this.detector.recordConnectionLoss(conversation(1_000_000 + request * 10_000, before), crashes);
+		}
+		assertThat(crashes).isAtMost((before <= 1_900) ? CrashAttribution.THRESHOLD : MAX_CRASHES);
+		assertThat(refuses(POISON)).isTrue();
+	}
+
+	/**
+	 * Guards against a part that is never detected because requests with thousands of
+	 * made-up parts evict it after each of its crashes.
+	 */
+	@Test
+	void shouldKeepASingleCrashDespiteAFloodOfLongPrompts() {
+		for (int upstream = 0; upstream < CrashAttribution.THRESHOLD; upstream++) {
+			crash(this.detector, upstream, POISON);
+			for (long request = 1; request <= 8; request++) {
+				this.detector.recordConnectionLoss(conversation((8L * upstream + request) * 10_000, 3_000), upstream);
+			}
+		}
+		assertThat(refuses(POISON)).isTrue();
+		assertThat(this.detector.observations().size()).isAtMost(8_000);
+	}
+
+	/**
+	 * Guards against a sound part that is blamed because its complete responses are
+	 * forgotten while requests with many parts succeed.
+	 */
+	@Test
+	void shouldRememberTheCompleteResponsesOfASuspect() {
+		crashes(1, OTHER);
+		this.detector.recordSuccess(List.of(OTHER));
+		for (long request = 1; request <= 10; request++) {
+			this.detector.recordSuccess(conversation(request * 10_000, 3_000));
+		}
+		for (int upstream = 1; upstream < CrashAttribution.THRESHOLD_AFTER_SUCCESS - 1; upstream++) {
+			crash(this.detector, upstream, OTHER);
+		}
+		this.time.advance(CrashAttribution.CONFIRMATION_TIME);
+		assertThat(refuses(OTHER)).isFalse();
+	}
+
 	@Test
 	void shouldForgetOldCrashes() {
 		crashes(3, POISON);
@@ -207,7 +282,7 @@
 	/** A report that states no parts beside the suspected one must not refuse all. */
 	@Test
 	void shouldRefuseOnlyThePartOfAReportWithoutCompanions() {
-		this.detector.add(List.of(new PartObservation(POISON, 1, Set.of(),
+		this.detector.add(List.of(new PartObservation(POISON, 1, Set.of(), false,
 				Map.of(1, Duration.ZERO, 2, Duration.ZERO, 3, Duration.ZERO), Optional.empty())));
 		assertThat(refuses(POISON)).isTrue();
 		assertThat(refuses(OTHER)).isFalse();
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/suspect/PoisonPartReportsTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/suspect/PoisonPartReportsTests.java
@@ -4,8 +4,11 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.LongStream;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.ragworthook.core.time.ManualTime;
 import org.ragworthook.wire.load.LoadReport;
 import org.ragworthook.wire.load.SuspectPart;
@@ -54,6 +57,42 @@
 		}
 	}
 
+	/**
+	 * Guards against reports that grow with the length of prompts: one with a hundred
+	 * parts, which all occurred in the same requests, took 20 KB.
+	 * @param length the number of parts of a prompt
+	 */
+	@ParameterizedTest
+	@ValueSource(ints = { 17, 100, 3_000 })
+	void shouldBoundAReportOfLongPrompts(int length) {
+		for (int upstream = 0; upstream < 3; upstream++) {
+			this.detector.recordConnectionLoss(LongStream.range(1_000, 1_000 + length).boxed().toList(), upstream);
+		}
+		for (int i = 0; i < 50; i++) {
+			assertThat(nextReport().getSerializedSize()).isAtMost(MAX_BYTES);
+		}
+	}
+
+	/**
+	 * Guards against a part that a peer refuses where it stands alone, since reports do
+	 * not state all parts that it always occurred with.
+	 */
+	@Test
+	void shouldNotForgetCompanionsThatAReportLeavesOut() {
+		List<Long> prompt = LongStream.range(1_000, 1_100).boxed().toList();
+		PoisonPartDetector peer = PoisonPartDetector.empty(this.time, (upstream, nanos) -> false);
+		PoisonPartReports peerReports = PoisonPartReports.of(peer, this.time, () -> this.flushes++);
+		for (int upstream = 0; upstream < 3; upstream++) {
+			this.detector.recordConnectionLoss(prompt, upstream);
+			peer.recordConnectionLoss(prompt, upstream);
+		}
+		for (int i = 0; i < 50; i++) {
+			peerReports.read(nextReport());
+		}
+		assertThat(peer.refused(prompt)).isTrue();
+		assertThat(peer.refused(prompt.subList(50, 100))).isFalse();
+	}
+
 	@Test
 	void shouldReportAllPartsInTurn() {
 		lose(PARTS);
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/suspect/PoisonPartSimulation.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/suspect/PoisonPartSimulation.java
@@ -9,6 +9,8 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.stream.LongStream;
+import java.util.stream.Stream;
 
 import org.ragworthook.core.time.ManualTime;
 
@@ -50,7 +52,7 @@
 	/** Time after the fifth crash from which no more requests with the part may run. */
 	private static final Duration STABLE_WINDOW = Duration.ofSeconds(3);
 
-	private static final long FIRST_PART = 1;
+	private static final long FIRST_SHARED_PART = 1_000;
 
 	private static final long POISON_PART = 2;
 
@@ -60,6 +62,9 @@
 
 	private final Random random;
 
+	/** The parts that all requests begin with. */
+	private final List<Long> shared;
+
 	private final List<Rule> entries = new ArrayList<>();
 
 	private final List<Upstream> upstreams = new ArrayList<>();
@@ -78,8 +83,9 @@
 
 	private int soundRefused;
 
-	PoisonPartSimulation(long seed, Function<PoisonPartSimulation, Rule> rule) {
+	PoisonPartSimulation(long seed, int sharedParts, Function<PoisonPartSimulation, Rule> rule) {
 		this.random = new Random(seed);
+		this.shared = LongStream.range(FIRST_SHARED_PART, FIRST_SHARED_PART + sharedParts).boxed().toList();
 		for (int i = 0; i < ENTRIES; i++) {
 			this.entries.add(rule.apply(this));
 		}
@@ -125,11 +131,15 @@
 	private void sendSound() {
 		this.soundRequests++;
 		long second = FIRST_SECOND_PART + (int) (SECOND_PARTS * Math.pow(this.random.nextDouble(), 2));
-		send(new Request(entry(), List.of(FIRST_PART, second), false));
+		send(new Request(entry(), prompt(second), false));
 	}
 
 	private void sendPoison() {
-		send(new Request(entry(), List.of(FIRST_PART, POISON_PART), true));
+		send(new Request(entry(), prompt(POISON_PART), true));
+	}
+
+	private List<Long> prompt(long last) {
+		return Stream.concat(this.shared.stream(), Stream.of(last)).toList();
 	}
 
 	private Rule entry() {
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/suspect/PoisonPartSimulationTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/suspect/PoisonPartSimulationTests.java
@@ -1,5 +1,6 @@
 package org.ragworthook.gateway.suspect;
 
+import java.util.List;
 import java.util.stream.Stream;
 
 import org.junit.jupiter.params.ParameterizedTest;
@@ -24,24 +25,28 @@
 	/** The users accept three requests after that time. */
 	private static final int MAX_LATE_RUNS = 3;
 
+	/** The number of parts that all requests begin with. */
+	private static final List<Integer> SHARED_PARTS = List.of(1, 20);
+
 	static Stream<Arguments> days() {
-		return Stream.of(Trouble.values())
-			.flatMap((trouble) -> Stream.iterate(1, (seed) -> seed <= SEEDS, (seed) -> seed + 1)
-				.map((seed) -> Arguments.of(trouble, seed)));
+		return SHARED_PARTS.stream()
+			.flatMap((shared) -> Stream.of(Trouble.values())
+				.flatMap((trouble) -> Stream.iterate(1, (seed) -> seed <= SEEDS, (seed) -> seed + 1)
+					.map((seed) -> Arguments.of(shared, trouble, seed))));
 	}
 
 	@ParameterizedTest
 	@MethodSource("days")
-	void shouldStopThePoisonPartAndServeTheOthers(Trouble trouble, int seed) {
-		Result result = new PoisonPartSimulation(seed, Detecting::of).run(true, trouble);
+	void shouldStopThePoisonPartAndServeTheOthers(int shared, Trouble trouble, int seed) {
+		Result result = new PoisonPartSimulation(seed, shared, Detecting::of).run(true, trouble);
 		assertThat(result.lateRuns()).isAtMost(MAX_LATE_RUNS);
 		assertThat(result.soundRefused()).isAtMost(result.soundRequests() / 100);
 	}
 
 	@ParameterizedTest
 	@MethodSource("days")
-	void shouldRefuseNothingWithoutAPoisonPart(Trouble trouble, int seed) {
-		Result result = new PoisonPartSimulation(seed, Detecting::of).run(false, trouble);
+	void shouldRefuseNothingWithoutAPoisonPart(int shared, Trouble trouble, int seed) {
+		Result result = new PoisonPartSimulation(seed, shared, Detecting::of).run(false, trouble);
 		assertThat(result.soundRefused()).isAtMost(result.soundRequests() / 100);
 	}
 
@@ -49,8 +54,8 @@
 	@ParameterizedTest
 	@EnumSource
 	void shouldBeBetterThanCountingLosses(Trouble trouble) {
-		Result counting = new PoisonPartSimulation(1, Counting::of).run(true, trouble);
-		Result detecting = new PoisonPartSimulation(1, Detecting::of).run(true, trouble);
+		Result counting = new PoisonPartSimulation(1, 1, Counting::of).run(true, trouble);
+		Result detecting = new PoisonPartSimulation(1, 1, Detecting::of).run(true, trouble);
 		assertThat(detecting.soundRefused()).isLessThan(counting.soundRefused());
 	}
 
--- a/modules/wire/src/main/java/org/ragworthook/wire/load/Load.java
+++ b/modules/wire/src/main/java/org/ragworthook/wire/load/Load.java
@@ -138,40 +138,41 @@
       "untLoad\022\025\n\rbehind_millis\030\036 \001(\r\022\022\n\nsheds_" +
       "jobs\030\037 \001(\010B\017\n\r_clock_micros\"N\n\013AccountLo" +
       "ad\022\017\n\007account\030\001 \001(\007\022\016\n\006online\030\002 \001(\r\022\r\n\005b" +
-      "atch\030\003 \001(\r\022\017\n\007waiting\030\004 \001(\r\"\241\001\n\013SuspectP" +
+      "atch\030\003 \001(\r\022\017\n\007waiting\030\004 \001(\r\"\275\001\n\013SuspectP" +
       "art\022\014\n\004part\030\001 \001(\006\022\021\n\tupstreams\030\002 \003(\007\022\023\n\013" +
       "ages_millis\030\003 \003(\r\022\037\n\022success_age_millis\030" +
       "\004 \001(\rH\000\210\001\001\022\020\n\010position\030\005 \001(\r\022\022\n\ncompanio" +
-      "ns\030\006 \003(\006B\025\n\023_success_age_millis\"U\n\021Strea" +
-      "mOriginEntry\022\017\n\007request\030\001 \001(\t\022\r\n\005known\030\002" +
-      " \001(\010\022\017\n\007service\030\003 \001(\t\022\017\n\007version\030\004 \001(\t\"K" +
-      "\n\014Confirmation\022\020\n\010instance\030\001 \001(\007\022\026\n\016star" +
-      "ted_millis\030\002 \001(\004\022\021\n\tat_micros\030\003 \001(\022\"<\n\014A" +
-      "ccountUsage\022\017\n\007account\030\001 \001(\007\022\014\n\004sent\030\002 \001" +
-      "(\004\022\r\n\005level\030\003 \001(\021\"(\n\nChangedJob\022\013\n\003job\030\001" +
-      " \001(\t\022\r\n\005ended\030\002 \001(\010\"G\n\nJobListing\022\013\n\003job" +
-      "\030\001 \001(\t\022\r\n\005items\030\002 \001(\r\022\020\n\010segments\030\003 \001(\r\022" +
-      "\013\n\003all\030\004 \001(\010\"\202\002\n\007SlotAsk\022\016\n\006number\030\001 \001(\004" +
-      "\022\017\n\007service\030\002 \001(\t\022\026\n\016failure_domain\030\003 \001(" +
-      "\t\022\016\n\006except\030\004 \003(\007\022\023\n\013goal_millis\030\005 \001(\021\022\017" +
-      "\n\007request\030\006 \001(\t\022\'\n\006prompt\030\007 \003(\0132\027.ragwor" +
-      "thook.SharedPart\022\024\n\007account\030\010 \001(\007H\000\210\001\001\022\020" +
-      "\n\010priority\030\t \001(\021\022\016\n\006weight\030\n \001(\r\022\033\n\023retr" +
-      "y_within_millis\030\013 \001(\rB\n\n\010_account\"*\n\nSha" +
-      "redPart\022\014\n\004hash\030\001 \001(\007\022\016\n\006tokens\030\002 \001(\r\"\211\001" +
-      "\n\nSlotAnswer\022\016\n\006number\030\001 \001(\004\022\r\n\005waits\030\002 " +
-      "\001(\010\022\020\n\010upstream\030\003 \001(\007\022\016\n\006yields\030\004 \001(\010\022\r\n" +
-      "\005grant\030\005 \001(\004\022\017\n\007refused\030\006 \001(\010\022\032\n\022retry_a" +
-      "fter_millis\030\007 \001(\r\"G\n\013HeardRunner\022\020\n\010inst" +
-      "ance\030\001 \001(\t\022\022\n\nstore_lost\030\002 \001(\010\022\022\n\nsheds_" +
-      "jobs\030\003 \001(\010\"-\n\014RouteBacklog\022\r\n\005route\030\001 \001(" +
-      "\007\022\016\n\006tokens\030\002 \001(\004\"\237\001\n\014UpstreamLoad\022\020\n\010up" +
-      "stream\030\001 \001(\007\022\016\n\006online\030\002 \001(\r\022\r\n\005batch\030\003 " +
-      "\001(\r\022\022\n\ngap_micros\030\004 \001(\r\022\032\n\022first_event_m" +
-      "icros\030\005 \001(\r\022\017\n\007samples\030\006 \001(\r\022\016\n\006tokens\030\007" +
-      " \001(\004\022\r\n\005bytes\030\010 \001(\004\"5\n\016SuspectRequest\022\023\n" +
-      "\013fingerprint\030\001 \001(\006\022\016\n\006breaks\030\002 \001(\rB\035\n\031or" +
-      "g.ragworthook.wire.loadP\001b\006proto3"
+      "ns\030\006 \003(\006\022\032\n\022companions_omitted\030\007 \001(\010B\025\n\023" +
+      "_success_age_millis\"U\n\021StreamOriginEntry" +
+      "\022\017\n\007request\030\001 \001(\t\022\r\n\005known\030\002 \001(\010\022\017\n\007serv" +
+      "ice\030\003 \001(\t\022\017\n\007version\030\004 \001(\t\"K\n\014Confirmati" +
+      "on\022\020\n\010instance\030\001 \001(\007\022\026\n\016started_millis\030\002" +
+      " \001(\004\022\021\n\tat_micros\030\003 \001(\022\"<\n\014AccountUsage\022" +
+      "\017\n\007account\030\001 \001(\007\022\014\n\004sent\030\002 \001(\004\022\r\n\005level\030" +
+      "\003 \001(\021\"(\n\nChangedJob\022\013\n\003job\030\001 \001(\t\022\r\n\005ende" +
+      "d\030\002 \001(\010\"G\n\nJobListing\022\013\n\003job\030\001 \001(\t\022\r\n\005it" +
+      "ems\030\002 \001(\r\022\020\n\010segments\030\003 \001(\r\022\013\n\003all\030\004 \001(\010" +
+      "\"\202\002\n\007SlotAsk\022\016\n\006number\030\001 \001(\004\022\017\n\007service\030" +
+      "\002 \001(\t\022\026\n\016failure_domain\030\003 \001(\t\022\016\n\006except\030" +
+      "\004 \003(\007\022\023\n\013goal_millis\030\005 \001(\021\022\017\n\007request\030\006 " +
+      "\001(\t\022\'\n\006prompt\030\007 \003(\0132\027.ragworthook.Shared" +
+      "Part\022\024\n\007account\030\010 \001(\007H\000\210\001\001\022\020\n\010priority\030\t" +
+      " \001(\021\022\016\n\006weight\030\n \001(\r\022\033\n\023retry_within_mil" +
+      "lis\030\013 \001(\rB\n\n\010_account\"*\n\nSharedPart\022\014\n\004h" +
+      "ash\030\001 \001(\007\022\016\n\006tokens\030\002 \001(\r\"\211\001\n\nSlotAnswer" +
+      "\022\016\n\006number\030\001 \001(\004\022\r\n\005waits\030\002 \001(\010\022\020\n\010upstr" +
+      "eam\030\003 \001(\007\022\016\n\006yields\030\004 \001(\010\022\r\n\005grant\030\005 \001(\004" +
+      "\022\017\n\007refused\030\006 \001(\010\022\032\n\022retry_after_millis\030" +
+      "\007 \001(\r\"G\n\013HeardRunner\022\020\n\010instance\030\001 \001(\t\022\022" +
+      "\n\nstore_lost\030\002 \001(\010\022\022\n\nsheds_jobs\030\003 \001(\010\"-" +
+      "\n\014RouteBacklog\022\r\n\005route\030\001 \001(\007\022\016\n\006tokens\030" +
+      "\002 \001(\004\"\237\001\n\014UpstreamLoad\022\020\n\010upstream\030\001 \001(\007" +
+      "\022\016\n\006online\030\002 \001(\r\022\r\n\005batch\030\003 \001(\r\022\022\n\ngap_m" +
+      "icros\030\004 \001(\r\022\032\n\022first_event_micros\030\005 \001(\r\022" +
+      "\017\n\007samples\030\006 \001(\r\022\016\n\006tokens\030\007 \001(\004\022\r\n\005byte" +
+      "s\030\010 \001(\004\"5\n\016SuspectRequest\022\023\n\013fingerprint" +
+      "\030\001 \001(\006\022\016\n\006breaks\030\002 \001(\rB\035\n\031org.ragworthoo" +
+      "k.wire.loadP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -194,7 +195,7 @@
     internal_static_ragworthook_SuspectPart_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragworthook_SuspectPart_descriptor,
-        new java.lang.String[] { "Part", "Upstreams", "AgesMillis", "SuccessAgeMillis", "Position", "Companions", });
+        new java.lang.String[] { "Part", "Upstreams", "AgesMillis", "SuccessAgeMillis", "Position", "Companions", "CompanionsOmitted", });
     internal_static_ragworthook_StreamOriginEntry_descriptor =
       getDescriptor().getMessageType(3);
     internal_static_ragworthook_StreamOriginEntry_fieldAccessorTable = new
--- a/modules/wire/src/main/java/org/ragworthook/wire/load/SuspectPart.java
+++ b/modules/wire/src/main/java/org/ragworthook/wire/load/SuspectPart.java
@@ -239,6 +239,21 @@
   }
   private int companionsMemoizedSerializedSize = -1;
 
+  public static final int COMPANIONS_OMITTED_FIELD_NUMBER = 7;
+  private boolean companionsOmitted_ = false;
+  /**
+   * <pre>
+   * whether there may be more companions
+   * </pre>
+   *
+   * <code>bool companions_omitted = 7;</code>
+   * @return The companionsOmitted.
+   */
+  @java.lang.Override
+  public boolean getCompanionsOmitted() {
+    return companionsOmitted_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -284,6 +299,9 @@
     for (int i = 0; i < companions_.size(); i++) {
       output.writeFixed64NoTag(companions_.getLong(i));
     }
+    if (companionsOmitted_ != false) {
+      output.writeBool(7, companionsOmitted_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -336,6 +354,10 @@
       }
       companionsMemoizedSerializedSize = dataSize;
     }
+    if (companionsOmitted_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(7, companionsOmitted_);
+    }
     return size;
   }
   @java.lang.Override
@@ -375,6 +397,8 @@
         != other.getPosition()) return false;
     if (!getCompanionsList()
         .equals(other.getCompanionsList())) return false;
+    if (getCompanionsOmitted()
+        != other.getCompanionsOmitted()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -407,6 +431,9 @@
       hash = (37 * hash) + COMPANIONS_FIELD_NUMBER;
       hash = (53 * hash) + getCompanionsList().hashCode();
     }
+    hash = (37 * hash) + COMPANIONS_OMITTED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getCompanionsOmitted());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -548,6 +575,7 @@
       successAgeMillis_ = 0;
       position_ = 0;
       companions_ = emptyLongList();
+      companionsOmitted_ = false;
       return this;
     }
 
@@ -604,6 +632,9 @@
         companions_.makeImmutable();
         result.companions_ = companions_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.companionsOmitted_ = companionsOmitted_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -661,6 +692,9 @@
         }
         onChanged();
       }
+      if (other.getCompanionsOmitted() != false) {
+        setCompanionsOmitted(other.getCompanionsOmitted());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -750,6 +784,11 @@
               input.popLimit(limit);
               break;
             } // case 50
+            case 56: {
+              companionsOmitted_ = input.readBool();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1259,6 +1298,50 @@
       return this;
     }
 
+    private boolean companionsOmitted_ ;
+    /**
+     * <pre>
+     * whether there may be more companions
+     * </pre>
+     *
+     * <code>bool companions_omitted = 7;</code>
+     * @return The companionsOmitted.
+     */
+    @java.lang.Override
+    public boolean getCompanionsOmitted() {
+      return companionsOmitted_;
+    }
+    /**
+     * <pre>
+     * whether there may be more companions
+     * </pre>
+     *
+     * <code>bool companions_omitted = 7;</code>
+     * @param value The companionsOmitted to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCompanionsOmitted(boolean value) {
+
+      companionsOmitted_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * whether there may be more companions
+     * </pre>
+     *
+     * <code>bool companions_omitted = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCompanionsOmitted() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      companionsOmitted_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:ragworthook.SuspectPart)
   }
 
--- a/modules/wire/src/main/java/org/ragworthook/wire/load/SuspectPartOrBuilder.java
+++ b/modules/wire/src/main/java/org/ragworthook/wire/load/SuspectPartOrBuilder.java
@@ -135,4 +135,14 @@
    * @return The companions at the given index.
    */
   long getCompanions(int index);
+
+  /**
+   * <pre>
+   * whether there may be more companions
+   * </pre>
+   *
+   * <code>bool companions_omitted = 7;</code>
+   * @return The companionsOmitted.
+   */
+  boolean getCompanionsOmitted();
 }
