--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ObjectSizeLimit.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ObjectSizeLimit.java
@@ -3,6 +3,8 @@
 import java.util.Optional;
 
 import org.ragworthook.core.error.ErrorCode;
+import org.ragworthook.core.error.Failures;
+import org.ragworthook.core.log.EventLog;
 import org.ragworthook.core.store.ConditionalWriter;
 import org.ragworthook.core.store.RecordStore;
 
@@ -13,6 +15,8 @@
  */
 final class ObjectSizeLimit {
 
+	private static final EventLog LOG = EventLog.of(ObjectSizeLimit.class);
+
 	/** Room for the metadata and the status of an object. */
 	private static final int ENVELOPE_BYTES = 16_384;
 
@@ -44,7 +48,11 @@
 	 */
 	void writeFailed(String document, Throwable failure) {
 		if (isTooLarge(failure)) {
-			this.bytes = Math.max(MIN_BYTES, Math.min(this.bytes, JsonSize.max(document) * 3 / 4));
+			long before = this.bytes;
+			long refused = JsonSize.max(document);
+			this.bytes = Math.max(MIN_BYTES, Math.min(before, refused * 3 / 4));
+			LOG.warning("object_too_large", "bytes", refused, "limit_before", before, "limit", this.bytes, "error",
+					Failures.root(failure));
 		}
 	}
 
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/metrics/GatewayMetrics.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/metrics/GatewayMetrics.java
@@ -125,6 +125,14 @@
 		count("ragworthook.gateway.items.cut", "reason", "yielded", items);
 	}
 
+	/**
+	 * Counts a write that the platform's store refused because the object was too large.
+	 * @param collection the collection of the object
+	 */
+	public void objectTooLarge(String collection) {
+		count("ragworthook.gateway.store.too.large", "collection", collection, 1);
+	}
+
 	/**
 	 * Counts a call of the platform's store.
 	 * @param collection the collection of objects that was called
