Take the ports of daemon tests from below the ephemeral range

The fixtures asked for an ephemeral port, closed it and let the server bind it later; meanwhile it was assigned to an outgoing connection of the other process. Ports are now taken in turn from a block that each test process owns, as in the tests of the platform's adapter.

--- a/modules/daemon/src/test/java/org/ragworthook/daemon/entry/TestFleet.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/entry/TestFleet.java
@@ -1,8 +1,5 @@
 package org.ragworthook.daemon.entry;
 
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.net.ServerSocket;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
@@ -31,6 +28,7 @@
 import org.ragworthook.core.store.Draft;
 import org.ragworthook.core.store.MemoryObjectStore;
 import org.ragworthook.daemon.EventLoops;
+import org.ragworthook.daemon.TestPorts;
 import org.ragworthook.daemon.VertxTimers;
 import org.ragworthook.daemon.fake.Caller;
 import org.ragworthook.daemon.fake.FakeUpstream;
@@ -183,15 +181,6 @@
 		return this.closer.add(new TestEntry());
 	}
 
-	private static int freePort() {
-		try (ServerSocket socket = new ServerSocket(0)) {
-			return socket.getLocalPort();
-		}
-		catch (IOException ex) {
-			throw new UncheckedIOException(ex);
-		}
-	}
-
 	static void await(BooleanSupplier condition) {
 		long deadlineNanos = System.nanoTime() + Duration.ofSeconds(20).toNanos();
 		while (!condition.getAsBoolean()) {
@@ -229,7 +218,7 @@
 		private final HttpServer server;
 
 		private TestEntry() {
-			Address address = new Address("127.0.0.1", freePort());
+			Address address = new Address("127.0.0.1", TestPorts.next());
 			Instance self = new Instance("entry-" + address, Role.ENTRY, "", DOMAIN, address, false);
 			TestFleet.this.entries.add(self);
 			LinkOptions options = TestFleet.this.links;
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/whole/WholeFleet.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/whole/WholeFleet.java
@@ -2,8 +2,6 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -24,6 +22,7 @@
 import org.ragworthook.core.fleet.Address;
 import org.ragworthook.core.store.ConditionalWriter;
 import org.ragworthook.core.store.Stamps;
+import org.ragworthook.daemon.TestPorts;
 import org.ragworthook.daemon.entry.EntryProcess;
 import org.ragworthook.daemon.settings.SettingsReader;
 import org.ragworthook.daemon.sidecar.SidecarProcess;
@@ -134,8 +133,8 @@
 	 */
 	URI entry(String scheme, String more) {
 		String id = "entry-" + this.count++;
-		int port = freePort();
-		int link = freePort();
+		int port = TestPorts.next();
+		int link = TestPorts.next();
 		this.closer.add(EntryProcess.start(SettingsReader.parse(id, """
 				{"role": "entry", "instance": "%s", "region": "region", "failureDomain": "domain",
 				 "http": "127.0.0.1:%d", "link": "127.0.0.1:%d", %s,
@@ -152,15 +151,6 @@
 				this.instances);
 	}
 
-	private static int freePort() {
-		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-			return socket.getLocalPort();
-		}
-		catch (IOException ex) {
-			throw new UncheckedIOException(ex);
-		}
-	}
-
 	private void list(String id, String role, String service, String address) {
 		JsonObject instance = new JsonObject().put("id", id)
 			.put("role", role)
