Name the objects of jobs with long ids by a digest

A job whose id has 124 or more characters outside a-z0-9, or 100 outside ASCII, could not be stored: only the characters of the id were limited, but the name of its object is the id in hexadecimal, which exceeds 253 characters. JobStore threw an IllegalArgumentException.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobStore.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobStore.java
@@ -40,6 +40,9 @@
 	/** Pause before a retry after the store did not answer or refused a call. */
 	static final Duration RETRY_DELAY = Duration.ofMillis(300);
 
+	/** The store's limit of 253 characters, less the number of a part. */
+	private static final int MAX_NAME_LENGTH = 247;
+
 	private static final Pattern UNQUALIFIED_ID = Pattern.compile("[a-z0-9]{1,64}");
 
 	private static final Pattern QUALIFIED_ID = Pattern.compile("[a-z0-9]{1,64}/[a-z0-9]{1,64}");
@@ -246,7 +249,8 @@
 
 	/**
 	 * Returns the name of a job's object. Ids that the store would not accept as a name,
-	 * or that differ only in case, are encoded in hexadecimal.
+	 * or that differ only in case, are encoded in hexadecimal; those that are too long
+	 * then are replaced by a digest.
 	 * @param jobId the job's id
 	 * @return the name
 	 */
@@ -257,7 +261,8 @@
 		if (QUALIFIED_ID.matcher(jobId).matches()) {
 			return "a" + jobId.replace('/', '-');
 		}
-		return "x" + HexFormat.of().formatHex(jobId.getBytes(StandardCharsets.UTF_8));
+		String encoded = "x" + HexFormat.of().formatHex(jobId.getBytes(StandardCharsets.UTF_8));
+		return (encoded.length() <= MAX_NAME_LENGTH) ? encoded : "d" + Digests.of(jobId);
 	}
 
 }
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/LargeDocuments.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/LargeDocuments.java
@@ -1,10 +1,6 @@
 package org.ragworthook.gateway.job;
 
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
-import java.util.HexFormat;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
@@ -149,13 +145,7 @@
 	}
 
 	private static String digest(ObjectKey document, String piece) {
-		try {
-			byte[] text = (document.name() + "\n" + piece).getBytes(StandardCharsets.UTF_8);
-			return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(text));
-		}
-		catch (NoSuchAlgorithmException ex) {
-			throw new IllegalStateException("every Java platform has SHA-256", ex);
-		}
+		return Digests.of(document.name() + "\n" + piece);
 	}
 
 	// -- reading
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/job/JobStoreTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/job/JobStoreTests.java
@@ -4,9 +4,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.ragworthook.core.error.ErrorCode;
 import org.ragworthook.core.store.ConditionalWriter;
@@ -94,6 +96,34 @@
 		assertThat(failure).isPresent();
 	}
 
+	static Stream<String> ids() {
+		return Stream.of("a", "A", "acme/a", "A".repeat(100), "A".repeat(123), "A".repeat(124), "%25".repeat(100),
+				"%25".repeat(99) + "%2f", "\u4e16".repeat(100), "account/" + "X".repeat(300));
+	}
+
+	/**
+	 * Guards against a job that cannot be stored under the id that its caller chose: an
+	 * id has more characters once it is encoded.
+	 * @param id the job's id
+	 */
+	@ParameterizedTest
+	@MethodSource("ids")
+	void shouldStoreAJobUnderAnyId(String id) {
+		JobItem item = new JobItem("i", "/p", Map.of(), "", 1);
+		assertThat(
+				this.store.create(new Job(id, Optional.empty(), "h", "/p", 0, 1, 1, 0, 1, false, List.of(item))).join())
+			.isTrue();
+		List<ItemOutcome> outcomes = List.of(new ItemOutcome("i", true, "text"));
+		assertThat(this.store.append(id, 0, outcomes).join()).isTrue();
+		assertThat(this.store.read(id).join().map(Job::id)).hasValue(id);
+		assertThat(this.store.segment(id, 0).join()).hasValue(outcomes);
+	}
+
+	@Test
+	void shouldGiveEachIdAnObjectOfItsOwn() {
+		assertThat(ids().map(JobStore::objectName).distinct().count()).isEqualTo(ids().count());
+	}
+
 	private static Optional<RuntimeException> failure(Runnable call) {
 		try {
 			call.run();
