Publish all finished results before a process stops

A process that stops wrote one segment of each job and repeated no failed write, so finished results that need several segments, or that the store refuses at that moment, were left to the next owner, which has to run the items again unless their progress was saved. The end of each write, failed or not, now triggers the next one until the time to stop is over.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
@@ -87,7 +87,7 @@
 		this.authority = new ResultAuthority(dependencies.ticker(), dependencies.pauseCount(),
 				dependencies.liveRunners());
 		this.loader = new JobLoader(dependencies, this.progress, this.authority, this::schedule);
-		this.publisher = new ResultPublisher(dependencies, this.authority, this::schedule);
+		this.publisher = new ResultPublisher(dependencies, this.authority, this::writeEnded);
 	}
 
 	/**
@@ -145,15 +145,27 @@
 	public CompletableFuture<Void> stop() {
 		this.stopped = true;
 		CompletableFuture<Void> saved = this.progress.save(readyJobs());
-		this.jobs.values().forEach((job) -> {
-			job.stopRuns();
-			if (job.hasUnpublished()) {
-				this.publisher.publish(job);
-			}
-		});
+		this.jobs.values().forEach(OwnedJob::stopRuns);
+		publishRemaining();
 		return saved;
 	}
 
+	/**
+	 * Publishes results of a process that stops; one write takes one segment of a job.
+	 */
+	private void publishRemaining() {
+		this.jobs.values().stream().filter(OwnedJob::hasUnpublished).forEach(this.publisher::publish);
+	}
+
+	private void writeEnded() {
+		if (this.stopped) {
+			publishRemaining();
+		}
+		else {
+			schedule();
+		}
+	}
+
 	/**
 	 * Returns whether results wait to be published.
 	 * @return whether any job has some, or a write is in progress
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ResultPublisher.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ResultPublisher.java
@@ -20,18 +20,18 @@
 
 	private final ResultAuthority authority;
 
-	private final Runnable onPublished;
+	private final Runnable onWriteEnded;
 
 	/**
 	 * Creates a publisher.
 	 * @param dependencies the store, the clocks and the event loop
 	 * @param authority is notified of writes
-	 * @param onPublished runs when results were published
+	 * @param onWriteEnded runs when results were published, or may be published again
 	 */
-	ResultPublisher(JobRunner.Dependencies dependencies, ResultAuthority authority, Runnable onPublished) {
+	ResultPublisher(JobRunner.Dependencies dependencies, ResultAuthority authority, Runnable onWriteEnded) {
 		this.dependencies = Objects.requireNonNull(dependencies, "dependencies is null");
 		this.authority = Objects.requireNonNull(authority, "authority is null");
-		this.onPublished = Objects.requireNonNull(onPublished, "onPublished is null");
+		this.onWriteEnded = Objects.requireNonNull(onWriteEnded, "onWriteEnded is null");
 	}
 
 	/**
@@ -65,20 +65,16 @@
 		JobStore store = this.dependencies.store();
 		List<ItemOutcome> outcomes = job.nextSegment(store.maxDocumentBytes());
 		store.append(job.job().id(), number, outcomes).thenAcceptAsync((written) -> {
-			job.writing(false);
 			LOG.info("results_listed", "job", job.job().id(), "segment", number, "results", outcomes.size(), "written",
 					written, "open_items", job.openCount());
 			if (written) {
-				job.addSegment(number, outcomes);
-				this.authority.onWritten(job.job().id());
-				this.dependencies.sendReport().run();
-				this.onPublished.run();
-			}
-			else {
-				this.authority.revoke(job.job().id());
-				job.stopRuns();
-				job.phase(OwnedJob.Phase.NOT_LOADED);
+				listed(job, number, outcomes);
+				return;
 			}
+			job.writing(false);
+			this.authority.revoke(job.job().id());
+			job.stopRuns();
+			job.phase(OwnedJob.Phase.NOT_LOADED);
 		}, this.dependencies.loop()).exceptionally((failure) -> {
 			LOG.warning("results_not_listed", "job", job.job().id(), "segment", number, "results", outcomes.size(),
 					"bytes", outcomes.stream().mapToLong(JobDocuments::maxSize).sum(), "error", Failures.root(failure));
@@ -89,9 +85,18 @@
 					job.stopRuns();
 					job.phase(OwnedJob.Phase.NOT_LOADED);
 				}
+				this.onWriteEnded.run();
 			});
 			return null;
 		});
 	}
 
+	private void listed(OwnedJob job, int number, List<ItemOutcome> outcomes) {
+		job.writing(false);
+		job.addSegment(number, outcomes);
+		this.authority.onWritten(job.job().id());
+		this.dependencies.sendReport().run();
+		this.onWriteEnded.run();
+	}
+
 }
