Continue after segments that another process has listed

A process that had unpublished results of a job which it no longer owned wrote the same segment ten times a second for good once the new owner had listed one of that number: it does not load the job, so it never learnt of the other segment. Each of these calls is priced and counts against the rate of the store. It now reads the segment that the write conflicted with, drops the results that are listed there, and writes the rest after it.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ResultPublisher.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ResultPublisher.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
 
 import org.ragworthook.core.error.Failures;
 import org.ragworthook.core.log.EventLog;
@@ -64,17 +65,17 @@
 		int number = job.segments();
 		JobStore store = this.dependencies.store();
 		List<ItemOutcome> outcomes = job.nextSegment(store.maxDocumentBytes());
-		store.append(job.job().id(), number, outcomes).thenAcceptAsync((written) -> {
+		store.append(job.job().id(), number, outcomes).thenComposeAsync((written) -> {
 			LOG.info("results_listed", "job", job.job().id(), "segment", number, "results", outcomes.size(), "written",
 					written, "open_items", job.openCount());
 			if (written) {
 				listed(job, number, outcomes);
-				return;
+				return CompletableFuture.completedFuture(null);
 			}
-			job.writing(false);
 			this.authority.revoke(job.job().id());
 			job.stopRuns();
 			job.phase(OwnedJob.Phase.NOT_LOADED);
+			return readOther(job, number);
 		}, this.dependencies.loop()).exceptionally((failure) -> {
 			LOG.warning("results_not_listed", "job", job.job().id(), "segment", number, "results", outcomes.size(),
 					"bytes", outcomes.stream().mapToLong(JobDocuments::maxSize).sum(), "error", Failures.root(failure));
@@ -99,4 +100,19 @@
 		this.onWriteEnded.run();
 	}
 
+	/**
+	 * Reads a segment that another process has written first. A process that no longer
+	 * owns the job does not load it, and would write the same segment for good.
+	 * @param job the job
+	 * @param number the segment's number
+	 * @return completes when the segment was added to the job
+	 */
+	private CompletableFuture<Void> readOther(OwnedJob job, int number) {
+		return this.dependencies.store().segment(job.job().id(), number).thenAcceptAsync((segment) -> {
+			job.writing(false);
+			segment.ifPresent((outcomes) -> job.addSegment(number, outcomes));
+			this.onWriteEnded.run();
+		}, this.dependencies.loop());
+	}
+
 }
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/job/ResultPublisherTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/job/ResultPublisherTests.java
@@ -8,6 +8,8 @@
 import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.ragworthook.core.error.ErrorCode;
 import org.ragworthook.core.error.StoreException;
 import org.ragworthook.core.store.ConditionalWriter;
@@ -57,6 +59,42 @@
 		return new ItemOutcome(item, true, "text");
 	}
 
+	private List<String> listedItems() {
+		return IntStream.range(0, 5)
+			.mapToObj((number) -> this.store.segment("job", number).join())
+			.flatMap(Optional::stream)
+			.flatMap(List::stream)
+			.map(ItemOutcome::itemId)
+			.toList();
+	}
+
+	/**
+	 * Another process has listed some of the results, or all of them, and owns the job
+	 * now.
+	 * @param listed the number of results in each of the other process's segments
+	 * @param segments the number of its segments
+	 */
+	@ParameterizedTest
+	@CsvSource({ "1, 1", "1, 3", "2, 1", "2, 2", "4, 1" })
+	void shouldPublishAfterTheSegmentsOfAnotherProcess(int listed, int segments) {
+		for (int segment = 0; segment < segments; segment++) {
+			int first = segment * listed;
+			this.store
+				.append("job", segment,
+						IntStream.range(first, first + listed).mapToObj((n) -> outcome("i" + n)).toList())
+				.join();
+		}
+		OwnedJob job = finished(4);
+		int before = this.objects.creates;
+		for (int round = 0; round < 20 && job.hasUnpublished(); round++) {
+			this.publisher.publish(job);
+		}
+		assertThat(job.hasUnpublished()).isFalse();
+		assertThat(job.allPublished()).isTrue();
+		assertThat(this.objects.creates - before).isAtMost(segments + 1);
+		assertThat(listedItems()).containsExactly("i0", "i1", "i2", "i3");
+	}
+
 	/** The store does not answer; the write is repeated after a pause, also at a stop. */
 	@Test
 	void shouldAllowAnotherWriteAfterAFailedOne() {
