Accept small limits of objects, and rank reported parts by crashes

From reading the diff: a deployment whose store takes less than 64 KB would not have started; the room for metadata is a quarter of a small limit now. Reports put parts without a complete response before those with more crashes, so a part that was sound before would have reached peers late; the most crashes come first again. Splitting a text no longer allocates a string for each character.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/LargeDocuments.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/LargeDocuments.java
@@ -128,7 +128,10 @@
 		int end;
 		for (int at = 0; at < text.length(); at = end) {
 			end = at + Character.charCount(text.codePointAt(at));
-			long more = JsonSize.max(text.substring(at, end));
+			long more = 0;
+			for (int i = at; i < end; i++) {
+				more += JsonSize.max(text.charAt(i));
+			}
 			if (at > start && bytes + more > maxBytes) {
 				pieces.add(text.substring(start, at));
 				start = at;
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ObjectSizeLimit.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ObjectSizeLimit.java
@@ -17,11 +17,11 @@
 
 	private static final EventLog LOG = EventLog.of(ObjectSizeLimit.class);
 
-	/** Room for the metadata and the status of an object. */
-	private static final int ENVELOPE_BYTES = 16_384;
+	/** Most room that is left for the metadata and the status of an object. */
+	private static final long MAX_ENVELOPE_BYTES = 16_384;
 
 	/** Smaller documents are not split any further. */
-	static final long MIN_BYTES = 16_384;
+	static final long MIN_BYTES = 4_096;
 
 	private volatile long bytes;
 
@@ -30,7 +30,8 @@
 	}
 
 	static ObjectSizeLimit of(RecordStore store) {
-		return new ObjectSizeLimit(Math.max(MIN_BYTES, store.maxObjectBytes() - ENVELOPE_BYTES));
+		long envelope = Math.min(MAX_ENVELOPE_BYTES, store.maxObjectBytes() / 4);
+		return new ObjectSizeLimit(Math.max(MIN_BYTES, store.maxObjectBytes() - envelope));
 	}
 
 	/**
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/suspect/PoisonPartDetector.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/suspect/PoisonPartDetector.java
@@ -265,8 +265,9 @@
 	}
 
 	/**
-	 * Returns what is to be reported to the peers: the parts with crashes, those that are
-	 * blamed first at the front, and those whose crashes were contradicted a moment ago.
+	 * Returns what is to be reported to the peers: the parts with crashes, the most
+	 * crashes first, of these the ones that would be blamed first, and those whose
+	 * crashes were contradicted a moment ago.
 	 * @return the observations of this process and those that it has received
 	 */
 	public List<PartObservation> observations() {
@@ -278,8 +279,8 @@
 		Set<Long> parts = new HashSet<>(this.suspects.keySet());
 		parts.addAll(this.contradicted.keySet());
 		return parts.stream()
-			.sorted(Comparator.comparing((Long part) -> successNanos(part, now).isPresent())
-				.thenComparing((part) -> -crashCount(part))
+			.sorted(Comparator.comparingInt((Long part) -> -crashCount(part))
+				.thenComparing((part) -> successNanos(part, now).isPresent())
 				.thenComparing((part) -> -position(part)))
 			.map((part) -> observation(part, now))
 			.toList();
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/suspect/PoisonPartReports.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/suspect/PoisonPartReports.java
@@ -23,7 +23,7 @@
 public final class PoisonPartReports implements ReportSection {
 
 	/**
-	 * Most bytes of the parts that are blamed first, which every report contains, and of
+	 * Most bytes of the parts with the most crashes, which every report contains, and of
 	 * the parts that take turns: as many for those whose crashes were contradicted, which
 	 * peers may still refuse, as for all others. While connections are lost for another
 	 * reason, hundreds of parts have one crash each; reports to all peers, ten a second,
