--- a/modules/gateway/src/main/java/org/ragworthook/gateway/suspect/PartObservation.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/suspect/PartObservation.java
@@ -11,7 +11,8 @@
  *
  * @param part the key of the part
  * @param position the greatest position of the part in a prompt, from 0
- * @param companions the parts that all lost requests with the part had, itself included
+ * @param companions the parts without a complete response that all lost requests with the
+ * part had, itself included unless it had one
  * @param companionsOmitted whether there may be such parts besides
  * @param crashAges the upstreams that were lost while they ran requests with the part, by
  * their key, and how long ago
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/suspect/SuspectedPart.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/suspect/SuspectedPart.java
@@ -26,9 +26,9 @@
 
 	/**
 	 * Creates a part without crashes.
-	 * @param companions the parts of the first lost request; shared by its parts, so it
-	 * must not change
-	 * @param companionsOmitted whether there were parts besides
+	 * @param companions the parts of the first lost request that had no complete
+	 * response; shared by these parts, so it must not change
+	 * @param companionsOmitted whether there may have been more of them
 	 */
 	SuspectedPart(Set<Long> companions, boolean companionsOmitted) {
 		this.companions = companions;
@@ -90,8 +90,9 @@
 	}
 
 	/**
-	 * Returns the parts that all lost requests with this part had.
-	 * @return the keys of the parts, this one included
+	 * Returns the parts without a complete response that all lost requests with this part
+	 * had.
+	 * @return the keys of the parts, this one included unless it had one
 	 */
 	Set<Long> companions() {
 		return this.companions;
