--- a/modules/gateway/src/test/java/org/ragworthook/gateway/suspect/PoisonPartReportsTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/suspect/PoisonPartReportsTests.java
@@ -58,8 +58,8 @@
 	}
 
 	/**
-	 * Guards against reports that grow with the length of prompts: one with a hundred
-	 * parts, which all occurred in the same requests, took 20 KB.
+	 * Guards against reports that grow with the length of prompts, whose parts all
+	 * occurred in the same requests.
 	 * @param length the number of parts of a prompt
 	 */
 	@ParameterizedTest
