Deny a result only by what is known at the end of the wait

A read that waits for a result ended with what the entry had read when the wait began, up to a second earlier. It was read again only when the owner's reports announced more, and those are not used while the report of any process that runs jobs is missing. Another entry may have shown the result meanwhile. A read that the store answered late had the same effect.

A wait now ends with a read as of that moment: from reports if they are certain, otherwise from the store. An answer that denies a result by a read older than 800 ms becomes 503. The time of the first read counts towards the wait.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobReader.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobReader.java
@@ -11,7 +11,10 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
+import org.ragworthook.core.error.ErrorCode;
+import org.ragworthook.core.error.StoreException;
 import org.ragworthook.core.log.EventLog;
+import org.ragworthook.core.time.Ticker;
 import org.ragworthook.core.time.Timers;
 
 /**
@@ -36,10 +39,19 @@
 	/** Maximum size of cached results, in bytes. */
 	private static final long MAX_CACHED_BYTES = 24_000_000;
 
+	/**
+	 * The greatest age of a read by which a result is denied. A result that one entry has
+	 * shown must not be missing in the answer of another more than a second later; 200 ms
+	 * are left for the transmission.
+	 */
+	private static final Duration MAX_READ_AGE = Duration.ofMillis(800);
+
 	private final JobStore store;
 
 	private final PublishedResultsView published;
 
+	private final Ticker ticker;
+
 	private final Timers timers;
 
 	private final Set<PendingRead> pendingReads = new LinkedHashSet<>();
@@ -48,9 +60,10 @@
 
 	private long cachedBytes;
 
-	private JobReader(JobStore store, PublishedResultsView published, Timers timers) {
+	private JobReader(JobStore store, PublishedResultsView published, Ticker ticker, Timers timers) {
 		this.store = Objects.requireNonNull(store, "store is null");
 		this.published = Objects.requireNonNull(published, "published is null");
+		this.ticker = Objects.requireNonNull(ticker, "ticker is null");
 		this.timers = Objects.requireNonNull(timers, "timers is null");
 	}
 
@@ -58,11 +71,12 @@
 	 * Returns a reader with an empty cache.
 	 * @param store the jobs
 	 * @param published what the processes that run jobs report of published results
+	 * @param ticker the monotonic clock
 	 * @param timers runs tasks later, on the event loop
 	 * @return the reader
 	 */
-	public static JobReader of(JobStore store, PublishedResultsView published, Timers timers) {
-		return new JobReader(store, published, timers);
+	public static JobReader of(JobStore store, PublishedResultsView published, Ticker ticker, Timers timers) {
+		return new JobReader(store, published, ticker, timers);
 	}
 
 	/**
@@ -79,28 +93,50 @@
 	 * @param position the first position to read
 	 * @param wait how long to wait for a result at that position
 	 * @return the results, or empty if there is no such job; fails with a
-	 * {@link org.ragworthook.core.error.StoreException} if the store does not answer
+	 * {@link org.ragworthook.core.error.StoreException} if the store does not answer, or
+	 * so late that another entry may have shown a result at the position
 	 */
 	public CompletableFuture<Optional<Page>> results(String jobId, int position, Duration wait) {
-		return cached(jobId).thenCompose((found) -> {
-			if (found.isEmpty()) {
-				return CompletableFuture.completedFuture(Optional.<Page>empty());
+		long endNanos = this.ticker.nanos() + wait.toNanos();
+		return cached(jobId)
+			.thenCompose((found) -> found.map((cached) -> page(cached, position, endNanos).thenApply(Optional::of))
+				.orElseGet(() -> CompletableFuture.completedFuture(Optional.empty())));
+	}
+
+	private CompletableFuture<Page> page(CachedResults cached, int position, long endNanos) {
+		Duration left = Duration.ofNanos(endNanos - this.ticker.nanos());
+		if (left.isNegative() || left.isZero()) {
+			return currentPage(cached, position);
+		}
+		return readUntil(cached, position).thenCompose((ready) -> {
+			if (ready) {
+				return CompletableFuture.completedFuture(cached.page(position));
 			}
-			CachedResults cached = found.get();
-			return readUntil(cached, position).thenCompose((ready) -> {
-				if (ready || wait.isZero()) {
-					return CompletableFuture.completedFuture(Optional.of(cached.page(position)));
-				}
-				return awaitResult(cached, position, wait);
-			});
+			PendingRead read = new PendingRead(cached, position);
+			this.pendingReads.add(read);
+			this.timers.schedule(Duration.ofNanos(endNanos - this.ticker.nanos()), read::waitOver);
+			return read.answer;
 		});
 	}
 
-	private CompletableFuture<Optional<Page>> awaitResult(CachedResults cached, int position, Duration wait) {
-		PendingRead read = new PendingRead(cached, position);
-		this.pendingReads.add(read);
-		this.timers.schedule(wait, read::waitOver);
-		return read.answer;
+	/**
+	 * Reads results as of now. An answer without a result at the position must not rest
+	 * on what was known earlier, since other entries show results as soon as they are
+	 * published.
+	 * @param cached the results read so far
+	 * @param position the first position to read
+	 * @return the results; fails if the store answers too late to deny a result
+	 */
+	private CompletableFuture<Page> currentPage(CachedResults cached, int position) {
+		long startNanos = this.ticker.nanos();
+		return readUntil(cached, position).thenApply((ready) -> {
+			Duration age = Duration.ofNanos(this.ticker.nanos() - startNanos);
+			if (!ready && age.compareTo(MAX_READ_AGE) > 0) {
+				throw new StoreException(ErrorCode.STORE_UNAVAILABLE, "the store took " + age.toMillis()
+						+ " ms to find no result at position " + position + " of job " + cached.jobId);
+			}
+			return cached.page(position);
+		});
 	}
 
 	/**
@@ -263,15 +299,12 @@
 
 		private final int position;
 
-		private final CompletableFuture<Optional<Page>> answer = new CompletableFuture<>();
+		private final CompletableFuture<Page> answer = new CompletableFuture<>();
 
 		private boolean reading;
 
 		private boolean expired;
 
-		/** Why the last read failed, or empty if it succeeded. */
-		private Optional<Throwable> lastFailure = Optional.empty();
-
 		PendingRead(CachedResults cached, int position) {
 			this.cached = cached;
 			this.position = position;
@@ -284,35 +317,43 @@
 			boolean hasMore = JobReader.this.published.authoritative(this.cached.jobId)
 				.filter((results) -> results.maxSegments() > this.cached.segments)
 				.isPresent();
-			if (!hasMore || this.reading) {
+			if (!hasMore || this.reading || this.expired) {
 				return;
 			}
 			this.reading = true;
 			readUntil(this.cached, this.position).whenComplete((ready, failure) -> {
 				this.reading = false;
-				this.lastFailure = Optional.ofNullable(failure);
-				if (this.expired || (failure == null && ready)) {
-					complete();
+				if (failure == null && ready) {
+					JobReader.this.pendingReads.remove(this);
+					this.answer.complete(this.cached.page(this.position));
+				}
+				else if (this.expired) {
+					answerNow();
 				}
 			});
 		}
 
 		/**
-		 * Called at the end of the wait. A read in progress decides on the answer:
-		 * another entry may have shown what it will find.
+		 * Called at the end of the wait. A read in progress is awaited first, since it
+		 * may find the result.
 		 */
 		void waitOver() {
 			this.expired = true;
-			if (!this.reading) {
-				complete();
+			if (!this.reading && !this.answer.isDone()) {
+				answerNow();
 			}
 		}
 
-		private void complete() {
-			if (JobReader.this.pendingReads.remove(this)) {
-				this.lastFailure.ifPresentOrElse(this.answer::completeExceptionally,
-						() -> this.answer.complete(Optional.of(this.cached.page(this.position))));
-			}
+		private void answerNow() {
+			JobReader.this.pendingReads.remove(this);
+			currentPage(this.cached, this.position).whenComplete((page, failure) -> {
+				if (failure == null) {
+					this.answer.complete(page);
+				}
+				else {
+					this.answer.completeExceptionally(failure);
+				}
+			});
 		}
 
 	}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
@@ -282,7 +282,7 @@
 				this.accountLoads, this.peers.origins(), this.observed, this.peers.dispatch()::loadChanged,
 				this.peers.exchange()::flush);
 		CallerAccess access = callerAccess();
-		JobReader reader = JobReader.of(this.jobs, this.peers.results(), this.timers);
+		JobReader reader = JobReader.of(this.jobs, this.peers.results(), this.ticker, this.timers);
 		this.peers.results().onUpdate(reader::onResultsReported);
 		Frontend front = FrontendFactory.of(this.vertx, context, access, this.jobs, reader, this.platform.jobFormat(),
 				this.loop, this.health::up,
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/job/JobReaderTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/job/JobReaderTests.java
@@ -10,6 +10,8 @@
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.ragworthook.core.error.ErrorCode;
 import org.ragworthook.core.error.StoreException;
 import org.ragworthook.core.store.ConditionalWriter;
@@ -30,6 +32,9 @@
 
 	private static final Duration READ_WAIT = Duration.ofSeconds(1);
 
+	/** How long after a result was first shown an entry may still answer without it. */
+	private static final Duration MAX_STALENESS = Duration.ofSeconds(1);
+
 	private final ManualTime time = ManualTime.of();
 
 	private final CountingStore store = new CountingStore();
@@ -38,7 +43,7 @@
 
 	private final AtomicReference<Optional<PublishedResults>> reported = new AtomicReference<>(Optional.empty());
 
-	private final JobReader reader = JobReader.of(this.jobs, (jobId) -> this.reported.get(), this.time);
+	private final JobReader reader = JobReader.of(this.jobs, (jobId) -> this.reported.get(), this.time, this.time);
 
 	@BeforeEach
 	void accept() {
@@ -164,6 +169,49 @@
 		assertThat(answer.join().orElseThrow().outcomes()).isEqualTo(segment("a"));
 	}
 
+	/**
+	 * Guards against an empty page that rests on what was known when the wait began:
+	 * another entry may have shown the result almost a second ago.
+	 * @param reportsAtFirst whether the owner's reports are certain when the wait begins
+	 */
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void shouldNotDenyAResultThatNoReportAnnouncesDuringTheWait(boolean reportsAtFirst) {
+		if (reportsAtFirst) {
+			report(0);
+		}
+		CompletableFuture<Optional<JobReader.Page>> answer = this.reader.results("job", 0, READ_WAIT);
+		this.reported.set(Optional.empty());
+		this.jobs.append("job", 0, segment("a")).join();
+		this.reader.onResultsReported();
+		this.time.advance(READ_WAIT);
+		assertThat(answer.join().orElseThrow().outcomes()).isEqualTo(segment("a"));
+	}
+
+	/**
+	 * Guards against an empty page from a read that the store answered so late that
+	 * another entry may have shown a result since.
+	 * @param wait how long the caller waits for a result
+	 */
+	@ParameterizedTest
+	@ValueSource(longs = { 0, 1_000 })
+	void shouldNotDenyAResultByALateAnswerOfTheStore(long wait) {
+		CompletableFuture<Void> held = new CompletableFuture<>();
+		this.reader.results("job", 1, Duration.ZERO).join();
+		this.store.held = held;
+		CompletableFuture<Optional<JobReader.Page>> answer = this.reader.results("job", 0, Duration.ofMillis(wait));
+		this.time.advance(MAX_STALENESS);
+		held.complete(null);
+		this.time.advance(READ_WAIT);
+		if (wait == 0) {
+			assertThat(ConditionalWriter.codeOf(answer.handle((page, failure) -> failure).join()))
+				.hasValue(ErrorCode.STORE_UNAVAILABLE);
+		}
+		else {
+			assertThat(answer.join().orElseThrow().outcomes()).isEmpty();
+		}
+	}
+
 	private static final class CountingStore implements RecordStore {
 
 		private final MemoryObjectStore objects = MemoryObjectStore.empty();
