Log items whose responses begin and make no progress

An item whose response stopped midway stayed in progress for good, and the log had no entry after item_placed. item_stalled states since when a run has made no progress, the status and the events that it got, the time that is allowed at the observed pace, and whether the upstream has sent anything in that time. This tells a run without a limit from one whose limit is prolonged by other bytes, and from one that is run at another process.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.BiFunction;
 import java.util.function.Function;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -72,6 +73,13 @@
 	 */
 	private static final int MAX_QUEUE_TIME_DOUBLINGS = 5;
 
+	/**
+	 * Limit on the doublings of the time without progress after which a run counts as
+	 * stalled. The time grows until an upstream that is much slower than all that was
+	 * observed gets to send two events, which show its pace.
+	 */
+	private static final int MAX_STALL_TIMEOUT_DOUBLINGS = 3;
+
 	private final Job job;
 
 	private final JobItem item;
@@ -107,6 +115,9 @@
 	/** Consecutive withdrawals from an engine's queue. */
 	private int withdrawals;
 
+	/** Consecutive runs that have stalled before their second new event. */
+	private int stalls;
+
 	/** The run in progress, or {@code null} if there is none. */
 	private Run current;
 
@@ -191,6 +202,26 @@
 		stop();
 	}
 
+	/**
+	 * Returns the run in progress if its response has begun and has made no progress for
+	 * too long. Must be called regularly.
+	 * @param nowNanos the ticker's reading
+	 * @param timeout gives how long a run at an upstream may make no progress; doubled
+	 * with each run in a row that stalls before its second event
+	 * @return the run, or empty if there is none or it has not exceeded its time
+	 */
+	Optional<StalledRun> stalled(long nowNanos, BiFunction<TrackedUpstream, RunProgress, Duration> timeout) {
+		if (this.current == null || this.current.statusCode == 0) {
+			return Optional.empty();
+		}
+		RunProgress progress = this.current.progress;
+		Duration silence = progress.silence(nowNanos);
+		Duration limit = timeout.apply(this.current.upstream, progress)
+			.multipliedBy(1L << Math.min(this.stalls, MAX_STALL_TIMEOUT_DOUBLINGS));
+		return (silence.compareTo(limit) < 0) ? Optional.empty() : Optional
+			.of(new StalledRun(this.current.upstream, this.current.statusCode, progress.events(), silence, limit));
+	}
+
 	void start(TrackedUpstream upstream, ConnectionPool pool, HeaderNames names, RunListener listener) {
 		LOG.info("item_placed", "job", this.job.id(), "item", this.item.id(), "upstream", upstream, "version",
 				upstream.descriptor().version(), "load", upstream.load(), "from_event", this.lastEvent,
@@ -200,7 +231,7 @@
 		if (this.firstStartedNanos == Long.MIN_VALUE) {
 			this.firstStartedNanos = this.startedNanos;
 		}
-		Run started = new Run(upstream, this.lastEvent, listener);
+		Run started = new Run(upstream, this.lastEvent, this.startedNanos, listener);
 		this.current = started;
 		started.attempt = Attempt.start(upstream, WorkClass.BATCH, pool, names,
 				new Attempt.Outgoing(() -> request(names), this.item.id(), this.lastEvent, HeadCheck.any(),
@@ -342,15 +373,18 @@
 
 		private boolean hasUnnumbered;
 
+		private final RunProgress progress;
+
 		private Attempt attempt;
 
 		private int statusCode;
 
 		private boolean eventStream;
 
-		Run(TrackedUpstream upstream, long resumedAfter, RunListener listener) {
+		Run(TrackedUpstream upstream, long resumedAfter, long startedNanos, RunListener listener) {
 			this.upstream = upstream;
 			this.resumedAfter = resumedAfter;
+			this.progress = new RunProgress(startedNanos);
 			this.listener = listener;
 		}
 
@@ -358,6 +392,7 @@
 		public void head(HttpResponse head) {
 			this.statusCode = head.status().code();
 			this.eventStream = this.attempt.eventStream();
+			this.progress.head(this.listener.nanosAfter(Duration.ZERO));
 			ItemRun.this.withdrawals = 0;
 		}
 
@@ -379,6 +414,7 @@
 			keepUnnumbered();
 			ItemRun.this.origin = Optional.of(StreamOrigin.of(this.upstream.descriptor()));
 			ItemRun.this.lastEvent = number;
+			this.progress.event(this.listener.nanosAfter(Duration.ZERO));
 			text.ifPresent(this::keep);
 		}
 
@@ -469,6 +505,18 @@
 
 	}
 
+	/**
+	 * A run whose response has begun and has made no progress for too long.
+	 *
+	 * @param upstream the upstream of the run
+	 * @param status the status of the response
+	 * @param events the new events that the run has brought
+	 * @param silence the time without progress
+	 * @param limit the time without progress that was allowed
+	 */
+	record StalledRun(TrackedUpstream upstream, int status, int events, Duration silence, Duration limit) {
+	}
+
 	/**
 	 * Receives the results of runs.
 	 */
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemScheduler.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemScheduler.java
@@ -15,6 +15,7 @@
 
 import org.ragworthook.core.log.EventLog;
 import org.ragworthook.gateway.account.AccountCounts;
+import org.ragworthook.gateway.observe.ObservedSpeeds;
 import org.ragworthook.gateway.origin.StreamOrigin;
 import org.ragworthook.gateway.route.Configuration;
 import org.ragworthook.gateway.route.Route;
@@ -232,6 +233,28 @@
 		}
 	}
 
+	/**
+	 * Logs runs that have stalled: their responses have begun, and no event follows.
+	 * @param runs the items of this process
+	 */
+	void logStalled(List<ItemRun> runs) {
+		long now = this.dependencies.ticker().nanos();
+		for (ItemRun run : runs) {
+			run.stalled(now, this::stallTimeout)
+				.ifPresent((stalled) -> LOG.info("item_stalled", "job", run.job().id(), "item", run.item().id(),
+						"upstream", stalled.upstream(), "status", stalled.status(), "last_event", run.lastEvent(),
+						"new_events", stalled.events(), "ms", stalled.silence().toMillis(), "limit_ms",
+						stalled.limit().toMillis(), "load", stalled.upstream().load(), "upstream_silent",
+						stalled.upstream().silentSince(now - stalled.silence().toNanos())));
+		}
+	}
+
+	private Duration stallTimeout(TrackedUpstream upstream, RunProgress progress) {
+		ObservedSpeeds speeds = this.dependencies.speeds();
+		return ItemStallTimeout.of(speeds.times(upstream.descriptor().service()),
+				speeds.gapMillis(upstream, upstream.load()), speeds.firstEventMillis(upstream), progress);
+	}
+
 	private Duration maxQueueTime(TrackedUpstream upstream) {
 		return this.dependencies.speeds()
 			.times(upstream.descriptor().service())
