End runs of items whose responses make no progress

Callers of a batch job waited for an item whose response had stopped midway with its connection open until the item's retention period was over, and got it as given up. The only limit on a run ended with the head of the response (ItemRun.queuedTooLongAt).

The time doubles after a run that stalled before its second event, so that an upstream slower than all that was observed gets to show its pace. The item resumes after its last event without a failure of its own; the upstream is left alone like after a withdrawal, and RunObserver counts a failure.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
@@ -222,6 +222,17 @@
 			.of(new StalledRun(this.current.upstream, this.current.statusCode, progress.events(), silence, limit));
 	}
 
+	/**
+	 * Ends the run in progress, which has stalled. Counts against its upstream and not
+	 * against the item.
+	 */
+	void endStalled() {
+		Run stalled = this.current;
+		this.stalls = (stalled.progress.events() > 1) ? 0 : this.stalls + 1;
+		stop();
+		stalled.observer.ended(RunObserver.End.FAILED);
+	}
+
 	void start(TrackedUpstream upstream, ConnectionPool pool, HeaderNames names, RunListener listener) {
 		LOG.info("item_placed", "job", this.job.id(), "item", this.item.id(), "upstream", upstream, "version",
 				upstream.descriptor().version(), "load", upstream.load(), "from_event", this.lastEvent,
@@ -233,10 +244,8 @@
 		}
 		Run started = new Run(upstream, this.lastEvent, this.startedNanos, listener);
 		this.current = started;
-		started.attempt = Attempt.start(upstream, WorkClass.BATCH, pool, names,
-				new Attempt.Outgoing(() -> request(names), this.item.id(), this.lastEvent, HeadCheck.any(),
-						listener.observe(upstream)),
-				started);
+		started.attempt = Attempt.start(upstream, WorkClass.BATCH, pool, names, new Attempt.Outgoing(
+				() -> request(names), this.item.id(), this.lastEvent, HeadCheck.any(), started.observer), started);
 	}
 
 	private FullHttpRequest request(HeaderNames names) {
@@ -373,6 +382,8 @@
 
 		private boolean hasUnnumbered;
 
+		private final RunObserver observer;
+
 		private final RunProgress progress;
 
 		private Attempt attempt;
@@ -384,6 +395,7 @@
 		Run(TrackedUpstream upstream, long resumedAfter, long startedNanos, RunListener listener) {
 			this.upstream = upstream;
 			this.resumedAfter = resumedAfter;
+			this.observer = listener.observe(upstream);
 			this.progress = new RunProgress(startedNanos);
 			this.listener = listener;
 		}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemScheduler.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemScheduler.java
@@ -234,18 +234,25 @@
 	}
 
 	/**
-	 * Logs runs that have stalled: their responses have begun, and no event follows.
+	 * Ends runs whose responses have begun and make no progress. An upstream may have
+	 * lost an item whose connection stays open; without a limit, the item would be
+	 * neither completed nor given up until its retention period is over. The item resumes
+	 * after its last event.
 	 * @param runs the items of this process
 	 */
-	void logStalled(List<ItemRun> runs) {
+	void endStalled(List<ItemRun> runs) {
 		long now = this.dependencies.ticker().nanos();
 		for (ItemRun run : runs) {
-			run.stalled(now, this::stallTimeout)
-				.ifPresent((stalled) -> LOG.info("item_stalled", "job", run.job().id(), "item", run.item().id(),
-						"upstream", stalled.upstream(), "status", stalled.status(), "last_event", run.lastEvent(),
-						"new_events", stalled.events(), "ms", stalled.silence().toMillis(), "limit_ms",
-						stalled.limit().toMillis(), "load", stalled.upstream().load(), "upstream_silent",
-						stalled.upstream().silentSince(now - stalled.silence().toNanos())));
+			run.stalled(now, this::stallTimeout).ifPresent((stalled) -> {
+				LOG.info("item_stalled", "job", run.job().id(), "item", run.item().id(), "upstream", stalled.upstream(),
+						"status", stalled.status(), "last_event", run.lastEvent(), "new_events", stalled.events(), "ms",
+						stalled.silence().toMillis(), "limit_ms", stalled.limit().toMillis(), "load",
+						stalled.upstream().load(), "upstream_silent",
+						stalled.upstream().silentSince(now - stalled.silence().toNanos()));
+				run.endStalled();
+				stalled.upstream().recordPreemption(now);
+				this.dependencies.metrics().attemptFailed("silent");
+			});
 		}
 	}
 
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
@@ -109,7 +109,7 @@
 	private void round() {
 		if (!this.stopped) {
 			this.scheduler.withdrawQueued(openRuns());
-			this.scheduler.logStalled(openRuns());
+			this.scheduler.endStalled(openRuns());
 			schedule();
 			this.progress.saveIfDue(readyJobs(), this.dependencies.owners().runnerCount());
 			this.dependencies.timers().schedule(ROUND_INTERVAL, this::round);
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/job/ItemRunTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/job/ItemRunTests.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
@@ -70,6 +71,8 @@
 
 	private final BlockingQueue<Optional<ItemOutcome>> ends = new LinkedBlockingQueue<>();
 
+	private final AtomicLong nanos = new AtomicLong();
+
 	private ScriptedUpstream upstream;
 
 	private ItemRun run;
@@ -279,12 +282,7 @@
 
 			@Override
 			public RunObserver observe(TrackedUpstream chosen) {
-				return (RunObserver) Proxy.newProxyInstance(RunObserver.class.getClassLoader(),
-						new Class<?>[] { RunObserver.class }, (proxy, method, arguments) -> {
-							told.add(
-									method.getName().equals("ended") ? String.valueOf(arguments[0]) : method.getName());
-							return null;
-						});
+				return observer(told);
 			}
 
 		})).get();
@@ -308,6 +306,108 @@
 				Arguments.of(rejection, "", "sent REJECTED"));
 	}
 
+	private Optional<ItemRun.StalledRun> stalled(Duration limit) {
+		return this.loop.submit(() -> this.run.stalled(this.nanos.get(), (chosen, progress) -> limit))
+			.syncUninterruptibly()
+			.getNow();
+	}
+
+	/**
+	 * Starts the item and waits until it has received a part of the response.
+	 * @param tracked the upstream
+	 * @param listener receives the results
+	 * @param events the number of events to wait for, 0 for the head
+	 */
+	private void startAndAwait(TrackedUpstream tracked, ItemRun.RunListener listener, int events) throws Exception {
+		this.loop.submit(() -> this.run.start(tracked, this.pool, NAMES, listener)).get();
+		Loopback.await(() -> stalled(Duration.ZERO).isPresent()
+				&& this.loop.submit(this.run::lastEvent).syncUninterruptibly().getNow() == events);
+	}
+
+	/**
+	 * Lets time pass, in steps of the periodic round.
+	 * @param time the time
+	 * @param limit the time that the run may make no progress
+	 * @return whether the run has stalled at the end
+	 */
+	private boolean stalledAfter(Duration time, Duration limit) {
+		boolean stalled = false;
+		for (long passed = 0; passed < time.toMillis(); passed += 100) {
+			this.nanos.addAndGet(Duration.ofMillis(100).toNanos());
+			stalled = stalled(limit).isPresent();
+		}
+		return stalled;
+	}
+
+	/**
+	 * Guards against an item that stays in progress for good since its response stops
+	 * midway and the connection stays open, and against blaming the item for it.
+	 * @param status the status of the response
+	 * @param sent the number of events before the response stops
+	 */
+	@ParameterizedTest
+	@CsvSource({ "200, 0", "200, 1", "200, 2", "200, 4", "200, 5", "500, 0", "422, 0" })
+	void shouldResumeAfterAResponseThatStops(int status, int sent) throws Exception {
+		List<String> observed = new CopyOnWriteArrayList<>();
+		TrackedUpstream tracked = tracked(this.upstream.address());
+		this.upstream.replyAndStall(
+				ScriptedUpstream.head(status, (status == 200) ? EVENT_STREAM : "") + ScriptedUpstream.events(1, sent));
+		startAndAwait(tracked, new Listener() {
+
+			@Override
+			public void failed(ItemRun run, TrackedUpstream upstream, SendFailure failure) {
+				throw new AssertionError("failed: " + failure);
+			}
+
+			@Override
+			public RunObserver observe(TrackedUpstream chosen) {
+				return observer(observed);
+			}
+
+		}, sent);
+		Duration limit = Duration.ofSeconds(2);
+		assertThat(stalledAfter(Duration.ofMillis(1_900), limit)).isFalse();
+		assertThat(stalledAfter(Duration.ofMillis(100), limit)).isTrue();
+		this.loop.submit(this.run::endStalled).get();
+		assertThat(observed.get(observed.size() - 1)).isEqualTo("FAILED");
+		assertThat(tracked.ownLoad(WorkClass.BATCH)).isEqualTo(0);
+		assertThat(this.run.mayStart(this.nanos.get())).isTrue();
+		assertThat(this.run.serverErrors()).isEqualTo(0);
+		this.upstream.reply(STREAM_HEAD + ScriptedUpstream.events(sent + 1, EVENTS) + ScriptedUpstream.LAST_CHUNK);
+		assertThat(runOnce(tracked)).isEqualTo(completed(text(EVENTS)));
+		assertThat(this.upstream.received().get(1).header("last-event-id"))
+			.isEqualTo((sent > 0) ? Optional.of(String.valueOf(sent)) : Optional.empty());
+	}
+
+	/**
+	 * Guards against an upstream that is slower than all that was observed and never gets
+	 * to show its pace, since each run ends after the same time.
+	 * @param sent the number of events before each response stops
+	 * @param factor how much longer the second run may take
+	 */
+	@ParameterizedTest
+	@CsvSource({ "0, 2", "1, 2", "2, 1" })
+	void shouldWaitLongerAfterARunThatDidNotShowItsPace(int sent, int factor) throws Exception {
+		Duration limit = Duration.ofSeconds(2);
+		TrackedUpstream tracked = tracked(this.upstream.address());
+		this.upstream.replyAndStall(STREAM_HEAD + ScriptedUpstream.events(1, sent));
+		startAndAwait(tracked, new Listener(), sent);
+		assertThat(stalledAfter(limit, limit)).isTrue();
+		this.loop.submit(this.run::endStalled).get();
+		this.upstream.replyAndStall(STREAM_HEAD);
+		startAndAwait(tracked, new Listener(), sent);
+		assertThat(stalledAfter(limit.multipliedBy(factor).minusMillis(100), limit)).isFalse();
+		assertThat(stalledAfter(Duration.ofMillis(100), limit)).isTrue();
+	}
+
+	private static RunObserver observer(List<String> told) {
+		return (RunObserver) Proxy.newProxyInstance(RunObserver.class.getClassLoader(),
+				new Class<?>[] { RunObserver.class }, (proxy, method, arguments) -> {
+					told.add(method.getName().equals("ended") ? String.valueOf(arguments[0]) : method.getName());
+					return null;
+				});
+	}
+
 	private class Listener implements ItemRun.RunListener {
 
 		@Override
@@ -336,7 +436,7 @@
 
 		@Override
 		public long nanosAfter(Duration delay) {
-			return delay.toNanos();
+			return ItemRunTests.this.nanos.get() + delay.toNanos();
 		}
 
 	}
