Continue the rounds of batch jobs after a failure

An exception while one job was processed kept all jobs after it from being loaded, run and published, and one in the periodic round ended the round for good: accepted jobs then waited for another owner until the process was started again. No input that causes one is known; a failure that was reported while a run was being started had once ended the round.

A round now logs the failure and the next one follows, and a job that fails is logged and does not keep the others waiting. Both tests of JobRunnerTests failed before, and pass now.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
@@ -107,13 +107,19 @@
 	}
 
 	private void round() {
-		if (!this.stopped) {
+		if (this.stopped) {
+			return;
+		}
+		try {
 			this.scheduler.withdrawQueued(openRuns());
 			this.scheduler.endStalled(openRuns());
 			schedule();
 			this.progress.saveIfDue(readyJobs(), this.dependencies.owners().runnerCount());
-			this.dependencies.timers().schedule(ROUND_INTERVAL, this::round);
 		}
+		catch (RuntimeException ex) {
+			LOG.warning("round_failed", "error", ex);
+		}
+		this.dependencies.timers().schedule(ROUND_INTERVAL, this::round);
 	}
 
 	/**
@@ -235,7 +241,7 @@
 
 	/**
 	 * Advances all jobs as far as possible: loads, publishes, gives up items and starts
-	 * those that are ready.
+	 * those that are ready. A job that fails does not keep the others waiting.
 	 */
 	public void schedule() {
 		if (this.stopped || !this.dependencies.membershipSettled().getAsBoolean()) {
@@ -243,7 +249,12 @@
 		}
 		List<ItemRun> ready = new ArrayList<>();
 		for (OwnedJob job : this.jobs.values()) {
-			process(job, ready);
+			try {
+				process(job, ready);
+			}
+			catch (RuntimeException ex) {
+				LOG.warning("job_not_processed", "job", job.job().id(), "phase", job.phase(), "error", ex);
+			}
 		}
 		this.hasWaitingItems = this.scheduler.place(ready);
 	}
