Follow a collection after a failure of its listener

FeedFollower called its listener in the completion of a store call whose result nobody reads. An exception there ended the calls: the process heard of no further job, upstream or configuration, without a line in its log.

The failure is now logged as feed_listener_failed, and the collection is followed on. The entry itself is not delivered again until the next listing. The test in FeedFollowerTests failed before: of a listing and two changes, the first two of which fail, the last one was not delivered.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/feed/FeedFollower.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/feed/FeedFollower.java
@@ -99,7 +99,7 @@
 			onSuccess();
 			LOG.info("feed_listed", "feed", this.feed.name(), "entries", all.changes().size(), "version",
 					all.version());
-			this.listener.listed(all.changes());
+			notifyListener(() -> this.listener.listed(all.changes()));
 			watch(all.version());
 		}, this.loop);
 	}
@@ -119,11 +119,25 @@
 				list();
 				return;
 			}
-			changes.get().changes().forEach(this.listener::changed);
+			changes.get().changes().forEach((change) -> notifyListener(() -> this.listener.changed(change)));
 			watchAfterDelay(changes.get());
 		}, this.loop);
 	}
 
+	/**
+	 * Runs a call of the listener. If it fails, the collection is followed all the same:
+	 * without further changes, this process would miss all later entries.
+	 * @param call the call
+	 */
+	private void notifyListener(Runnable call) {
+		try {
+			call.run();
+		}
+		catch (RuntimeException ex) {
+			LOG.warning("feed_listener_failed", "feed", this.feed.name(), "error", ex);
+		}
+	}
+
 	private void watchAfterDelay(Changes<T> seen) {
 		Duration delay = seen.changes().isEmpty() ? Duration.ZERO : this.coalescingDelay.get();
 		if (delay.isZero()) {
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/feed/FeedFollowerTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/feed/FeedFollowerTests.java
@@ -115,6 +115,20 @@
 		assertThat(this.delivered).containsExactly("first", "second", "third").inOrder();
 	}
 
+	/**
+	 * Guards against a process that hears of no later change after its listener has
+	 * failed once, such as of no further job.
+	 */
+	@Test
+	void shouldFollowAfterAFailureOfTheListener() {
+		this.collection.change("bad in the listing");
+		follow(1);
+		this.collection.change("bad");
+		this.collection.change("good");
+		this.time.advance(DELAY.max());
+		assertThat(this.delivered).containsExactly("good");
+	}
+
 	private FeedFollower<String> follow(int processes) {
 		return follow(() -> DELAY.forProcesses(processes));
 	}
@@ -133,6 +147,9 @@
 
 		@Override
 		public void changed(Change<String> change) {
+			if (change.name().startsWith("bad")) {
+				throw new IllegalStateException(change.name());
+			}
 			FeedFollowerTests.this.delivered.add(change.name());
 		}
 
