Reject no job for its size that the store may have

A caller got 413 for a job that runs: the first write was applied and its response lost, or the job had been acknowledged and was submitted again, and the store had lowered the size that it takes in between. JobAdmission answered STORE_TOO_LARGE without regard to the outcome of earlier writes.

It now reads the job first: 202 if the store has it, 500 if that is not known, and 413 otherwise, as before.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/JobAdmission.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/JobAdmission.java
@@ -189,10 +189,7 @@
 				return;
 			}
 			if (ConditionalWriter.codeOf(failure).filter((code) -> code == ErrorCode.STORE_TOO_LARGE).isPresent()) {
-				LOG.warning("job_too_large", "job", job.id(), "items", job.itemCount(), "error",
-						Failures.root(failure));
-				response.status(ErrorCode.STORE_TOO_LARGE.httpStatus(), "the store does not take a job of this size",
-						Optional.empty());
+				rejectTooLarge(job, response, outcomeUnknown, Failures.root(failure));
 				return;
 			}
 			boolean unknown = outcomeUnknown || ConditionalWriter.codeOf(failure)
@@ -212,6 +209,36 @@
 		}, this.loop);
 	}
 
+	/**
+	 * Rejects a job that the store refuses for its size, unless the store may have it
+	 * already: from a write whose outcome is unknown, or from an earlier submission,
+	 * after which the store has lowered its limit.
+	 * @param job the job
+	 * @param response receives the response
+	 * @param outcomeUnknown whether the outcome of an earlier write is unknown
+	 * @param refusal the answer of the store
+	 */
+	private void rejectTooLarge(Job job, JobRequestHandler.JobResponse response, boolean outcomeUnknown,
+			Throwable refusal) {
+		this.store.read(job.id()).whenCompleteAsync((found, failure) -> {
+			if (failure == null && found.isPresent()) {
+				LOG.info("job_accepted_before", "job", job.id(), "items", job.itemCount(), "error", refusal);
+				response.status(202, "", Optional.empty());
+				return;
+			}
+			boolean unknown = outcomeUnknown || failure != null;
+			LOG.warning("job_too_large", "job", job.id(), "items", job.itemCount(), "unknown", unknown, "error",
+					refusal);
+			if (unknown) {
+				response.status(500, "the job may have been accepted; send it again", Optional.of(DEFAULT_RETRY_AFTER));
+			}
+			else {
+				response.status(ErrorCode.STORE_TOO_LARGE.httpStatus(), "the store does not take a job of this size",
+						Optional.empty());
+			}
+		}, this.loop);
+	}
+
 	/**
 	 * A job that a caller has submitted.
 	 *
