Retry a load or a write of a job that fails before it is sent

If reading the items of a job threw an exception instead of completing with one, the job stayed in LOADING for good and its items were never run. If the report before a write of results, or the write itself, threw one, the write counted as in progress for good and no result of the job was listed any more. Both were found by reading; no call that throws is known.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobLoader.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobLoader.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 
 import org.ragworthook.core.error.Failures;
 import org.ragworthook.core.log.EventLog;
@@ -44,7 +45,9 @@
 	 */
 	void load(OwnedJob job) {
 		job.phase(OwnedJob.Phase.LOADING);
-		this.dependencies.store().withItems(job.job()).thenAcceptAsync((loaded) -> {
+		CompletableFuture<Job> read = CompletableFuture.completedFuture(job.job())
+			.thenCompose(this.dependencies.store()::withItems);
+		read.thenAcceptAsync((loaded) -> {
 			if (!job.job().ended()) {
 				job.job(loaded);
 			}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ResultPublisher.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ResultPublisher.java
@@ -59,13 +59,14 @@
 		if (job.writing()) {
 			return;
 		}
-		job.writing(true);
-		this.authority.onWriteStarted(job.job().id());
-		this.dependencies.sendReport().run();
 		int number = job.segments();
-		JobStore store = this.dependencies.store();
-		List<ItemOutcome> outcomes = job.nextSegment(store.maxDocumentBytes());
-		store.append(job.job().id(), number, outcomes).thenComposeAsync((written) -> {
+		List<ItemOutcome> outcomes = job.nextSegment(this.dependencies.store().maxDocumentBytes());
+		job.writing(true);
+		CompletableFuture.completedFuture(job).thenCompose((begun) -> {
+			this.authority.onWriteStarted(begun.job().id());
+			this.dependencies.sendReport().run();
+			return this.dependencies.store().append(begun.job().id(), number, outcomes);
+		}).thenComposeAsync((written) -> {
 			LOG.info("results_listed", "job", job.job().id(), "segment", number, "results", outcomes.size(), "written",
 					written, "open_items", job.openCount());
 			if (written) {
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/job/ResultPublisherTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/job/ResultPublisherTests.java
@@ -109,6 +109,22 @@
 		assertThat(job.hasUnpublished()).isFalse();
 	}
 
+	/**
+	 * Guards against a job whose results are never listed since a write has failed before
+	 * it was sent, and counts as in progress for good.
+	 */
+	@Test
+	void shouldAllowAnotherWriteAfterOneThatWasNotSent() {
+		this.objects.failsAtOnce = true;
+		OwnedJob job = finished(1);
+		this.publisher.publish(job);
+		this.objects.failsAtOnce = false;
+		this.time.advance(JobStore.RETRY_DELAY);
+		assertThat(this.ended).isEqualTo(1);
+		this.publisher.publish(job);
+		assertThat(job.hasUnpublished()).isFalse();
+	}
+
 	private static final class CountingStore implements RecordStore {
 
 		private final MemoryObjectStore objects = MemoryObjectStore.empty();
@@ -117,6 +133,8 @@
 
 		private boolean available = true;
 
+		private boolean failsAtOnce;
+
 		@Override
 		public CompletableFuture<Optional<Stored>> read(ObjectKey key) {
 			return this.objects.read(key);
@@ -125,6 +143,9 @@
 		@Override
 		public CompletableFuture<Stored> create(ObjectKey key, Draft draft) {
 			this.creates++;
+			if (this.failsAtOnce) {
+				throw new IllegalStateException("not sent");
+			}
 			return this.available ? this.objects.create(key, draft)
 					: CompletableFuture.failedFuture(new StoreException(ErrorCode.STORE_UNAVAILABLE, "away"));
 		}
