Log each request that is open at the end of a stop, and when rejecting began

The log of a stop stated only how many requests were open at its end, so an operator could not tell requests that were taken after the last check from those that waited for a slot, a body or the store, nor see whether rejecting began late.

`request_unfinished` states for each request that is open at the end its id, what it waits for (configuration, key, body, slot, upstream, store, or its caller) and its age; `refusing_more` states how long after the signal rejecting began.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/Frontend.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/Frontend.java
@@ -1,9 +1,11 @@
 package org.ragworthook.gateway.online;
 
 import java.time.Duration;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 
 import io.netty.handler.codec.http.HttpHeaders;
@@ -65,6 +67,8 @@
 
 	private static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(500);
 
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
 	private final OnlineContext context;
 
 	private final OnlineQueues queues;
@@ -95,7 +99,11 @@
 	/** Whether new requests are rejected. */
 	private boolean rejecting;
 
-	private int openRequests;
+	/** When the drain began, a reading of the ticker; meaningless before. */
+	private long drainNanos;
+
+	/** The requests whose response has not ended, in order of arrival. */
+	private final Set<RequestLifecycle> open = new LinkedHashSet<>();
 
 	private Frontend(Vertx vertx, OnlineContext context, CallerAccess access, JobRequestHandler jobs,
 			StartupQueue startupQueue, EntryPressure pressure) {
@@ -186,6 +194,7 @@
 	 */
 	public void drain() {
 		this.draining = true;
+		this.drainNanos = this.context.ticker().nanos();
 	}
 
 	/**
@@ -198,7 +207,8 @@
 	public void rejectNewRequests() {
 		if (!this.rejecting) {
 			this.rejecting = true;
-			LOG.info("refusing_more", "open", this.openRequests, "connections", this.connections.count());
+			LOG.info("refusing_more", "open", this.open.size(), "connections", this.connections.count(), "after_ms",
+					sinceDrainMillis());
 		}
 		this.connections.closeIdle();
 	}
@@ -208,7 +218,19 @@
 	 * @return the count
 	 */
 	public int openRequests() {
-		return this.openRequests;
+		return this.open.size();
+	}
+
+	/**
+	 * Logs each request whose response has not ended and what it waits for.
+	 */
+	public void logOpenRequests() {
+		this.open.forEach((lifecycle) -> LOG.info("request_unfinished", "request", lifecycle.id, "waits_for",
+				lifecycle.waitsFor().label(), "age_ms", lifecycle.ageMillis(), "after_ms", sinceDrainMillis()));
+	}
+
+	private long sinceDrainMillis() {
+		return (this.context.ticker().nanos() - this.drainNanos) / NANOS_PER_MILLI;
 	}
 
 	/**
@@ -216,7 +238,7 @@
 	 * @return whether all responses have ended and are written
 	 */
 	public boolean idle() {
-		return this.openRequests == 0 && this.budget.held(HeldKind.CALLER) == 0;
+		return this.open.isEmpty() && this.budget.held(HeldKind.CALLER) == 0;
 	}
 
 	/**
@@ -246,9 +268,10 @@
 	}
 
 	private void handle(HttpServerRequest request) {
-		this.openRequests++;
 		CallerConnections.ConnectionState connection = this.connections.requestStarted(request);
-		RequestLifecycle lifecycle = new RequestLifecycle(connection);
+		RequestLifecycle lifecycle = new RequestLifecycle(request.getHeader(this.context.headers().requestId()),
+				connection);
+		this.open.add(lifecycle);
 		request.response().endHandler((ended) -> lifecycle.end());
 		request.response().closeHandler((closed) -> lifecycle.end());
 		request.response().exceptionHandler((failure) -> lifecycle.end());
@@ -319,10 +342,12 @@
 		if (route.isPresent() && (refusedForMemory(incoming, route.get()) || refusedAsBehind(incoming, route.get()))) {
 			return true;
 		}
+		incoming.lifecycle.waitCause = WaitCause.KEY;
 		boolean anonymous = route.map(Route::anonymousAllowed).orElseGet(() -> configuration.allowsAnonymousJobs(host));
 		return this.access.authenticate(request, incoming.response, anonymous, () -> incoming.lifecycle.ended,
 				(account) -> {
 					if (call.isPresent()) {
+						incoming.lifecycle.waitCause = WaitCause.STORE;
 						this.jobs.handle(call.get(), account.map(ClientAccount::name), maxWait(request),
 								new VertxJobResponse(incoming.response));
 					}
@@ -380,7 +405,7 @@
 		Duration behind = this.pressure.behind();
 		LOG.info("refused", "request", request.getHeader(this.context.headers().requestId()), "reason", "behind",
 				"behind_ms", behind.toMillis(), "unread_ms", incoming.ageMillis(this.context.ticker()), "open",
-				this.openRequests);
+				this.open.size());
 		this.context.metrics().requestRefused("behind");
 		request.response().putHeader("Connection", "close");
 		Duration retryAfter = (behind.compareTo(route.latencyTarget()) < 0) ? behind : route.latencyTarget();
@@ -416,6 +441,7 @@
 
 	private void read(IncomingRequest incoming, Configuration configuration, Route route,
 			Optional<ClientAccount> account) {
+		incoming.lifecycle.waitCause = WaitCause.BODY;
 		Duration age = Duration.ofNanos(this.context.ticker().nanos() - incoming.arrivalNanos);
 		this.bodies.read(incoming.request, incoming.response, incoming.lifecycle.connection.uploads(),
 				new RequestBodyReader.Limits(configuration.limits().maxBodyBytes(), route.timeout().minus(age)),
@@ -436,6 +462,7 @@
 			return;
 		}
 		if (route.kind() == RouteKind.BATCH) {
+			incoming.lifecycle.waitCause = WaitCause.STORE;
 			this.jobs.submit(id, account.map(ClientAccount::name), route.host(), request.uri(), route,
 					configuration.version(), body, new VertxJobResponse(response));
 			return;
@@ -491,7 +518,7 @@
 			long arrivalNanos) {
 
 		long ageMillis(Ticker ticker) {
-			return (ticker.nanos() - this.arrivalNanos) / 1_000_000;
+			return (ticker.nanos() - this.arrivalNanos) / NANOS_PER_MILLI;
 		}
 
 	}
@@ -504,21 +531,36 @@
 
 		private final CallerConnections.ConnectionState connection;
 
+		private final String id;
+
+		private final long startNanos = Frontend.this.context.ticker().nanos();
+
+		private WaitCause waitCause = WaitCause.CONFIGURATION;
+
 		private OnlineExchange exchange;
 
 		private boolean ended;
 
-		RequestLifecycle(CallerConnections.ConnectionState connection) {
+		RequestLifecycle(String id, CallerConnections.ConnectionState connection) {
+			this.id = id;
 			this.connection = connection;
 		}
 
+		WaitCause waitsFor() {
+			return (this.exchange != null) ? this.exchange.waitsFor() : this.waitCause;
+		}
+
+		long ageMillis() {
+			return (Frontend.this.context.ticker().nanos() - this.startNanos) / NANOS_PER_MILLI;
+		}
+
 		void end() {
 			if (this.ended) {
 				return;
 			}
 			this.ended = true;
 			Frontend.this.connections.requestEnded(this.connection);
-			Frontend.this.openRequests--;
+			Frontend.this.open.remove(this);
 			if (this.exchange != null) {
 				this.exchange.callerLeft();
 			}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
@@ -349,6 +349,17 @@
 		send(other.get(), PlacementSource.ENTRY, false, SlotSharing.needsPreemption(other.get()));
 	}
 
+	/**
+	 * Returns what the request waits for.
+	 * @return the cause
+	 */
+	WaitCause waitsFor() {
+		if (this.ended) {
+			return WaitCause.CALLER;
+		}
+		return (this.attempt != null) ? WaitCause.UPSTREAM : WaitCause.SLOT;
+	}
+
 	/**
 	 * Called when the caller has closed its connection; cancels the attempt in progress.
 	 */
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
@@ -101,6 +101,8 @@
 
 	private static final Duration STOP_POLL_INTERVAL = Duration.ofMillis(50);
 
+	private static final Duration OPEN_REQUESTS_TIMEOUT = Duration.ofMillis(300);
+
 	private volatile GatewaySettings settings;
 
 	private final Vertx vertx;
@@ -444,11 +446,24 @@
 			}
 			sleep();
 		}
-		LOG.info("stopped", "instance", this.settings.instance(), "open",
-				this.frontend.map(Frontend::openRequests).orElse(0), "ms",
+		LOG.info("stopped", "instance", this.settings.instance(), "open", openAtEnd(), "ms",
 				(this.ticker.nanos() - startNanos) / 1_000_000);
 	}
 
+	/**
+	 * Logs the open requests and returns how many there are, on the event loop, which may
+	 * be too busy to do so in time.
+	 * @return the count, or -1 if the event loop did not state it
+	 */
+	private int openAtEnd() {
+		CompletableFuture<Integer> open = new CompletableFuture<>();
+		this.loop.execute(() -> {
+			this.frontend.ifPresent(Frontend::logOpenRequests);
+			open.complete(this.frontend.map(Frontend::openRequests).orElse(0));
+		});
+		return open.completeOnTimeout(-1, OPEN_REQUESTS_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS).join();
+	}
+
 	/**
 	 * Ends the process at once and aborts open requests.
 	 * <p>
