Judge requests by a schedule of the stop instead of a posted task

Rejecting began once the stopping thread had asked the event loop whether anything is open and had posted a task to it, 3 s after the signal without a margin, and was looked at only when the headers of a request arrived.

StopSchedule holds the times of the stop, fixed at the signal. Requests are judged by it by the clock: when their headers and when their bodies are complete.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/Frontend.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/Frontend.java
@@ -93,15 +93,9 @@
 
 	private BooleanSupplier sheddingConnections = () -> false;
 
-	/** Whether callers are asked to close their connections. */
-	private boolean draining;
-
-	/** Whether new requests are rejected. */
+	/** Whether it was logged that new requests are rejected. */
 	private boolean rejecting;
 
-	/** When the drain began, a reading of the ticker; meaningless before. */
-	private long drainNanos;
-
 	/** The requests whose response has not ended, in order of arrival. */
 	private final Set<RequestLifecycle> open = new LinkedHashSet<>();
 
@@ -190,25 +184,20 @@
 	}
 
 	/**
-	 * Starts to drain: from now on each response asks its caller to close the connection.
-	 */
-	public void drain() {
-		this.draining = true;
-		this.drainNanos = this.context.ticker().nanos();
-	}
-
-	/**
-	 * Rejects new requests and closes idle connections; requests in progress continue.
+	 * Called often during a stop. Closes idle connections once new requests are rejected.
 	 * While all entries of a failure domain stop together, the balancer keeps sending new
 	 * connections, and requests accepted on them would be cut off at the end of the grace
 	 * period. Vert.x's own shutdown of a server is not used, since it cuts off responses
 	 * in progress.
 	 */
-	public void rejectNewRequests() {
+	public void advanceStop() {
+		if (this.context.stop().admits()) {
+			return;
+		}
 		if (!this.rejecting) {
 			this.rejecting = true;
 			LOG.info("refusing_more", "open", this.open.size(), "connections", this.connections.count(), "after_ms",
-					sinceDrainMillis());
+					this.context.stop().elapsedMillis());
 		}
 		this.connections.closeIdle();
 	}
@@ -226,11 +215,8 @@
 	 */
 	public void logOpenRequests() {
 		this.open.forEach((lifecycle) -> LOG.info("request_unfinished", "request", lifecycle.id, "waits_for",
-				lifecycle.waitsFor().label(), "age_ms", lifecycle.ageMillis(), "after_ms", sinceDrainMillis()));
-	}
-
-	private long sinceDrainMillis() {
-		return (this.context.ticker().nanos() - this.drainNanos) / NANOS_PER_MILLI;
+				lifecycle.waitsFor().label(), "age_ms", lifecycle.ageMillis(), "after_ms",
+				this.context.stop().elapsedMillis()));
 	}
 
 	/**
@@ -276,10 +262,8 @@
 		request.response().closeHandler((closed) -> lifecycle.end());
 		request.response().exceptionHandler((failure) -> lifecycle.end());
 		VertxCallerResponse response = new VertxCallerResponse(request, this.context.headers().requestId(),
-				this.draining || this.sheddingConnections.getAsBoolean(), connection.writes());
-		if (this.rejecting) {
-			LOG.info("refused", "request", request.getHeader(this.context.headers().requestId()), "reason", "stopping");
-			response.respond(503, "not run: this instance stops", Optional.of(Duration.ZERO));
+				this.context.stop().begun() || this.sheddingConnections.getAsBoolean(), connection.writes());
+		if (refusedAsStopping(request, response)) {
 			return;
 		}
 		IncomingRequest incoming = new IncomingRequest(request, response, lifecycle,
@@ -293,6 +277,24 @@
 		}
 	}
 
+	/**
+	 * Refuses a request that was not admitted before the end of this process came near.
+	 * Called when its headers and when its body are complete, since it may have been sent
+	 * in between.
+	 * @param request the request
+	 * @param response the response to the caller
+	 * @return whether the request was refused
+	 */
+	private boolean refusedAsStopping(HttpServerRequest request, VertxCallerResponse response) {
+		if (this.context.stop().admits()) {
+			return false;
+		}
+		LOG.info("refused", "request", request.getHeader(this.context.headers().requestId()), "reason", "stopping",
+				"after_ms", this.context.stop().elapsedMillis());
+		response.respond(503, "not run: this instance stops", Optional.of(Duration.ZERO));
+		return true;
+	}
+
 	private void awaitConfiguration(IncomingRequest incoming) {
 		String id = incoming.request.getHeader(this.context.headers().requestId());
 		incoming.request.pause();
@@ -347,6 +349,9 @@
 		return this.access.authenticate(request, incoming.response, anonymous, () -> incoming.lifecycle.ended,
 				(account) -> {
 					if (call.isPresent()) {
+						if (refusedAsStopping(request, incoming.response)) {
+							return;
+						}
 						incoming.lifecycle.waitCause = WaitCause.STORE;
 						this.jobs.handle(call.get(), account.map(ClientAccount::name), maxWait(request),
 								new VertxJobResponse(incoming.response));
@@ -456,6 +461,9 @@
 			Optional<ClientAccount> account, byte[] body) {
 		HttpServerRequest request = incoming.request;
 		VertxCallerResponse response = incoming.response;
+		if (refusedAsStopping(request, response)) {
+			return;
+		}
 		String id = request.getHeader(this.context.headers().requestId());
 		if (id == null || id.isEmpty()) {
 			response.respond(400, "the header " + this.context.headers().requestId() + " is missing", Optional.empty());
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineContext.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineContext.java
@@ -43,12 +43,14 @@
  * @param speeds the observed speeds of upstreams and the timeouts that follow from them
  * @param loadChanged called when the load of this process at upstreams has changed
  * @param flushLoadReport sends this process's load at upstreams to its peers at once
+ * @param stop the planned end of the process
  */
 public record OnlineContext(ActiveConfiguration configuration, UpstreamRegistry upstreams, Placement placement,
 		UnreportedPlacements unreported, ConnectionPool connections, HeaderNames headers, PromptFormat promptFormat,
 		Ticker ticker, Timers timers, RandomGenerator random, PoisonRequestDetector poisonRequests,
 		PoisonPartDetector poisonParts, GatewayMetrics metrics, DispatchClient dispatch, AccountLoads accounts,
-		StreamOriginReports origins, ObservedSpeeds speeds, Runnable loadChanged, Runnable flushLoadReport) {
+		StreamOriginReports origins, ObservedSpeeds speeds, Runnable loadChanged, Runnable flushLoadReport,
+		StopSchedule stop) {
 
 	/**
 	 * Checks that no component is null.
@@ -73,6 +75,7 @@
 		Objects.requireNonNull(speeds, "speeds is null");
 		Objects.requireNonNull(loadChanged, "loadChanged is null");
 		Objects.requireNonNull(flushLoadReport, "flushLoadReport is null");
+		Objects.requireNonNull(stop, "stop is null");
 	}
 
 }
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
@@ -57,6 +57,7 @@
 import org.ragworthook.gateway.online.Frontend;
 import org.ragworthook.gateway.online.FrontendFactory;
 import org.ragworthook.gateway.online.OnlineContext;
+import org.ragworthook.gateway.online.StopSchedule;
 import org.ragworthook.gateway.peer.LeaseReports;
 import org.ragworthook.gateway.peer.LoadExchange;
 import org.ragworthook.gateway.peer.PeerDirectory;
@@ -84,15 +85,6 @@
 	/** About a hundred round trips. */
 	private static final Duration UPSTREAM_CONNECT_TIMEOUT = Duration.ofMillis(500);
 
-	/**
-	 * How long requests are still accepted after a stop has begun, until the balancer no
-	 * longer directs callers here: three of its health checks.
-	 */
-	private static final Duration DEREGISTRATION_DELAY = Duration.ofMillis(3_000);
-
-	/** How long before the end of the grace period a stop abandons open requests. */
-	private static final Duration GRACE_MARGIN = Duration.ofMillis(700);
-
 	/** For collections that change seldom: a watch makes its next call at once. */
 	private static final Supplier<Duration> NO_COALESCING = () -> Duration.ZERO;
 
@@ -113,6 +105,8 @@
 
 	private final Ticker ticker = Ticker.system();
 
+	private final StopSchedule schedule = StopSchedule.of(this.ticker);
+
 	private final ActiveConfiguration configuration = ActiveConfiguration.empty();
 
 	private final UpstreamRegistry upstreams = UpstreamRegistry.empty();
@@ -282,7 +276,7 @@
 				connections, this.platform.headers(), this.platform.promptFormat(), this.ticker, this.timers,
 				ThreadLocalRandom.current(), this.suspects, this.poisonParts, this.metrics, this.peers.dispatchClient(),
 				this.accountLoads, this.peers.origins(), this.observed, this.peers.dispatch()::loadChanged,
-				this.peers.exchange()::flush);
+				this.peers.exchange()::flush, this.schedule);
 		CallerAccess access = callerAccess();
 		JobReader reader = JobReader.of(this.jobs, this.peers.results(), this.timers);
 		this.peers.results().onUpdate(reader::onResultsReported);
@@ -426,28 +420,21 @@
 	 */
 	public void stop() {
 		LOG.info("stopping", "instance", this.settings.instance());
-		long startNanos = this.ticker.nanos();
+		this.schedule.begin(this.settings.grace());
 		this.leaving = true;
-		this.loop.execute(() -> {
-			this.frontend.ifPresent(Frontend::drain);
-			this.runner.map(JobRunner::stop)
-				.orElse(CompletableFuture.completedFuture(null))
-				.whenComplete((saved, failure) -> this.peers.exchange().leave());
-		});
-		Duration maxTime = this.settings.grace().minus(GRACE_MARGIN);
-		Duration minTime = this.frontend.isPresent() ? DEREGISTRATION_DELAY : Duration.ZERO;
+		this.loop.execute(() -> this.runner.map(JobRunner::stop)
+			.orElse(CompletableFuture.completedFuture(null))
+			.whenComplete((saved, failure) -> this.peers.exchange().leave()));
+		boolean waits = this.frontend.isPresent();
 		while (true) {
-			Duration elapsed = Duration.ofNanos(this.ticker.nanos() - startNanos);
-			if (elapsed.compareTo(maxTime) >= 0 || (elapsed.compareTo(minTime) >= 0 && idle())) {
+			if (this.schedule.untilExit().isZero() || ((!waits || this.schedule.mayExit()) && idle())) {
 				break;
 			}
-			if (elapsed.compareTo(minTime) >= 0) {
-				this.loop.execute(() -> this.frontend.ifPresent(Frontend::rejectNewRequests));
-			}
+			this.loop.execute(() -> this.frontend.ifPresent(Frontend::advanceStop));
 			sleep();
 		}
 		LOG.info("stopped", "instance", this.settings.instance(), "open", openAtEnd(), "ms",
-				(this.ticker.nanos() - startNanos) / 1_000_000);
+				this.schedule.elapsedMillis());
 	}
 
 	/**
