Answer the requests that are open when the process stops

A request that waits did not know that its process ends, and the end cut whatever was open.

Only responses that have begun go on until the exit.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/Frontend.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/Frontend.java
@@ -96,6 +96,12 @@
 	/** Whether it was logged that new requests are rejected. */
 	private boolean rejecting;
 
+	/** Whether the requests that waited for an upstream were ended by a stop. */
+	private boolean placementEnded;
+
+	/** Whether all requests were answered because the process ends. */
+	private boolean allAnswered;
+
 	/** The requests whose response has not ended, in order of arrival. */
 	private final Set<RequestLifecycle> open = new LinkedHashSet<>();
 
@@ -184,7 +190,9 @@
 	}
 
 	/**
-	 * Called often during a stop. Closes idle connections once new requests are rejected.
+	 * Called often during a stop. Ends the requests whose time has come by the schedule,
+	 * and closes idle connections once new requests are rejected.
+	 * <p>
 	 * While all entries of a failure domain stop together, the balancer keeps sending new
 	 * connections, and requests accepted on them would be cut off at the end of the grace
 	 * period. Vert.x's own shutdown of a server is not used, since it cuts off responses
@@ -199,6 +207,14 @@
 			LOG.info("refusing_more", "open", this.open.size(), "connections", this.connections.count(), "after_ms",
 					this.context.stop().elapsedMillis());
 		}
+		if (!this.placementEnded && !this.context.stop().places()) {
+			this.placementEnded = true;
+			List.copyOf(this.open).forEach(RequestLifecycle::placementEnded);
+		}
+		if (!this.allAnswered && this.context.stop().answersAll()) {
+			this.allAnswered = true;
+			List.copyOf(this.open).forEach(RequestLifecycle::processEnds);
+		}
 		this.connections.closeIdle();
 	}
 
@@ -214,7 +230,7 @@
 	 * Logs each request whose response has not ended and what it waits for.
 	 */
 	public void logOpenRequests() {
-		this.open.forEach((lifecycle) -> LOG.info("request_unfinished", "request", lifecycle.id, "waits_for",
+		this.open.forEach((lifecycle) -> LOG.info("request_unfinished", "request", lifecycle.id(), "waits_for",
 				lifecycle.waitsFor().label(), "age_ms", lifecycle.ageMillis(), "after_ms",
 				this.context.stop().elapsedMillis()));
 	}
@@ -255,14 +271,13 @@
 
 	private void handle(HttpServerRequest request) {
 		CallerConnections.ConnectionState connection = this.connections.requestStarted(request);
-		RequestLifecycle lifecycle = new RequestLifecycle(request.getHeader(this.context.headers().requestId()),
-				connection);
+		VertxCallerResponse response = new VertxCallerResponse(request, this.context.headers().requestId(),
+				this.context.stop().begun() || this.sheddingConnections.getAsBoolean(), connection.writes());
+		RequestLifecycle lifecycle = new RequestLifecycle(request, response, connection);
 		this.open.add(lifecycle);
 		request.response().endHandler((ended) -> lifecycle.end());
 		request.response().closeHandler((closed) -> lifecycle.end());
 		request.response().exceptionHandler((failure) -> lifecycle.end());
-		VertxCallerResponse response = new VertxCallerResponse(request, this.context.headers().requestId(),
-				this.context.stop().begun() || this.sheddingConnections.getAsBoolean(), connection.writes());
 		if (refusedAsStopping(request, response)) {
 			return;
 		}
@@ -353,6 +368,7 @@
 							return;
 						}
 						incoming.lifecycle.waitCause = WaitCause.STORE;
+						incoming.lifecycle.writesStore = call.get().action() == JobRequest.Action.END;
 						this.jobs.handle(call.get(), account.map(ClientAccount::name), maxWait(request),
 								new VertxJobResponse(incoming.response));
 					}
@@ -471,6 +487,7 @@
 		}
 		if (route.kind() == RouteKind.BATCH) {
 			incoming.lifecycle.waitCause = WaitCause.STORE;
+			incoming.lifecycle.writesStore = true;
 			this.jobs.submit(id, account.map(ClientAccount::name), route.host(), request.uri(), route,
 					configuration.version(), body, new VertxJobResponse(response));
 			return;
@@ -539,7 +556,9 @@
 
 		private final CallerConnections.ConnectionState connection;
 
-		private final String id;
+		private final HttpServerRequest request;
+
+		private final VertxCallerResponse response;
 
 		private final long startNanos = Frontend.this.context.ticker().nanos();
 
@@ -547,17 +566,56 @@
 
 		private OnlineExchange exchange;
 
+		/** Whether the request changes batch jobs in the store. */
+		private boolean writesStore;
+
 		private boolean ended;
 
-		RequestLifecycle(String id, CallerConnections.ConnectionState connection) {
-			this.id = id;
+		RequestLifecycle(HttpServerRequest request, VertxCallerResponse response,
+				CallerConnections.ConnectionState connection) {
+			this.request = request;
+			this.response = response;
 			this.connection = connection;
 		}
 
+		String id() {
+			return this.request.getHeader(Frontend.this.context.headers().requestId());
+		}
+
 		WaitCause waitsFor() {
 			return (this.exchange != null) ? this.exchange.waitsFor() : this.waitCause;
 		}
 
+		/**
+		 * Called when waiting requests are not placed any more since the process stops.
+		 */
+		void placementEnded() {
+			if (this.exchange != null) {
+				this.exchange.placementEnded();
+			}
+		}
+
+		/**
+		 * Called shortly before the process ends. Responds unless a response has begun;
+		 * only a request that cannot have had an effect is refused as not run.
+		 */
+		void processEnds() {
+			LOG.info("ended_by_stop", "request", id(), "waits_for", waitsFor().label(), "age_ms", ageMillis(),
+					"after_ms", Frontend.this.context.stop().elapsedMillis());
+			if (this.exchange != null) {
+				this.exchange.processEnds();
+				return;
+			}
+			if (this.writesStore) {
+				this.response.respond(500, "the call may have been accepted; send it again",
+						Optional.of(DEFAULT_RETRY_AFTER));
+				return;
+			}
+			this.response.respond(503, "not run: this instance stops", Optional.of(Duration.ZERO));
+			// While the request is paused, Vert.x does not close its connection.
+			this.request.resume();
+		}
+
 		long ageMillis() {
 			return (Frontend.this.context.ticker().nanos() - this.startNanos) / NANOS_PER_MILLI;
 		}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
@@ -53,6 +53,8 @@
 
 	private static final int GATEWAY_TIMEOUT = 504;
 
+	private static final String STOPS = "this instance stops";
+
 	/** Retry time for the sender of a request that crashes upstreams. */
 	private static final Duration QUARANTINED_RETRY_AFTER = Duration.ofSeconds(60);
 
@@ -204,7 +206,49 @@
 	 * @return whether the request has ended
 	 */
 	private boolean endedBeforePlacement() {
-		return this.ended || endedAsPoison() || endedWithoutUpstream();
+		return this.ended || endedByStop() || endedAsPoison() || endedWithoutUpstream();
+	}
+
+	/**
+	 * Ends a request that has not run, once too little time is left to run it before the
+	 * process ends. A request that may have run goes on, since its caller could not
+	 * repeat it.
+	 * @return whether the request has ended
+	 */
+	private boolean endedByStop() {
+		if (mayHaveRun() || this.context.stop().places()) {
+			return false;
+		}
+		LOG.info("refused", "request", this.request.id(), "reason", "stopping", "sends", this.attempts, "after_ms",
+				this.context.stop().elapsedMillis());
+		reject(Duration.ZERO, STOPS);
+		return true;
+	}
+
+	/**
+	 * Called when waiting requests are not placed any more since the process stops; ends
+	 * this one if it waits.
+	 */
+	void placementEnded() {
+		if (!this.ended && this.attempt == null) {
+			endedByStop();
+		}
+	}
+
+	/**
+	 * Called shortly before the process ends. Ends the request unless its response has
+	 * begun, which may still be completed.
+	 */
+	void processEnds() {
+		if (this.ended || this.response.started()) {
+			return;
+		}
+		if (this.mayHaveRun || (this.attempt != null && this.attempt.sent())) {
+			fail(GATEWAY_TIMEOUT, "stopped");
+		}
+		else {
+			reject(Duration.ZERO, STOPS);
+		}
 	}
 
 	private boolean endedAsPoison() {
