Stop reading in the same step that finds a stopping instance idle

A request that arrived while an instance was exiting was read and cut off: the stopping thread asked the event loop whether anything was open and left its loop, and until the halt the listener and the connections were still read.

The check whether anything is open now runs as a task of the event loop that closes the listener and all connections if nothing is, so that nothing can be read in between; connections that are accepted later are closed before their first byte is read. A caller sees its connection closed before its request was read, which it may repeat. The stopping thread only waits, at most until the exit time, and no longer for an event loop that does not answer.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/CallerConnections.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/CallerConnections.java
@@ -35,6 +35,8 @@
 
 	private final Map<HttpConnection, ConnectionState> states = new HashMap<>();
 
+	private boolean closed;
+
 	/**
 	 * Creates the tracker of connections.
 	 * @param ticker the monotonic clock
@@ -61,6 +63,9 @@
 			this.states.remove(connection);
 			state.close();
 		});
+		if (this.closed) {
+			state.headers.closeNow();
+		}
 	}
 
 	/**
@@ -122,9 +127,11 @@
 	}
 
 	/**
-	 * Closes all connections at once, whatever is held for them.
+	 * Closes all connections at once, whatever is held for them, and those that are
+	 * opened later before anything is read from them.
 	 */
 	void closeAll() {
+		this.closed = true;
 		Map.copyOf(this.states).forEach((connection, state) -> state.headers.closeNow());
 	}
 
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/Frontend.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/Frontend.java
@@ -93,6 +93,8 @@
 
 	private BooleanSupplier sheddingConnections = () -> false;
 
+	private Optional<HttpServer> listener = Optional.empty();
+
 	/** Whether it was logged that new requests are rejected. */
 	private boolean rejecting;
 
@@ -147,7 +149,7 @@
 	 * @return completes once the server listens
 	 */
 	public Future<Void> listen(Address address) {
-		HttpServer listener = this.vertx
+		HttpServer server = this.vertx
 			.createHttpServer(new HttpServerOptions().setMaxHeaderSize(MAX_HEADER_BYTES)
 				.setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
 				.setTcpNoDelay(true)
@@ -159,7 +161,8 @@
 			.connectionHandler(this.connections::opened)
 			.requestHandler(this::handle)
 			.invalidRequestHandler(this::rejectMalformed);
-		return listener.listen(address.port(), address.host())
+		this.listener = Optional.of(server);
+		return server.listen(address.port(), address.host())
 			.onSuccess((listening) -> this.context.timers().schedule(IDLE_CHECK_INTERVAL, this::closeIdle))
 			.mapEmpty();
 	}
@@ -236,18 +239,25 @@
 	}
 
 	/**
-	 * Returns whether nothing is left to do for callers.
-	 * @return whether all responses have ended and are written
+	 * Closes the listener and all connections if nothing is left to do for callers. Both
+	 * are done in one task of the event loop, so that no request can be read after the
+	 * check.
+	 * @return whether all responses had ended and were written
 	 */
-	public boolean idle() {
-		return this.open.isEmpty() && this.budget.held(HeldKind.CALLER) == 0;
+	public boolean closeIfIdle() {
+		if (!this.open.isEmpty() || this.budget.held(HeldKind.CALLER) > 0) {
+			return false;
+		}
+		close();
+		return true;
 	}
 
 	/**
-	 * Breaks off all responses and closes all connections.
+	 * Breaks off all responses, closes all connections and accepts no further ones.
 	 */
 	public void close() {
 		this.connections.closeAll();
+		this.listener.ifPresent(HttpServer::close);
 	}
 
 	private CallerLimits limits() {
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
@@ -422,17 +422,14 @@
 		LOG.info("stopping", "instance", this.settings.instance());
 		this.schedule.begin(this.settings.grace());
 		this.leaving = true;
-		this.loop.execute(() -> this.runner.map(JobRunner::stop)
-			.orElse(CompletableFuture.completedFuture(null))
-			.whenComplete((saved, failure) -> this.peers.exchange().leave()));
-		boolean waits = this.frontend.isPresent();
-		while (true) {
-			if (this.schedule.untilExit().isZero() || ((!waits || this.schedule.mayExit()) && idle())) {
-				break;
-			}
-			this.loop.execute(() -> this.frontend.ifPresent(Frontend::advanceStop));
-			sleep();
-		}
+		CompletableFuture<Void> idle = new CompletableFuture<>();
+		this.loop.execute(() -> {
+			this.runner.map(JobRunner::stop)
+				.orElse(CompletableFuture.completedFuture(null))
+				.whenComplete((saved, failure) -> this.peers.exchange().leave());
+			advanceStop(idle);
+		});
+		idle.completeOnTimeout(null, this.schedule.untilExit().toNanos(), TimeUnit.NANOSECONDS).join();
 		LOG.info("stopped", "instance", this.settings.instance(), "open", openAtEnd(), "ms",
 				this.schedule.elapsedMillis());
 	}
@@ -470,20 +467,20 @@
 		this.vertx.close().toCompletionStage().toCompletableFuture().join();
 	}
 
-	private boolean idle() {
-		CompletableFuture<Boolean> idle = new CompletableFuture<>();
-		this.loop.execute(() -> idle.complete(this.frontend.map(Frontend::idle).orElse(true)
-				&& this.runner.map((present) -> !present.hasUnpublishedResults()).orElse(true)));
-		return idle.join();
-	}
-
-	private static void sleep() {
-		try {
-			TimeUnit.MILLISECONDS.sleep(STOP_POLL_INTERVAL.toMillis());
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
+	/**
+	 * Carries out what the schedule of the stop demands, until nothing is left to do.
+	 * Afterwards nothing is read from callers.
+	 * @param idle completed once nothing is left to do
+	 */
+	private void advanceStop(CompletableFuture<Void> idle) {
+		this.frontend.ifPresent(Frontend::advanceStop);
+		boolean mayExit = this.frontend.isEmpty() || this.schedule.mayExit();
+		boolean published = this.runner.map((present) -> !present.hasUnpublishedResults()).orElse(true);
+		if (mayExit && published && this.frontend.map(Frontend::closeIfIdle).orElse(true)) {
+			idle.complete(null);
+			return;
 		}
+		this.timers.schedule(STOP_POLL_INTERVAL, () -> advanceStop(idle));
 	}
 
 	/**
