--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/StopSchedule.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/StopSchedule.java
@@ -59,15 +59,16 @@
 	}
 
 	/**
-	 * Called at the signal. The times do not change afterwards.
-	 * @param grace the time after which the process is killed
+	 * Begins the stop. The times do not change afterwards.
+	 * @param sinceSignal the time that has passed since the signal
+	 * @param grace the time after which the process is killed, counted from the signal
 	 */
-	public synchronized void begin(Duration grace) {
-		if (grace.isNegative()) {
-			throw new IllegalArgumentException("grace is negative: " + grace);
+	public synchronized void begin(Duration sinceSignal, Duration grace) {
+		if (sinceSignal.isNegative() || grace.isNegative()) {
+			throw new IllegalArgumentException("negative: " + sinceSignal + " or " + grace);
 		}
 		if (this.times == null) {
-			this.times = Times.of(this.ticker.nanos(), grace);
+			this.times = Times.of(this.ticker.nanos() - sinceSignal.toNanos(), grace);
 		}
 	}
 
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
@@ -419,8 +419,16 @@
 	 * the balancer may direct callers here.
 	 */
 	public void stop() {
+		stop(Duration.ZERO);
+	}
+
+	/**
+	 * Stops the process as {@link #stop()} does, some time after the signal.
+	 * @param sinceSignal the part of the grace period that has passed
+	 */
+	public void stop(Duration sinceSignal) {
 		LOG.info("stopping", "instance", this.settings.instance());
-		this.schedule.begin(this.settings.grace());
+		this.schedule.begin(sinceSignal, this.settings.grace());
 		this.leaving = true;
 		CompletableFuture<Void> idle = new CompletableFuture<>();
 		this.loop.execute(() -> {
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/online/StopScheduleTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/online/StopScheduleTests.java
@@ -36,7 +36,7 @@
 			"32000, 2500, 3000, 20000, 28000, 30000", "0, 0, 0, 0, 0, 0" })
 	void shouldChangeAtTheStatedTimes(long graceMillis, long admission, long stay, long placement, long answer,
 			long exit) {
-		this.schedule.begin(Duration.ofMillis(graceMillis));
+		this.schedule.begin(Duration.ZERO, Duration.ofMillis(graceMillis));
 		for (long at = 0; at <= graceMillis; at += 100) {
 			assertThat(this.schedule.elapsedMillis()).isEqualTo(at);
 			assertThat(this.schedule.admits()).isEqualTo(at < admission);
@@ -57,7 +57,7 @@
 	@ValueSource(longs = { 1, 100, 1_000, 7_999, 8_000, 60_000 })
 	void shouldKeepToTheRulesOfAStop(long graceMillis) {
 		Duration grace = Duration.ofMillis(graceMillis);
-		this.schedule.begin(grace);
+		this.schedule.begin(Duration.ZERO, grace);
 		assertThat(this.schedule.untilExit()).isLessThan(grace);
 		this.time.advance(grace.multipliedBy(5).dividedBy(6));
 		assertThat(this.schedule.answersAll()).isFalse();
@@ -74,7 +74,7 @@
 	 */
 	@Test
 	void shouldStopToAdmitBeforeTheBalancerDirectsCallersElsewhere() {
-		this.schedule.begin(Duration.ofHours(1));
+		this.schedule.begin(Duration.ZERO, Duration.ofHours(1));
 		this.time.advance(DEREGISTRATION.multipliedBy(5).dividedBy(6));
 		assertThat(this.schedule.admits()).isFalse();
 		assertThat(this.schedule.mayExit()).isFalse();
@@ -98,15 +98,27 @@
 	 */
 	@Test
 	void shouldKeepItsTimesOnceBegun() {
-		this.schedule.begin(Duration.ofSeconds(8));
+		this.schedule.begin(Duration.ZERO, Duration.ofSeconds(8));
 		this.time.advance(Duration.ofSeconds(1));
-		this.schedule.begin(Duration.ofSeconds(80));
+		this.schedule.begin(Duration.ZERO, Duration.ofSeconds(80));
 		assertThat(this.schedule.untilExit()).isEqualTo(Duration.ofMillis(6_500));
 	}
 
+	/**
+	 * Guards against a process that begins to stop late, since it was just starting, and
+	 * is killed before its own end.
+	 */
+	@Test
+	void shouldCountFromTheSignal() {
+		this.schedule.begin(Duration.ofMillis(2_500), Duration.ofSeconds(8));
+		assertThat(this.schedule.elapsedMillis()).isEqualTo(2_500);
+		assertThat(this.schedule.admits()).isFalse();
+		assertThat(this.schedule.untilExit()).isEqualTo(Duration.ofSeconds(5));
+	}
+
 	@Test
 	void shouldRejectANegativeGracePeriod() {
-		assertThat(failure(() -> this.schedule.begin(Duration.ofMillis(-1))))
+		assertThat(failure(() -> this.schedule.begin(Duration.ZERO, Duration.ofMillis(-1))))
 			.isInstanceOf(IllegalArgumentException.class);
 	}
 
