--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/Frontend.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/Frontend.java
@@ -1,9 +1,11 @@
 package org.ragworthook.gateway.online;
 
 import java.time.Duration;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 
 import io.netty.handler.codec.http.HttpHeaders;
@@ -65,6 +67,8 @@
 
 	private static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(500);
 
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
 	private final OnlineContext context;
 
 	private final OnlineQueues queues;
@@ -89,13 +93,19 @@
 
 	private BooleanSupplier sheddingConnections = () -> false;
 
-	/** Whether callers are asked to close their connections. */
-	private boolean draining;
+	private Optional<HttpServer> listener = Optional.empty();
 
-	/** Whether new requests are rejected. */
+	/** Whether it was logged that new requests are rejected. */
 	private boolean rejecting;
 
-	private int openRequests;
+	/** Whether the requests that waited for an upstream were ended by a stop. */
+	private boolean placementEnded;
+
+	/** Whether all requests were answered because the process ends. */
+	private boolean allAnswered;
+
+	/** The requests whose response has not ended, in order of arrival. */
+	private final Set<RequestLifecycle> open = new LinkedHashSet<>();
 
 	private Frontend(Vertx vertx, OnlineContext context, CallerAccess access, JobRequestHandler jobs,
 			StartupQueue startupQueue, EntryPressure pressure) {
@@ -139,7 +149,7 @@
 	 * @return completes once the server listens
 	 */
 	public Future<Void> listen(Address address) {
-		HttpServer listener = this.vertx
+		HttpServer server = this.vertx
 			.createHttpServer(new HttpServerOptions().setMaxHeaderSize(MAX_HEADER_BYTES)
 				.setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
 				.setTcpNoDelay(true)
@@ -151,7 +161,8 @@
 			.connectionHandler(this.connections::opened)
 			.requestHandler(this::handle)
 			.invalidRequestHandler(this::rejectMalformed);
-		return listener.listen(address.port(), address.host())
+		this.listener = Optional.of(server);
+		return server.listen(address.port(), address.host())
 			.onSuccess((listening) -> this.context.timers().schedule(IDLE_CHECK_INTERVAL, this::closeIdle))
 			.mapEmpty();
 	}
@@ -182,23 +193,30 @@
 	}
 
 	/**
-	 * Starts to drain: from now on each response asks its caller to close the connection.
-	 */
-	public void drain() {
-		this.draining = true;
-	}
-
-	/**
-	 * Rejects new requests and closes idle connections; requests in progress continue.
+	 * Called often during a stop. Ends the requests whose time has come by the schedule,
+	 * and closes idle connections once new requests are rejected.
+	 * <p>
 	 * While all entries of a failure domain stop together, the balancer keeps sending new
 	 * connections, and requests accepted on them would be cut off at the end of the grace
 	 * period. Vert.x's own shutdown of a server is not used, since it cuts off responses
 	 * in progress.
 	 */
-	public void rejectNewRequests() {
+	public void advanceStop() {
+		if (this.context.stop().admits()) {
+			return;
+		}
 		if (!this.rejecting) {
 			this.rejecting = true;
-			LOG.info("refusing_more", "open", this.openRequests, "connections", this.connections.count());
+			LOG.info("refusing_more", "open", this.open.size(), "connections", this.connections.count(), "after_ms",
+					this.context.stop().elapsedMillis());
+		}
+		if (!this.placementEnded && !this.context.stop().places()) {
+			this.placementEnded = true;
+			List.copyOf(this.open).forEach(RequestLifecycle::placementEnded);
+		}
+		if (!this.allAnswered && this.context.stop().answersAll()) {
+			this.allAnswered = true;
+			List.copyOf(this.open).forEach(RequestLifecycle::processEnds);
 		}
 		this.connections.closeIdle();
 	}
@@ -208,22 +226,38 @@
 	 * @return the count
 	 */
 	public int openRequests() {
-		return this.openRequests;
+		return this.open.size();
 	}
 
 	/**
-	 * Returns whether nothing is left to do for callers.
-	 * @return whether all responses have ended and are written
+	 * Logs each request whose response has not ended and what it waits for.
 	 */
-	public boolean idle() {
-		return this.openRequests == 0 && this.budget.held(HeldKind.CALLER) == 0;
+	public void logOpenRequests() {
+		this.open.forEach((lifecycle) -> LOG.info("request_unfinished", "request", lifecycle.id(), "waits_for",
+				lifecycle.waitsFor().label(), "age_ms", lifecycle.ageMillis(), "after_ms",
+				this.context.stop().elapsedMillis()));
 	}
 
 	/**
-	 * Breaks off all responses and closes all connections.
+	 * Closes the listener and all connections if nothing is left to do for callers. Both
+	 * are done in one task of the event loop, so that no request can be read after the
+	 * check.
+	 * @return whether all responses had ended and were written
+	 */
+	public boolean closeIfIdle() {
+		if (!this.open.isEmpty() || this.budget.held(HeldKind.CALLER) > 0) {
+			return false;
+		}
+		close();
+		return true;
+	}
+
+	/**
+	 * Breaks off all responses, closes all connections and accepts no further ones.
 	 */
 	public void close() {
 		this.connections.closeAll();
+		this.listener.ifPresent(HttpServer::close);
 	}
 
 	private CallerLimits limits() {
@@ -246,17 +280,15 @@
 	}
 
 	private void handle(HttpServerRequest request) {
-		this.openRequests++;
 		CallerConnections.ConnectionState connection = this.connections.requestStarted(request);
-		RequestLifecycle lifecycle = new RequestLifecycle(connection);
+		VertxCallerResponse response = new VertxCallerResponse(request, this.context.headers().requestId(),
+				this.context.stop().begun() || this.sheddingConnections.getAsBoolean(), connection.writes());
+		RequestLifecycle lifecycle = new RequestLifecycle(request, response, connection);
+		this.open.add(lifecycle);
 		request.response().endHandler((ended) -> lifecycle.end());
 		request.response().closeHandler((closed) -> lifecycle.end());
 		request.response().exceptionHandler((failure) -> lifecycle.end());
-		VertxCallerResponse response = new VertxCallerResponse(request, this.context.headers().requestId(),
-				this.draining || this.sheddingConnections.getAsBoolean(), connection.writes());
-		if (this.rejecting) {
-			LOG.info("refused", "request", request.getHeader(this.context.headers().requestId()), "reason", "stopping");
-			response.respond(503, "not run: this instance stops", Optional.of(Duration.ZERO));
+		if (refusedAsStopping(request, response)) {
 			return;
 		}
 		IncomingRequest incoming = new IncomingRequest(request, response, lifecycle,
@@ -270,6 +302,24 @@
 		}
 	}
 
+	/**
+	 * Refuses a request that was not admitted before the end of this process came near.
+	 * Called when its headers and when its body are complete, since it may have been sent
+	 * in between.
+	 * @param request the request
+	 * @param response the response to the caller
+	 * @return whether the request was refused
+	 */
+	private boolean refusedAsStopping(HttpServerRequest request, VertxCallerResponse response) {
+		if (this.context.stop().admits()) {
+			return false;
+		}
+		LOG.info("refused", "request", request.getHeader(this.context.headers().requestId()), "reason", "stopping",
+				"after_ms", this.context.stop().elapsedMillis());
+		response.respond(503, "not run: this instance stops", Optional.of(Duration.ZERO));
+		return true;
+	}
+
 	private void awaitConfiguration(IncomingRequest incoming) {
 		String id = incoming.request.getHeader(this.context.headers().requestId());
 		incoming.request.pause();
@@ -319,10 +369,16 @@
 		if (route.isPresent() && (refusedForMemory(incoming, route.get()) || refusedAsBehind(incoming, route.get()))) {
 			return true;
 		}
+		incoming.lifecycle.waitCause = WaitCause.KEY;
 		boolean anonymous = route.map(Route::anonymousAllowed).orElseGet(() -> configuration.allowsAnonymousJobs(host));
 		return this.access.authenticate(request, incoming.response, anonymous, () -> incoming.lifecycle.ended,
 				(account) -> {
 					if (call.isPresent()) {
+						if (refusedAsStopping(request, incoming.response)) {
+							return;
+						}
+						incoming.lifecycle.waitCause = WaitCause.STORE;
+						incoming.lifecycle.writesStore = call.get().action() == JobRequest.Action.END;
 						this.jobs.handle(call.get(), account.map(ClientAccount::name), maxWait(request),
 								new VertxJobResponse(incoming.response));
 					}
@@ -380,7 +436,7 @@
 		Duration behind = this.pressure.behind();
 		LOG.info("refused", "request", request.getHeader(this.context.headers().requestId()), "reason", "behind",
 				"behind_ms", behind.toMillis(), "unread_ms", incoming.ageMillis(this.context.ticker()), "open",
-				this.openRequests);
+				this.open.size());
 		this.context.metrics().requestRefused("behind");
 		request.response().putHeader("Connection", "close");
 		Duration retryAfter = (behind.compareTo(route.latencyTarget()) < 0) ? behind : route.latencyTarget();
@@ -416,6 +472,7 @@
 
 	private void read(IncomingRequest incoming, Configuration configuration, Route route,
 			Optional<ClientAccount> account) {
+		incoming.lifecycle.waitCause = WaitCause.BODY;
 		Duration age = Duration.ofNanos(this.context.ticker().nanos() - incoming.arrivalNanos);
 		this.bodies.read(incoming.request, incoming.response, incoming.lifecycle.connection.uploads(),
 				new RequestBodyReader.Limits(configuration.limits().maxBodyBytes(), route.timeout().minus(age)),
@@ -430,12 +487,17 @@
 			Optional<ClientAccount> account, byte[] body) {
 		HttpServerRequest request = incoming.request;
 		VertxCallerResponse response = incoming.response;
+		if (refusedAsStopping(request, response)) {
+			return;
+		}
 		String id = request.getHeader(this.context.headers().requestId());
 		if (id == null || id.isEmpty()) {
 			response.respond(400, "the header " + this.context.headers().requestId() + " is missing", Optional.empty());
 			return;
 		}
 		if (route.kind() == RouteKind.BATCH) {
+			incoming.lifecycle.waitCause = WaitCause.STORE;
+			incoming.lifecycle.writesStore = true;
 			this.jobs.submit(id, account.map(ClientAccount::name), route.host(), request.uri(), route,
 					configuration.version(), body, new VertxJobResponse(response));
 			return;
@@ -491,7 +553,7 @@
 			long arrivalNanos) {
 
 		long ageMillis(Ticker ticker) {
-			return (ticker.nanos() - this.arrivalNanos) / 1_000_000;
+			return (ticker.nanos() - this.arrivalNanos) / NANOS_PER_MILLI;
 		}
 
 	}
@@ -504,21 +566,77 @@
 
 		private final CallerConnections.ConnectionState connection;
 
+		private final HttpServerRequest request;
+
+		private final VertxCallerResponse response;
+
+		private final long startNanos = Frontend.this.context.ticker().nanos();
+
+		private WaitCause waitCause = WaitCause.CONFIGURATION;
+
 		private OnlineExchange exchange;
 
+		/** Whether the request changes batch jobs in the store. */
+		private boolean writesStore;
+
 		private boolean ended;
 
-		RequestLifecycle(CallerConnections.ConnectionState connection) {
+		RequestLifecycle(HttpServerRequest request, VertxCallerResponse response,
+				CallerConnections.ConnectionState connection) {
+			this.request = request;
+			this.response = response;
 			this.connection = connection;
 		}
 
+		String id() {
+			return this.request.getHeader(Frontend.this.context.headers().requestId());
+		}
+
+		WaitCause waitsFor() {
+			return (this.exchange != null) ? this.exchange.waitsFor() : this.waitCause;
+		}
+
+		/**
+		 * Called when waiting requests are not placed any more since the process stops.
+		 */
+		void placementEnded() {
+			if (this.exchange != null) {
+				this.exchange.placementEnded();
+			}
+		}
+
+		/**
+		 * Called shortly before the process ends. Responds unless a response has begun;
+		 * only a request that cannot have had an effect is refused as not run.
+		 */
+		void processEnds() {
+			LOG.info("ended_by_stop", "request", id(), "waits_for", waitsFor().label(), "age_ms", ageMillis(),
+					"after_ms", Frontend.this.context.stop().elapsedMillis());
+			if (this.exchange != null) {
+				this.exchange.processEnds();
+				return;
+			}
+			if (this.writesStore) {
+				this.response.respond(500, "the call may have been accepted; send it again",
+						Optional.of(DEFAULT_RETRY_AFTER));
+				return;
+			}
+			this.response.respond(503, "not run: this instance stops", Optional.of(Duration.ZERO));
+			// While the request is paused, Vert.x does not close its connection.
+			this.request.resume();
+		}
+
+		long ageMillis() {
+			return (Frontend.this.context.ticker().nanos() - this.startNanos) / NANOS_PER_MILLI;
+		}
+
 		void end() {
 			if (this.ended) {
 				return;
 			}
 			this.ended = true;
 			Frontend.this.connections.requestEnded(this.connection);
-			Frontend.this.openRequests--;
+			Frontend.this.open.remove(this);
 			if (this.exchange != null) {
 				this.exchange.callerLeft();
 			}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
@@ -57,6 +57,7 @@
 import org.ragworthook.gateway.online.Frontend;
 import org.ragworthook.gateway.online.FrontendFactory;
 import org.ragworthook.gateway.online.OnlineContext;
+import org.ragworthook.gateway.online.StopSchedule;
 import org.ragworthook.gateway.peer.LeaseReports;
 import org.ragworthook.gateway.peer.LoadExchange;
 import org.ragworthook.gateway.peer.PeerDirectory;
@@ -84,15 +85,6 @@
 	/** About a hundred round trips. */
 	private static final Duration UPSTREAM_CONNECT_TIMEOUT = Duration.ofMillis(500);
 
-	/**
-	 * How long requests are still accepted after a stop has begun, until the balancer no
-	 * longer directs callers here: three of its health checks.
-	 */
-	private static final Duration DEREGISTRATION_DELAY = Duration.ofMillis(3_000);
-
-	/** How long before the end of the grace period a stop abandons open requests. */
-	private static final Duration GRACE_MARGIN = Duration.ofMillis(700);
-
 	/** For collections that change seldom: a watch makes its next call at once. */
 	private static final Supplier<Duration> NO_COALESCING = () -> Duration.ZERO;
 
@@ -101,6 +93,8 @@
 
 	private static final Duration STOP_POLL_INTERVAL = Duration.ofMillis(50);
 
+	private static final Duration OPEN_REQUESTS_TIMEOUT = Duration.ofMillis(300);
+
 	private volatile GatewaySettings settings;
 
 	private final Vertx vertx;
@@ -111,6 +105,8 @@
 
 	private final Ticker ticker = Ticker.system();
 
+	private final StopSchedule schedule = StopSchedule.of(this.ticker);
+
 	private final ActiveConfiguration configuration = ActiveConfiguration.empty();
 
 	private final UpstreamRegistry upstreams = UpstreamRegistry.empty();
@@ -280,7 +276,7 @@
 				connections, this.platform.headers(), this.platform.promptFormat(), this.ticker, this.timers,
 				ThreadLocalRandom.current(), this.suspects, this.poisonParts, this.metrics, this.peers.dispatchClient(),
 				this.accountLoads, this.peers.origins(), this.observed, this.peers.dispatch()::loadChanged,
-				this.peers.exchange()::flush);
+				this.peers.exchange()::flush, this.schedule);
 		CallerAccess access = callerAccess();
 		JobReader reader = JobReader.of(this.jobs, this.peers.results(), this.ticker, this.timers);
 		this.peers.results().onUpdate(reader::onResultsReported);
@@ -423,30 +419,41 @@
 	 * the balancer may direct callers here.
 	 */
 	public void stop() {
+		stop(Duration.ZERO);
+	}
+
+	/**
+	 * Stops the process as {@link #stop()} does, some time after the signal.
+	 * @param sinceSignal the part of the grace period that has passed
+	 */
+	public void stop(Duration sinceSignal) {
 		LOG.info("stopping", "instance", this.settings.instance());
-		long startNanos = this.ticker.nanos();
+		this.schedule.begin(sinceSignal, this.settings.grace());
 		this.leaving = true;
+		CompletableFuture<Void> idle = new CompletableFuture<>();
 		this.loop.execute(() -> {
-			this.frontend.ifPresent(Frontend::drain);
 			this.runner.map(JobRunner::stop)
 				.orElse(CompletableFuture.completedFuture(null))
 				.whenComplete((saved, failure) -> this.peers.exchange().leave());
+			advanceStop(idle);
 		});
-		Duration maxTime = this.settings.grace().minus(GRACE_MARGIN);
-		Duration minTime = this.frontend.isPresent() ? DEREGISTRATION_DELAY : Duration.ZERO;
-		while (true) {
-			Duration elapsed = Duration.ofNanos(this.ticker.nanos() - startNanos);
-			if (elapsed.compareTo(maxTime) >= 0 || (elapsed.compareTo(minTime) >= 0 && idle())) {
-				break;
-			}
-			if (elapsed.compareTo(minTime) >= 0) {
-				this.loop.execute(() -> this.frontend.ifPresent(Frontend::rejectNewRequests));
-			}
-			sleep();
-		}
-		LOG.info("stopped", "instance", this.settings.instance(), "open",
-				this.frontend.map(Frontend::openRequests).orElse(0), "ms",
-				(this.ticker.nanos() - startNanos) / 1_000_000);
+		idle.completeOnTimeout(null, this.schedule.untilExit().toNanos(), TimeUnit.NANOSECONDS).join();
+		LOG.info("stopped", "instance", this.settings.instance(), "open", openAtEnd(), "ms",
+				this.schedule.elapsedMillis());
+	}
+
+	/**
+	 * Logs the open requests and returns how many there are, on the event loop, which may
+	 * be too busy to do so in time.
+	 * @return the count, or -1 if the event loop did not state it
+	 */
+	private int openAtEnd() {
+		CompletableFuture<Integer> open = new CompletableFuture<>();
+		this.loop.execute(() -> {
+			this.frontend.ifPresent(Frontend::logOpenRequests);
+			open.complete(this.frontend.map(Frontend::openRequests).orElse(0));
+		});
+		return open.completeOnTimeout(-1, OPEN_REQUESTS_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS).join();
 	}
 
 	/**
@@ -468,20 +475,20 @@
 		this.vertx.close().toCompletionStage().toCompletableFuture().join();
 	}
 
-	private boolean idle() {
-		CompletableFuture<Boolean> idle = new CompletableFuture<>();
-		this.loop.execute(() -> idle.complete(this.frontend.map(Frontend::idle).orElse(true)
-				&& this.runner.map((present) -> !present.hasUnpublishedResults()).orElse(true)));
-		return idle.join();
-	}
-
-	private static void sleep() {
-		try {
-			TimeUnit.MILLISECONDS.sleep(STOP_POLL_INTERVAL.toMillis());
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
+	/**
+	 * Carries out what the schedule of the stop demands, until nothing is left to do.
+	 * Afterwards nothing is read from callers.
+	 * @param idle completed once nothing is left to do
+	 */
+	private void advanceStop(CompletableFuture<Void> idle) {
+		this.frontend.ifPresent(Frontend::advanceStop);
+		boolean mayExit = this.frontend.isEmpty() || this.schedule.mayExit();
+		boolean published = this.runner.map((present) -> !present.hasUnpublishedResults()).orElse(true);
+		if (mayExit && published && this.frontend.map(Frontend::closeIfIdle).orElse(true)) {
+			idle.complete(null);
+			return;
 		}
+		this.timers.schedule(STOP_POLL_INTERVAL, () -> advanceStop(idle));
 	}
 
 	/**
