--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
@@ -166,6 +166,15 @@
 		return this.current == null && (this.notBeforeNanos == Long.MIN_VALUE || this.notBeforeNanos - nowNanos <= 0);
 	}
 
+	/**
+	 * Returns how long the item still must not be started.
+	 * @param nowNanos the ticker's reading
+	 * @return the time, zero if the item may be started
+	 */
+	Duration rest(long nowNanos) {
+		return mayStart(nowNanos) ? Duration.ZERO : Duration.ofNanos(Math.max(0, this.notBeforeNanos - nowNanos));
+	}
+
 	/**
 	 * Returns the upstream in whose queue the item has waited too long.
 	 * @param nowNanos the ticker's reading
@@ -463,8 +472,11 @@
 			ItemRun run = ItemRun.this;
 			int doublings = Math.min(MAX_BACKOFF_DOUBLINGS,
 					Math.max(0, run.runsWithoutProgress + run.serverErrors - 1));
-			run.notBeforeNanos = this.listener.nanosAfter((run.runsWithoutProgress >= SUSPECT_THRESHOLD)
-					? SUSPECT_BACKOFF : INITIAL_BACKOFF.multipliedBy(1L << doublings));
+			Duration pause = (run.runsWithoutProgress >= SUSPECT_THRESHOLD) ? SUSPECT_BACKOFF
+					: INITIAL_BACKOFF.multipliedBy(1L << doublings);
+			run.notBeforeNanos = this.listener.nanosAfter(pause);
+			LOG.info("item_rests", "job", run.job.id(), "item", run.item.id(), "ms", pause.toMillis(),
+					"runs_without_progress", run.runsWithoutProgress, "server_errors", run.serverErrors);
 		}
 
 	}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
@@ -66,6 +66,8 @@
 
 	private final ItemScheduler scheduler;
 
+	private final UnplacedItems unplaced;
+
 	private final ProgressSaver progress;
 
 	private final JobLoader loader;
@@ -83,6 +85,7 @@
 	private JobRunner(Dependencies dependencies) {
 		this.dependencies = dependencies;
 		this.scheduler = new ItemScheduler(dependencies, this.order, new RunHandler());
+		this.unplaced = new UnplacedItems(dependencies.upstreams(), dependencies.ticker(), this::poison);
 		this.progress = new ProgressSaver(dependencies.progress(), dependencies.ticker(), dependencies.loop());
 		this.authority = new ResultAuthority(dependencies.ticker(), dependencies.pauseCount(),
 				dependencies.liveRunners());
@@ -110,6 +113,7 @@
 		if (!this.stopped) {
 			this.scheduler.withdrawQueued(openRuns());
 			schedule();
+			this.unplaced.update(openRuns());
 			this.progress.saveIfDue(readyJobs(), this.dependencies.owners().runnerCount());
 			this.dependencies.timers().schedule(ROUND_INTERVAL, this::round);
 		}
