Let an interrupted item rest for 1.6 s at most

Callers saw an item that was not placed again after several upstreams had crashed under it. After three runs in a row without an event the item rested 20 s, longer than its job may have left, since it was suspected of crashing upstreams. Items never do.

The pause now doubles from 100 ms to 1.6 s and no further, which still spares upstreams from an item that is interrupted again and again, and is under the 5 s for which an item may be unplaced while most slots are free.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
@@ -55,16 +55,12 @@
 	 */
 	private static final Duration INITIAL_BACKOFF = Duration.ofMillis(100);
 
-	private static final int MAX_BACKOFF_DOUBLINGS = 3;
-
 	/**
-	 * Consecutive runs without progress after which the item is suspected of crashing the
-	 * upstreams that run it. That is no reason to give it up, so it is run rarely until
-	 * its retention period is over.
+	 * Limit on the doublings, which bounds the pause to 1.6 s. Upstreams may crash one
+	 * after the other under a sound item, and while most slots are free it must not wait
+	 * for as long as 5 s.
 	 */
-	private static final int SUSPECT_THRESHOLD = 3;
-
-	private static final Duration SUSPECT_BACKOFF = Duration.ofSeconds(20);
+	private static final int MAX_BACKOFF_DOUBLINGS = 4;
 
 	/**
 	 * Limit on the doublings of the time that the item may wait in an engine's queue. The
@@ -472,8 +468,7 @@
 			ItemRun run = ItemRun.this;
 			int doublings = Math.min(MAX_BACKOFF_DOUBLINGS,
 					Math.max(0, run.runsWithoutProgress + run.serverErrors - 1));
-			Duration pause = (run.runsWithoutProgress >= SUSPECT_THRESHOLD) ? SUSPECT_BACKOFF
-					: INITIAL_BACKOFF.multipliedBy(1L << doublings);
+			Duration pause = INITIAL_BACKOFF.multipliedBy(1L << doublings);
 			run.notBeforeNanos = this.listener.nanosAfter(pause);
 			LOG.info("item_rests", "job", run.job.id(), "item", run.item.id(), "ms", pause.toMillis(),
 					"runs_without_progress", run.runsWithoutProgress, "server_errors", run.serverErrors);
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/job/ScriptedUpstream.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/job/ScriptedUpstream.java
@@ -83,16 +83,12 @@
 
 	private void serve(Socket socket) throws IOException {
 		InputStream in = socket.getInputStream();
-		StringBuilder head = new StringBuilder();
-		while (head.indexOf("\r\n\r\n") < 0) {
-			int next = in.read();
-			if (next < 0) {
-				socket.close();
-				return;
-			}
-			head.append((char) next);
+		Optional<Received> head = readHead(in);
+		if (head.isEmpty()) {
+			socket.close();
+			return;
 		}
-		Received request = new Received(List.of(head.toString().trim().split("\r\n")), new byte[0]);
+		Received request = head.get();
 		byte[] body = in.readNBytes(request.header("content-length").map(Integer::parseInt).orElse(0));
 		this.received.add(new Received(request.head(), body));
 		Reply reply = this.replies.remove();
@@ -102,6 +98,24 @@
 		}
 	}
 
+	/**
+	 * Reads the request line and the headers of a request.
+	 * @param in the connection
+	 * @return the request without its body, or empty if the connection was closed
+	 * @throws IOException if the connection was reset
+	 */
+	static Optional<Received> readHead(InputStream in) throws IOException {
+		StringBuilder head = new StringBuilder();
+		while (head.indexOf("\r\n\r\n") < 0) {
+			int next = in.read();
+			if (next < 0) {
+				return Optional.empty();
+			}
+			head.append((char) next);
+		}
+		return Optional.of(new Received(List.of(head.toString().trim().split("\r\n")), new byte[0]));
+	}
+
 	/**
 	 * Returns the head of a signed response whose body is sent in chunks.
 	 * @param status the HTTP status
