Do not count the losses of items against the parts of their prompts

Callers of online requests were refused with 503 for a part that they share with an item under which upstreams had crashed, though neither crashes upstreams; and items with the part were held back for as long as the crashes counted. RunHandler.failed reported each lost run of an item as evidence against its parts. A part of a small job has no complete response that would clear it.

A request that crashes upstreams is an online request and loses its own connection, so the detector still learns of each of its crashes. Complete responses of items stay evidence that a part is harmless.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
@@ -368,11 +368,13 @@
 			upstream.avoidUntil(nanosAfter(pause(upstream, FULL_COOLDOWN)));
 		}
 
+		/**
+		 * Avoids an upstream that fails repeatedly. The loss is no evidence against the
+		 * parts of the item's prompt: items never crash upstreams, and online requests
+		 * with the same part would be refused.
+		 */
 		@Override
 		public void failed(ItemRun run, TrackedUpstream upstream, SendFailure failure) {
-			if (failure == SendFailure.BROKEN || failure == SendFailure.MALFORMED) {
-				JobRunner.this.dependencies.poisonParts().recordConnectionLoss(sharedParts(run), upstream.key());
-			}
 			if (failure.countsAgainstUpstream() && upstream.recordFailure() > 1) {
 				upstream.avoidUntil(nanosAfter(pause(upstream, FAILURE_COOLDOWN)));
 			}
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/job/CrashBurstTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/job/CrashBurstTests.java
@@ -1,10 +1,16 @@
 package org.ragworthook.gateway.job;
 
 import java.time.Duration;
+import java.util.Map;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.MethodSource;
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
@@ -60,6 +66,51 @@
 		assertThat(this.simulation.listed(job)).containsExactly(item, true);
 	}
 
+	static Stream<Arguments> bursts() {
+		return Stream.of(HoldingUpstream.Start.values())
+			.flatMap((start) -> IntStream.of(1, 2, 3, 4, 5, 8)
+				.boxed()
+				.flatMap((crashes) -> IntStream.of(0, 300, 400, 1_000)
+					.mapToObj((spacing) -> Arguments.of(start, crashes, spacing))));
+	}
+
+	/**
+	 * The part of the item's prompt occurs in no other request, so that nothing else can
+	 * show that it is harmless.
+	 * @param start what upstreams send of the response before they crash
+	 * @param crashes how many of them crash under the item
+	 * @param spacingMillis the time between two crashes, 0 for a crash as soon as the
+	 * item is placed again
+	 */
+	@ParameterizedTest
+	@MethodSource("bursts")
+	void shouldPlaceTheItemAgainAfterABurst(HoldingUpstream.Start start, int crashes, int spacingMillis) {
+		startUpstreams(start);
+		this.simulation.submit("job", "own", 1);
+		for (int i = 0; i < crashes; i++) {
+			String upstream = awaitPlaced(ITEM);
+			advance(Duration.ofMillis(spacingMillis));
+			this.simulation.crash(upstream);
+		}
+		complete("job", ITEM);
+	}
+
+	/**
+	 * Guards against a sound online request that is refused since it shares a part with
+	 * an item under which upstreams crashed.
+	 * @param start what upstreams send of the response before they crash
+	 */
+	@ParameterizedTest
+	@EnumSource(HoldingUpstream.Start.class)
+	void shouldNotBlameThePartOfAnItem(HoldingUpstream.Start start) {
+		startUpstreams(start);
+		this.simulation.submit("job", "own", 1);
+		for (int i = 0; i < 5; i++) {
+			this.simulation.crash(awaitPlaced(ITEM));
+			assertThat(this.simulation.refused("own")).isFalse();
+		}
+	}
+
 	/**
 	 * Guards against an item that rests for longer than its job may take, and against one
 	 * that is placed at one upstream after the other without a pause. It has no part that
@@ -87,4 +138,40 @@
 		complete("job", ITEM);
 	}
 
+	/**
+	 * Several items of one job with a common part, whose upstreams crash at once.
+	 * @param domains how many of the three failure domains crash
+	 * @param times how often they crash and start again
+	 */
+	@ParameterizedTest
+	@CsvSource({ "1, 1", "2, 1", "1, 4", "2, 4" })
+	void shouldPlaceAllItemsAgainAfterTheLossOfADomain(int domains, int times) {
+		startUpstreams(HoldingUpstream.Start.HEAD);
+		this.simulation.submit("job", "shared", UPSTREAMS);
+		for (int time = 0; time < times; time++) {
+			IntStream.range(0, UPSTREAMS).forEach((item) -> awaitPlaced("job-" + item));
+			for (int i = 0; i < UPSTREAMS; i++) {
+				if (i % 3 < domains) {
+					this.simulation.crash("u" + i);
+				}
+			}
+			advance(Duration.ofMillis(500));
+			for (int i = 0; i < UPSTREAMS; i++) {
+				if (i % 3 < domains && time + 1 < times) {
+					this.simulation.startUpstream("u" + i, "d" + i % 3, HoldingUpstream.Start.HEAD);
+				}
+			}
+		}
+		for (int item = 0; item < UPSTREAMS; item++) {
+			awaitPlaced("job-" + item);
+		}
+		for (int item = 0; item < UPSTREAMS; item++) {
+			this.simulation.finish("job-" + item);
+		}
+		advance(Duration.ofSeconds(2));
+		Map<String, Boolean> listed = this.simulation.listed("job");
+		assertThat(listed).hasSize(UPSTREAMS);
+		assertThat(listed.values()).doesNotContain(false);
+	}
+
 }
