Run items whatever part online requests are refused for

Callers saw items of a job that were not placed again in 34 s after three upstreams had ended under them. JobRunner.poison left items with a blamed part out for as long as its crashes count (120 s); a job may have 18 s. Items of jobs never crash upstreams, so an item that is held back can only be lost. Online requests are refused as before.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
@@ -85,7 +85,7 @@
 	private JobRunner(Dependencies dependencies) {
 		this.dependencies = dependencies;
 		this.scheduler = new ItemScheduler(dependencies, this.order, new RunHandler());
-		this.unplaced = new UnplacedItems(dependencies.upstreams(), dependencies.ticker(), this::poison);
+		this.unplaced = new UnplacedItems(dependencies.upstreams(), dependencies.ticker());
 		this.progress = new ProgressSaver(dependencies.progress(), dependencies.ticker(), dependencies.loop());
 		this.authority = new ResultAuthority(dependencies.ticker(), dependencies.pauseCount(),
 				dependencies.liveRunners());
@@ -295,15 +295,10 @@
 			giveUpItems(job);
 			this.publisher.publishIfDue(job);
 			long now = this.dependencies.ticker().nanos();
-			job.runs().stream().filter((run) -> run.mayStart(now) && !poison(run)).forEach(ready::add);
+			job.runs().stream().filter((run) -> run.mayStart(now)).forEach(ready::add);
 		}
 	}
 
-	private boolean poison(ItemRun run) {
-		PoisonPartDetector detector = this.dependencies.poisonParts();
-		return detector.hasSuspects() && detector.refused(sharedParts(run));
-	}
-
 	private List<Long> sharedParts(ItemRun run) {
 		return this.dependencies.sharedParts().apply(run.item());
 	}
@@ -434,7 +429,8 @@
 	 * process hears from
 	 * @param sendReport sends the peers a report at once, with the current published
 	 * results
-	 * @param poisonParts detects the parts of prompts that crash upstreams
+	 * @param poisonParts detects the parts of prompts that crash upstreams; receives the
+	 * complete responses of items, and holds no item back
 	 * @param sharedParts gives the parts of an item's prompt that other requests can have
 	 * as well
 	 * @param speeds the observed speeds of upstreams and the timeouts that follow from
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/UnplacedItems.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/UnplacedItems.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import java.util.function.Predicate;
 
 import org.ragworthook.core.log.EventLog;
 import org.ragworthook.core.time.Ticker;
@@ -29,8 +28,6 @@
 
 	private final Ticker ticker;
 
-	private final Predicate<ItemRun> leftOut;
-
 	private Map<ItemRun, Long> sinceNanos = Map.of();
 
 	private long updatedNanos;
@@ -39,12 +36,10 @@
 	 * Creates a log without items.
 	 * @param upstreams the upstreams that take requests
 	 * @param ticker the monotonic clock
-	 * @param leftOut returns whether an item is left out for its parts
 	 */
-	UnplacedItems(UpstreamRegistry upstreams, Ticker ticker, Predicate<ItemRun> leftOut) {
+	UnplacedItems(UpstreamRegistry upstreams, Ticker ticker) {
 		this.upstreams = upstreams;
 		this.ticker = Objects.requireNonNull(ticker, "ticker is null");
-		this.leftOut = Objects.requireNonNull(leftOut, "leftOut is null");
 		this.updatedNanos = ticker.nanos();
 	}
 
@@ -67,8 +62,8 @@
 			if (intervals(now - since) > intervals(this.updatedNanos - since)) {
 				logged.add(run);
 				LOG.info("item_unplaced", "job", run.job().id(), "item", run.item().id(), "ms",
-						(now - since) / 1_000_000, "rests_ms", run.rest(now).toMillis(), "left_out",
-						this.leftOut.test(run), "origin", run.origin().map(String::valueOf).orElse("none"));
+						(now - since) / 1_000_000, "rests_ms", run.rest(now).toMillis(), "origin",
+						run.origin().map(String::valueOf).orElse("none"));
 			}
 		});
 		this.sinceNanos = waiting;
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/suspect/PoisonPartDetector.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/suspect/PoisonPartDetector.java
@@ -33,6 +33,9 @@
  * upstream that sends something after its connections were lost has not crashed. Each
  * start of an upstream has another key, so each crash of one counts once.
  * <p>
+ * Items of batch jobs never crash upstreams. Their complete responses count, their losses
+ * do not, and they are not refused.
+ * <p>
  * Processes exchange what they have observed with its age, so each knows the crashes that
  * any of them has seen, also those before its own start. Not thread-safe: used on the
  * event loop.
@@ -131,7 +134,7 @@
 	}
 
 	/**
-	 * Called when the connection to an upstream was lost while it ran a request.
+	 * Called when the connection to an upstream was lost while it ran an online request.
 	 * @param parts the request's shared parts in order
 	 * @param upstreamKey the key of the upstream
 	 */
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/job/CrashBurstTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/job/CrashBurstTests.java
@@ -111,6 +111,29 @@
 		}
 	}
 
+	/**
+	 * Guards against items that wait until the crashes of online requests with the same
+	 * part no longer count, and against online requests that are run because of the
+	 * items' losses.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "0", "3" })
+	void shouldRunItemsWithAPartThatOnlineRequestsAreRefusedFor(int crashesUnderItem) {
+		startUpstreams(HoldingUpstream.Start.HEAD);
+		for (int i = 0; i < 3; i++) {
+			this.simulation.crash("u" + i);
+			this.simulation.loseOnlineRequest("bad", "u" + i);
+		}
+		assertThat(this.simulation.refused("bad")).isTrue();
+		this.simulation.submit("job", "bad", 1);
+		for (int i = 0; i < crashesUnderItem; i++) {
+			this.simulation.crash(awaitPlaced(ITEM));
+		}
+		awaitPlaced(ITEM);
+		assertThat(this.simulation.refused("bad")).isTrue();
+		complete("job", ITEM);
+	}
+
 	/**
 	 * Guards against an item that rests for longer than its job may take, and against one
 	 * that is placed at one upstream after the other without a pause. It has no part that
