--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
@@ -66,6 +66,8 @@
 
 	private final ItemScheduler scheduler;
 
+	private final UnplacedItems unplaced;
+
 	private final ProgressSaver progress;
 
 	private final JobLoader loader;
@@ -83,6 +85,7 @@
 	private JobRunner(Dependencies dependencies) {
 		this.dependencies = dependencies;
 		this.scheduler = new ItemScheduler(dependencies, this.order, new RunHandler());
+		this.unplaced = new UnplacedItems(dependencies.upstreams(), dependencies.ticker());
 		this.progress = new ProgressSaver(dependencies.progress(), dependencies.ticker(), dependencies.loop());
 		this.authority = new ResultAuthority(dependencies.ticker(), dependencies.pauseCount(),
 				dependencies.liveRunners());
@@ -114,6 +117,7 @@
 			this.scheduler.withdrawQueued(openRuns());
 			this.scheduler.endStalled(openRuns());
 			schedule();
+			this.unplaced.update(openRuns());
 			this.progress.saveIfDue(readyJobs(), this.dependencies.owners().runnerCount());
 		}
 		catch (RuntimeException ex) {
@@ -303,15 +307,10 @@
 			giveUpItems(job);
 			this.publisher.publishIfDue(job);
 			long now = this.dependencies.ticker().nanos();
-			job.runs().stream().filter((run) -> run.mayStart(now) && !poison(run)).forEach(ready::add);
+			job.runs().stream().filter((run) -> run.mayStart(now)).forEach(ready::add);
 		}
 	}
 
-	private boolean poison(ItemRun run) {
-		PoisonPartDetector detector = this.dependencies.poisonParts();
-		return detector.hasSuspects() && detector.refused(sharedParts(run));
-	}
-
 	private List<Long> sharedParts(ItemRun run) {
 		return this.dependencies.sharedParts().apply(run.item());
 	}
@@ -376,11 +375,13 @@
 			upstream.avoidUntil(nanosAfter(pause(upstream, FULL_COOLDOWN)));
 		}
 
+		/**
+		 * Avoids an upstream that fails repeatedly. The loss is no evidence against the
+		 * parts of the item's prompt: items never crash upstreams, and online requests
+		 * with the same part would be refused.
+		 */
 		@Override
 		public void failed(ItemRun run, TrackedUpstream upstream, SendFailure failure) {
-			if (failure == SendFailure.BROKEN || failure == SendFailure.MALFORMED) {
-				JobRunner.this.dependencies.poisonParts().recordConnectionLoss(sharedParts(run), upstream.key());
-			}
 			if (failure.countsAgainstUpstream() && upstream.recordFailure() > 1) {
 				upstream.avoidUntil(nanosAfter(pause(upstream, FAILURE_COOLDOWN)));
 			}
@@ -440,7 +441,8 @@
 	 * process hears from
 	 * @param sendReport sends the peers a report at once, with the current published
 	 * results
-	 * @param poisonParts detects the parts of prompts that crash upstreams
+	 * @param poisonParts detects the parts of prompts that crash upstreams; receives the
+	 * complete responses of items, and holds no item back
 	 * @param sharedParts gives the parts of an item's prompt that other requests can have
 	 * as well
 	 * @param speeds the observed speeds of upstreams and the timeouts that follow from
