Wait for the progress of items before a batch process exits

A batch process without unpublished results exited as soon as it was asked to stop, while the save of its items' progress was still on its way and its peers had not been told that it leaves. The next owner of its jobs then has to run the items from an older state and learns of the stop only from missing reports.

The stop waited for results only. It now also waits until the save has ended, which has a time limit of its own, and the peers have been told.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
@@ -432,10 +432,10 @@
 		this.leaving = true;
 		CompletableFuture<Void> idle = new CompletableFuture<>();
 		this.loop.execute(() -> {
-			this.runner.map(JobRunner::stop)
+			CompletableFuture<Void> left = this.runner.map(JobRunner::stop)
 				.orElse(CompletableFuture.completedFuture(null))
 				.whenComplete((saved, failure) -> this.peers.exchange().leave());
-			advanceStop(idle);
+			this.timers.schedule(STOP_POLL_INTERVAL, () -> advanceStop(left, idle));
 		});
 		idle.completeOnTimeout(null, this.schedule.untilExit().toNanos(), TimeUnit.NANOSECONDS).join();
 		LOG.info("stopped", "instance", this.settings.instance(), "open", openAtEnd(), "ms",
@@ -478,17 +478,19 @@
 	/**
 	 * Carries out what the schedule of the stop demands, until nothing is left to do.
 	 * Afterwards nothing is read from callers.
+	 * @param left completed once the progress of batch jobs is saved and the peers have
+	 * been told that this process leaves
 	 * @param idle completed once nothing is left to do
 	 */
-	private void advanceStop(CompletableFuture<Void> idle) {
+	private void advanceStop(CompletableFuture<Void> left, CompletableFuture<Void> idle) {
 		this.frontend.ifPresent(Frontend::advanceStop);
 		boolean mayExit = this.frontend.isEmpty() || this.schedule.mayExit();
 		boolean published = this.runner.map((present) -> !present.hasUnpublishedResults()).orElse(true);
-		if (mayExit && published && this.frontend.map(Frontend::closeIfIdle).orElse(true)) {
+		if (mayExit && left.isDone() && published && this.frontend.map(Frontend::closeIfIdle).orElse(true)) {
 			idle.complete(null);
 			return;
 		}
-		this.timers.schedule(STOP_POLL_INTERVAL, () -> advanceStop(idle));
+		this.timers.schedule(STOP_POLL_INTERVAL, () -> advanceStop(left, idle));
 	}
 
 	/**
