Limit what an upstream sends before the head of a response

Callers waited until their deadline, and the process read all the while, if an upstream sent interim responses or responses to other requests without end. An idle connection was read for as long as it was kept.

Cause: the HTTP decoder limits a status line, the headers, a chunk's size line and the trailers, but drops interim responses and white space, and ClientConnection skipped any number of other responses.

The connection counts the bytes that the socket has read, so that bytes which the decoder drops count too: one head in all, and 1 MB in up to 8 responses where responses to other requests come first. A connection without a request accepts no bytes.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/http/ClientConnection.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/http/ClientConnection.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -28,6 +29,10 @@
  * caller. Responses are therefore matched by the request id that they repeat: a response
  * with another id is skipped until the expected one follows, and bytes that arrive while
  * there is no request close the connection.
+ * <p>
+ * The HTTP decoder drops white space before a status line, and interim and skipped
+ * responses may follow each other without end. All bytes up to the end of the expected
+ * head are therefore limited together.
  */
 public final class ClientConnection extends ChannelInboundHandlerAdapter {
 
@@ -38,6 +43,20 @@
 	 */
 	private static final int MAX_REJECTED_IDS = 100;
 
+	/** The most bytes of a status line. */
+	static final int MAX_STATUS_LINE_BYTES = 8_192;
+
+	/** The most bytes of all headers of a response. */
+	static final int MAX_HEADER_BYTES = 65_536;
+
+	private static final int MAX_HEAD_BYTES = MAX_STATUS_LINE_BYTES + MAX_HEADER_BYTES;
+
+	/** The most bytes of skipped responses: the size of a stored result. */
+	private static final long MAX_SKIPPED_BYTES = 1 << 20;
+
+	/** More than the duplicates of one response. */
+	private static final int MAX_SKIPPED_RESPONSES = 8;
+
 	private final UpstreamSocketChannel channel;
 
 	private final String requestIdHeader;
@@ -62,6 +81,9 @@
 
 	private final ReadingPauses pauses;
 
+	/** The bytes that were received before the request in progress, or up to its end. */
+	private long receivedBefore;
+
 	ClientConnection(UpstreamSocketChannel channel, String requestIdHeader, ByteBudget budget, ReadingPauses pauses) {
 		this.channel = channel;
 		this.requestIdHeader = requestIdHeader;
@@ -84,6 +106,7 @@
 			return;
 		}
 		this.exchange = new Exchange(listener, request.method(), expectedId.orElse(null));
+		this.receivedBefore = this.channel.receivedBytes();
 		this.pauses.requestStarted();
 		int length = request.content().readableBytes();
 		this.written = this.channel.writeAndFlush(request);
@@ -98,6 +121,14 @@
 		this.memory.part(bytes);
 	}
 
+	/**
+	 * Passes the rest of the response in progress to another listener.
+	 * @param listener receives the rest
+	 */
+	void passRestTo(ResponseListener listener) {
+		this.exchange.listener = listener;
+	}
+
 	/**
 	 * Closes a connection whose request or response takes too much memory. That says
 	 * nothing about the upstream.
@@ -175,6 +206,32 @@
 		}
 	}
 
+	/**
+	 * Called after some bytes were read, also if the decoder has dropped all of them.
+	 */
+	@Override
+	public void channelReadComplete(ChannelHandlerContext context) {
+		if (this.channel.receivedBytes() - this.receivedBefore > allowedBytes()) {
+			fail(SendFailure.MALFORMED);
+		}
+		context.fireChannelReadComplete();
+	}
+
+	/**
+	 * Returns how much may be received since the request was sent, or since the end of
+	 * the last response if there is no request.
+	 * @return the number of bytes; the body is limited by its listener
+	 */
+	private long allowedBytes() {
+		if (this.exchange == null) {
+			return 0;
+		}
+		if (this.exchange.headReceived) {
+			return Long.MAX_VALUE;
+		}
+		return MAX_HEAD_BYTES + ((this.exchange.otherResponses > 0) ? MAX_SKIPPED_BYTES : 0);
+	}
+
 	private void read(HttpObject message) {
 		if (message.decoderResult().isFailure()) {
 			fail(SendFailure.MALFORMED);
@@ -189,6 +246,10 @@
 	}
 
 	private void head(HttpResponse head) {
+		if (HttpResponseStatus.SWITCHING_PROTOCOLS.equals(head.status())) {
+			fail(SendFailure.MALFORMED);
+			return;
+		}
 		if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
 			this.skipping = true;
 			return;
@@ -199,7 +260,7 @@
 		}
 		String id = (this.exchange.expectedId != null) ? head.headers().get(this.requestIdHeader) : null;
 		if (id != null && !id.equals(this.exchange.expectedId)) {
-			this.skipping = true;
+			skipOther();
 			return;
 		}
 		this.exchange.headReceived = true;
@@ -212,6 +273,14 @@
 		this.exchange.listener.head(head);
 	}
 
+	private void skipOther() {
+		this.skipping = true;
+		this.exchange.otherResponses++;
+		if (this.exchange.otherResponses > MAX_SKIPPED_RESPONSES) {
+			fail(SendFailure.MALFORMED);
+		}
+	}
+
 	/**
 	 * Returns whether the upstream has ended the connection in order. An upstream that
 	 * closes a connection before it has read the request resets it, and whether the end
@@ -247,6 +316,7 @@
 		}
 		if (last && this.exchange == current) {
 			this.exchange = null;
+			this.receivedBefore = this.channel.receivedBytes();
 			current.listener.complete(current.end);
 		}
 	}
@@ -274,7 +344,7 @@
 
 	private static final class Exchange {
 
-		private final ResponseListener listener;
+		private ResponseListener listener;
 
 		private final HttpMethod method;
 
@@ -282,6 +352,9 @@
 
 		private boolean headReceived;
 
+		/** The number of responses to other requests that came first. */
+		private int otherResponses;
+
 		/** What marks the end of the response; known once its head was received. */
 		private ResponseEnd end;
 
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/http/ConnectionPool.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/http/ConnectionPool.java
@@ -50,12 +50,8 @@
 	/** Unanswered TCP keep-alive probes after which the kernel drops a connection. */
 	private static final int KEEP_ALIVE_PROBES = 2;
 
-	private static final int MAX_HEADER_BYTES = 65_536;
-
 	private static final int MAX_CHUNK_BYTES = 65_536;
 
-	private static final int MAX_STATUS_LINE_BYTES = 8_192;
-
 	private final EventLoop loop;
 
 	private final Ticker ticker;
@@ -85,7 +81,8 @@
 				@Override
 				protected void initChannel(UpstreamSocketChannel channel) {
 					channel.pipeline()
-						.addLast(new HttpClientCodec(MAX_STATUS_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+						.addLast(new HttpClientCodec(ClientConnection.MAX_STATUS_LINE_BYTES,
+								ClientConnection.MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
 						.addLast(new ClientConnection(channel, requestIdHeader, budget,
 								new ReadingPauses(ticker, pauses)));
 				}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/http/UpstreamSocketChannel.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/http/UpstreamSocketChannel.java
@@ -14,15 +14,26 @@
 
 	private boolean endedByPeer;
 
+	private long receivedBytes;
+
 	@Override
 	protected int doReadBytes(ByteBuf buffer) throws Exception {
 		int count = super.doReadBytes(buffer);
 		if (count == END_OF_STREAM) {
 			this.endedByPeer = true;
 		}
+		this.receivedBytes += Math.max(0, count);
 		return count;
 	}
 
+	/**
+	 * Returns how much was read so far.
+	 * @return the number of bytes, with those that the HTTP decoder drops
+	 */
+	long receivedBytes() {
+		return this.receivedBytes;
+	}
+
 	/**
 	 * Returns whether the peer has sent all that it had to send and then closed its side.
 	 * @return whether the end of the connection was read
