End an attempt at the head that says the request was not executed

A caller waited until its deadline, and an item until its retention period, if the body of a rejection (X-Not-Executed, or 421) did not end or never came, although the head had told the outcome.

Cause: Attempt kept the state REFUSED until the end of the body.

EndlessItemTests, three places (bodies of 503 and 421 without end, a missing body): on the code before, none of the runs had ended after 30 s. With the fix all three end as refused and another item completes meanwhile.

The rest of the body is read apart from the request, up to 64 KB and 1 s, so that the connection can be reused after short bodies; else it is closed.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/attempt/Attempt.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/attempt/Attempt.java
@@ -237,16 +237,17 @@
 		if (this.state == State.ENDED) {
 			return;
 		}
-		boolean rejected = this.state == State.REFUSED;
-		SendFailure failure = this.sent ? SendFailure.BROKEN : SendFailure.NOT_SENT;
+		fail(this.sent ? SendFailure.BROKEN : SendFailure.NOT_SENT);
+	}
+
+	private void failAsMalformed() {
+		fail(SendFailure.MALFORMED);
+	}
+
+	private void fail(SendFailure failure) {
 		cancel();
-		this.observer.ended(rejected ? RunObserver.End.REJECTED : RunObserver.End.FAILED);
-		if (rejected) {
-			this.listener.notExecuted(this.status);
-		}
-		else {
-			this.listener.failed(failure);
-		}
+		this.observer.ended(RunObserver.End.FAILED);
+		this.listener.failed(failure);
 	}
 
 	@Override
@@ -254,27 +255,36 @@
 		this.status = head.status().code();
 		boolean notExecuted = this.status == MISDIRECTED || head.headers().contains(this.names.notExecuted());
 		if (notExecuted) {
-			this.state = State.REFUSED;
+			rejected();
 			return;
 		}
 		if (!head.headers().contains(this.names.signature())) {
-			cancel();
-			this.observer.ended(RunObserver.End.FAILED);
-			this.listener.failed(SendFailure.MALFORMED);
+			failAsMalformed();
 			return;
 		}
 		this.upstream.recordSuccess();
 		this.eventStream = this.status == HeadCheck.OK && SseFrameDecoder.decodes(head);
 		if (!this.headCheck.accepts(this.status, this.eventStream)) {
-			cancel();
-			this.observer.ended(RunObserver.End.FAILED);
-			this.listener.failed(SendFailure.UNUSABLE);
+			fail(SendFailure.UNUSABLE);
 			return;
 		}
 		this.state = State.ANSWERING;
 		this.listener.head(head);
 	}
 
+	/**
+	 * Ends the attempt at the head of a rejection, which states the outcome. Its body may
+	 * never end.
+	 */
+	private void rejected() {
+		ClientConnection rejecting = this.connection;
+		rejecting.rejected(this.requestId);
+		finish();
+		this.pool.releaseAfterResponse(this.address, rejecting);
+		this.observer.ended(RunObserver.End.REJECTED);
+		this.listener.notExecuted(this.status);
+	}
+
 	@Override
 	public void content(ByteBuf data) {
 		if (this.state != State.ANSWERING) {
@@ -316,20 +326,11 @@
 
 	@Override
 	public void complete(ResponseEnd end) {
-		if (this.state == State.REFUSED) {
-			this.connection.rejected(this.requestId);
-			releaseConnection();
-			this.observer.ended(RunObserver.End.REJECTED);
-			this.listener.notExecuted(this.status);
-			return;
-		}
 		if (this.state != State.ANSWERING) {
 			return;
 		}
 		if (this.gap || (this.eventStream && this.decoder.hasPartialEvent())) {
-			cancel();
-			this.observer.ended(RunObserver.End.FAILED);
-			this.listener.failed(SendFailure.MALFORMED);
+			failAsMalformed();
 			return;
 		}
 		releaseConnection();
@@ -339,20 +340,14 @@
 
 	@Override
 	public void failed(SendFailure failure) {
-		boolean rejected = this.state == State.REFUSED;
 		if (this.state == State.ENDED) {
 			return;
 		}
 		finish();
-		if (rejected || failure.countsAgainstUpstream()) {
-			this.observer.ended(rejected ? RunObserver.End.REJECTED : RunObserver.End.FAILED);
-		}
-		if (rejected) {
-			this.listener.notExecuted(this.status);
-		}
-		else {
-			this.listener.failed(failure);
+		if (failure.countsAgainstUpstream()) {
+			this.observer.ended(RunObserver.End.FAILED);
 		}
+		this.listener.failed(failure);
 	}
 
 	private void releaseConnection() {
@@ -415,7 +410,7 @@
 
 	private enum State {
 
-		CONNECTING, WAITING, REFUSED, ANSWERING, ENDED
+		CONNECTING, WAITING, ANSWERING, ENDED
 
 	}
 
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/http/ConnectionPool.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/http/ConnectionPool.java
@@ -199,6 +199,17 @@
 			.addLast(new IdleConnection(connection, this.ticker.nanos() + Duration.ofMillis(idleMillis).toNanos()));
 	}
 
+	/**
+	 * Returns a connection to the pool once the rest of its response was received, or
+	 * closes it if the rest is long or does not arrive soon. The listener of the request
+	 * is not called any more.
+	 * @param address the server's address
+	 * @param connection the connection, on which a head was received
+	 */
+	public void releaseAfterResponse(Address address, ClientConnection connection) {
+		connection.passRestTo(new DiscardedBody(connection, this.loop, () -> release(address, connection)));
+	}
+
 	/**
 	 * Closes the connections whose idle time is over.
 	 */
