Limit the body of a response by what a sound one can hold

The run of an item whose upstream sent an error, an event, comments or events without end did not end, and its memory grew: a partial event and the output had no limit. After a missing event a stream was read to its end, which may never come.

With the fix all end it as MALFORMED, the connection is closed, and the item completes in another run.

The bytes after the last new event, or of a body that is not a stream, are limited by what a stored object or a request may hold, whichever is more; comments between two events by 64 KB. The successful body of an online request that is no stream keeps only its deadline, since nothing of it is held. An item has at most as many events as it states tokens, and its output at most that limit or 1,024 characters for each token; what a run has sent beyond that is discarded with the item's progress. A missing event ends the attempt at once. The memory budget counts the array of a partial event instead of its length, and a large array is released after its event.

The item of ItemRunTests stated 1 token and had 5 events; it states 5.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/attempt/Attempt.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/attempt/Attempt.java
@@ -41,6 +41,14 @@
 
 	private static final int SERVER_ERROR = 500;
 
+	/**
+	 * The most bytes of comments between two events: thousands of heartbeats.
+	 */
+	private static final int MAX_COMMENT_BYTES = 65_536;
+
+	/** The class of the statuses of a success. */
+	private static final int SUCCESSFUL = 2;
+
 	private final TrackedUpstream upstream;
 
 	private final WorkClass work;
@@ -81,8 +89,14 @@
 
 	private long lastEventId;
 
-	/** Whether an event was missing; no event after it may be forwarded. */
-	private boolean gap;
+	/** The highest id of an event that was received in this attempt, or 0. */
+	private long highestId;
+
+	/** The bytes of the body since the last event that is new. */
+	private long bytesWithoutEvent;
+
+	/** The bytes of complete comments since the last event that has content. */
+	private long commentBytes;
 
 	private Attempt(TrackedUpstream upstream, WorkClass work, ConnectionPool pool, HeaderNames names, Outgoing request,
 			AttemptListener listener) {
@@ -240,7 +254,11 @@
 		fail(this.sent ? SendFailure.BROKEN : SendFailure.NOT_SENT);
 	}
 
-	private void failAsMalformed() {
+	/**
+	 * Ends the attempt because of what was received, and closes its connection. The
+	 * attempt must be in progress.
+	 */
+	public void failAsMalformed() {
 		fail(SendFailure.MALFORMED);
 	}
 
@@ -290,10 +308,15 @@
 		if (this.state != State.ANSWERING) {
 			return;
 		}
+		this.bytesWithoutEvent += data.readableBytes();
+		if (limitsBytes() && this.bytesWithoutEvent > this.pool.maxValueBytes()) {
+			failAsMalformed();
+			return;
+		}
 		if (this.eventStream) {
 			this.decoder.decode(data, this::event);
 			if (this.connection != null) {
-				this.connection.holdsPart(this.decoder.partialBytes());
+				this.connection.holdsPart(this.decoder.heldBytes());
 			}
 			return;
 		}
@@ -302,21 +325,41 @@
 		this.listener.data(bytes);
 	}
 
+	/**
+	 * Returns whether the bytes between two events, or of a body without events, are
+	 * limited. The body of a success online is not: its caller reads it up to the
+	 * deadline, and nothing of it is held.
+	 * @return whether more bytes than a sound upstream sends end the attempt
+	 */
+	private boolean limitsBytes() {
+		return this.eventStream || this.work == WorkClass.BATCH || this.status / 100 != SUCCESSFUL;
+	}
+
 	private void event(byte[] event) {
-		if (this.state != State.ANSWERING || this.gap) {
+		if (this.state != State.ANSWERING) {
 			return;
 		}
 		this.connection.holdsPart(0);
 		Optional<Long> id = SseFrameDecoder.id(event);
-		if (id.isPresent() || SseFrameDecoder.data(event).isPresent()) {
+		boolean hasContent = id.isPresent() || SseFrameDecoder.data(event).isPresent();
+		if (hasContent) {
 			this.observer.event();
 		}
+		if (hasContent && id.map((number) -> number > this.highestId).orElse(true)) {
+			this.highestId = id.orElse(this.highestId);
+			this.bytesWithoutEvent = 0;
+		}
+		this.commentBytes = hasContent ? 0 : this.commentBytes + event.length;
+		if (this.commentBytes > MAX_COMMENT_BYTES) {
+			failAsMalformed();
+			return;
+		}
 		if (id.isPresent()) {
 			if (id.get() <= this.lastEventId) {
 				return;
 			}
 			if (id.get() != this.lastEventId + 1) {
-				this.gap = true;
+				failAsMalformed();
 				return;
 			}
 			this.lastEventId = id.get();
@@ -329,7 +372,7 @@
 		if (this.state != State.ANSWERING) {
 			return;
 		}
-		if (this.gap || (this.eventStream && this.decoder.hasPartialEvent())) {
+		if (this.eventStream && this.decoder.hasPartialEvent()) {
 			failAsMalformed();
 			return;
 		}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/event/SseFrameDecoder.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/event/SseFrameDecoder.java
@@ -22,6 +22,9 @@
 
 	private static final int INITIAL_CAPACITY = 512;
 
+	/** Capacity that is kept for the next events of a stream after a large one. */
+	private static final int MAX_RETAINED_CAPACITY = 65_536;
+
 	private static final byte[] ID_FIELD = "id".getBytes(StandardCharsets.US_ASCII);
 
 	private static final byte[] DATA_FIELD = "data".getBytes(StandardCharsets.US_ASCII);
@@ -84,6 +87,9 @@
 			System.arraycopy(this.pending, start, this.pending, 0, this.length - start);
 			this.length -= start;
 		}
+		if (this.length == 0 && this.pending.length > MAX_RETAINED_CAPACITY) {
+			this.pending = new byte[INITIAL_CAPACITY];
+		}
 		this.scanned = this.length;
 	}
 
@@ -96,11 +102,11 @@
 	}
 
 	/**
-	 * Returns the length of the incomplete event.
-	 * @return the bytes that were received and are not passed on yet
+	 * Returns the memory that the incomplete event takes.
+	 * @return the capacity for it in bytes, or 0 if there is none
 	 */
-	public int partialBytes() {
-		return this.length;
+	public int heldBytes() {
+		return hasPartialEvent() ? this.pending.length : 0;
 	}
 
 	private boolean endsEvent(int start, int at) {
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/http/ConnectionPool.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/http/ConnectionPool.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 
 import io.netty.bootstrap.Bootstrap;
@@ -52,6 +53,9 @@
 
 	private static final int MAX_CHUNK_BYTES = 65_536;
 
+	/** Limit of a pool that states none: that of an object of the platform's store. */
+	private static final long DEFAULT_MAX_VALUE_BYTES = 1 << 20;
+
 	private final EventLoop loop;
 
 	private final Ticker ticker;
@@ -60,14 +64,17 @@
 
 	private final ByteBudget budget;
 
+	private final LongSupplier maxValueBytes;
+
 	private final Map<Address, Deque<IdleConnection>> idle = new HashMap<>();
 
 	private ConnectionPool(EventLoop loop, Ticker ticker, Duration connectTimeout, String requestIdHeader,
-			ByteBudget budget, IntSupplier pauses) {
+			ByteBudget budget, IntSupplier pauses, LongSupplier maxValueBytes) {
 		this.loop = Objects.requireNonNull(loop, "loop is null");
 		this.ticker = Objects.requireNonNull(ticker, "ticker is null");
 		this.budget = Objects.requireNonNull(budget, "budget is null");
 		Objects.requireNonNull(pauses, "pauses is null");
+		this.maxValueBytes = Objects.requireNonNull(maxValueBytes, "maxValueBytes is null");
 		this.bootstrap = new Bootstrap().group(loop)
 			.channelFactory(UpstreamSocketChannel::new)
 			.option(ChannelOption.TCP_NODELAY, true)
@@ -116,7 +123,25 @@
 	 */
 	public static ConnectionPool of(EventLoop loop, Ticker ticker, Duration connectTimeout, String requestIdHeader,
 			ByteBudget budget, IntSupplier pauses) {
-		return new ConnectionPool(loop, ticker, connectTimeout, requestIdHeader, budget, pauses);
+		return of(loop, ticker, connectTimeout, requestIdHeader, budget, pauses, () -> DEFAULT_MAX_VALUE_BYTES);
+	}
+
+	/**
+	 * Creates an empty pool whose connections count what they hold.
+	 * @param loop the event loop of the connections
+	 * @param ticker the monotonic clock
+	 * @param connectTimeout the time limit for opening a connection
+	 * @param requestIdHeader the name of the header by which responses are matched to
+	 * requests
+	 * @param budget limits the bytes that connections hold
+	 * @param pauses returns how often this process was paused so far
+	 * @param maxValueBytes returns the most bytes of an event, or of another response
+	 * that is no stream
+	 * @return the pool
+	 */
+	public static ConnectionPool of(EventLoop loop, Ticker ticker, Duration connectTimeout, String requestIdHeader,
+			ByteBudget budget, IntSupplier pauses, LongSupplier maxValueBytes) {
+		return new ConnectionPool(loop, ticker, connectTimeout, requestIdHeader, budget, pauses, maxValueBytes);
 	}
 
 	/**
@@ -127,6 +152,14 @@
 		return this.budget;
 	}
 
+	/**
+	 * Returns the limit on what a sound server sends at once.
+	 * @return the most bytes of an event, or of another response that is no stream
+	 */
+	public long maxValueBytes() {
+		return this.maxValueBytes.getAsLong();
+	}
+
 	/**
 	 * Takes an idle connection from the pool or opens a new one.
 	 * @param address the server's address
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
@@ -49,6 +49,9 @@
 
 	private static final int SERVER_ERROR = 500;
 
+	/** More characters than a token of a known vocabulary stands for. */
+	private static final long MAX_TOKEN_LENGTH = 1_024;
+
 	/**
 	 * Pause after the first run without progress or with a server error; it doubles with
 	 * each further one.
@@ -200,7 +203,7 @@
 		if (this.firstStartedNanos == Long.MIN_VALUE) {
 			this.firstStartedNanos = this.startedNanos;
 		}
-		Run started = new Run(upstream, this.lastEvent, listener);
+		Run started = new Run(upstream, this.lastEvent, listener, maxOutputLength(pool.maxValueBytes()));
 		this.current = started;
 		started.attempt = Attempt.start(upstream, WorkClass.BATCH, pool, names,
 				new Attempt.Outgoing(() -> request(names), this.item.id(), this.lastEvent, HeadCheck.any(),
@@ -208,6 +211,15 @@
 				started);
 	}
 
+	/**
+	 * Returns how long the output can be.
+	 * @param maxValueBytes the limit on what an upstream sends at once
+	 * @return the number of characters
+	 */
+	private long maxOutputLength(long maxValueBytes) {
+		return Math.max(maxValueBytes, this.item.tokens() * MAX_TOKEN_LENGTH);
+	}
+
 	private FullHttpRequest request(HeaderNames names) {
 		HttpHeaders headers = new DefaultHttpHeaders(false);
 		this.item.headers().forEach(headers::set);
@@ -342,13 +354,19 @@
 
 		private boolean hasUnnumbered;
 
+		private final long maxOutputLength;
+
+		/** Whether the upstream has sent more than the item can have as its output. */
+		private boolean exceeded;
+
 		private Attempt attempt;
 
 		private int statusCode;
 
 		private boolean eventStream;
 
-		Run(TrackedUpstream upstream, long resumedAfter, RunListener listener) {
+		Run(TrackedUpstream upstream, long resumedAfter, RunListener listener, long maxOutputLength) {
+			this.maxOutputLength = maxOutputLength;
 			this.upstream = upstream;
 			this.resumedAfter = resumedAfter;
 			this.listener = listener;
@@ -369,6 +387,11 @@
 			}
 			long number = this.attempt.lastEventId();
 			Optional<String> text = SseFrameDecoder.data(data);
+			if (exceedsItem(number, text.map(String::length).orElse(0))) {
+				this.exceeded = true;
+				this.attempt.failAsMalformed();
+				return;
+			}
 			if (number == ItemRun.this.lastEvent) {
 				text.ifPresent((present) -> {
 					append(this.unnumbered, this.hasUnnumbered, present);
@@ -382,6 +405,19 @@
 			text.ifPresent(this::keep);
 		}
 
+		/**
+		 * Returns whether an event cannot belong to the item. Each event has at least one
+		 * of the tokens that the item states.
+		 * @param number the number of the last numbered event up to this one
+		 * @param length the length of its data
+		 * @return whether the output would have more events or characters than possible
+		 */
+		private boolean exceedsItem(long number, int length) {
+			int tokens = ItemRun.this.item.tokens();
+			return (tokens > 0 && number > tokens)
+					|| ItemRun.this.output.length() + this.unnumbered.length() + length > this.maxOutputLength;
+		}
+
 		private void keepUnnumbered() {
 			if (this.hasUnnumbered) {
 				keep(this.unnumbered);
@@ -452,8 +488,11 @@
 					this.resumedAfter + 1, "last_event", run.lastEvent, "unnumbered", this.unnumbered.length());
 			this.listener.failed(run, this.upstream, failure);
 			run.current = null;
+			if (this.exceeded) {
+				run.restart();
+			}
 			boolean ranWithoutProgress = failure != SendFailure.NOT_SENT && failure.countsAgainstUpstream()
-					&& run.lastEvent == this.resumedAfter;
+					&& run.lastEvent <= this.resumedAfter;
 			run.runsWithoutProgress = ranWithoutProgress ? run.runsWithoutProgress + 1 : 0;
 			backOff();
 			this.listener.ended(run, Optional.empty());
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
@@ -64,6 +64,7 @@
 import org.ragworthook.gateway.peer.QuotaReports;
 import org.ragworthook.gateway.peer.RendezvousOwners;
 import org.ragworthook.gateway.route.ActiveConfiguration;
+import org.ragworthook.gateway.route.CallerLimits;
 import org.ragworthook.gateway.route.Configuration;
 import org.ragworthook.gateway.suspect.PoisonPartDetector;
 import org.ragworthook.gateway.suspect.PoisonPartReports;
@@ -209,7 +210,7 @@
 				ThreadLocalRandom.current());
 		ByteBudget budget = budget();
 		ConnectionPool connections = ConnectionPool.of(this.loop, this.ticker, UPSTREAM_CONNECT_TIMEOUT,
-				this.platform.headers().requestId(), budget, this.peers.pauseDetector()::pauses);
+				this.platform.headers().requestId(), budget, this.peers.pauseDetector()::pauses, this::maxValueBytes);
 		this.upstreams.onRestart((earlier) -> connections.evict(earlier.address()));
 		startMetrics();
 		this.timers.schedule(STORE_CALLS_LOG_INTERVAL, this::logStoreCalls);
@@ -224,6 +225,16 @@
 		}
 	}
 
+	/**
+	 * Returns the limit on an event, which is a part of a result that is stored or of a
+	 * text that a caller may send back in a request.
+	 * @return the number of bytes
+	 */
+	private long maxValueBytes() {
+		CallerLimits limits = this.configuration.current().map(Configuration::limits).orElse(CallerLimits.DEFAULT);
+		return Math.max(this.platform.store().maxObjectBytes(), limits.maxBodyBytes());
+	}
+
 	private ByteBudget budget() {
 		ByteBudget budget = ByteBudget.of(
 				ByteBudget.limit(this.settings.memoryBytes(), Runtime.getRuntime().maxMemory()), this.ticker,
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/job/EndlessItemTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/job/EndlessItemTests.java
@@ -16,6 +16,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.ragworthook.core.time.Ticker;
@@ -105,6 +106,22 @@
 		assertThat(run(item).end()).hasValue(new ItemOutcome("item", true, TEXT));
 	}
 
+	/** Guards against a limit on bytes between events that a repeated stream exceeds. */
+	@Test
+	void shouldAcceptALongStreamThatIsRepeatedFromItsFirstEvent() throws Exception {
+		String head = ScriptedUpstream.head(200, "text/event-stream").replace("Connection: close\r\n", "");
+		StringBuilder events = new StringBuilder();
+		for (int id = 1; id <= 20; id++) {
+			events.append(ScriptedUpstream.chunk("id: " + id + "\ndata: " + "x".repeat(100_000 - 1) + "\n\n"));
+		}
+		this.server.reply(head + events + "broken\r\n");
+		ItemRun item = item("item");
+		assertThat(run(item).end()).isEmpty();
+		assertThat(item.lastEvent()).isEqualTo(20);
+		this.server.reply(head + events + ScriptedUpstream.LAST_CHUNK);
+		assertThat(run(item).end().orElseThrow().completed()).isTrue();
+	}
+
 	/** What is sent without end. */
 	enum Place {
 
@@ -113,7 +130,33 @@
 		BODY_OF_MISDIRECTED(rejection(421), (part) -> chunk("x"), true),
 
 		/** Nothing is sent after the head. */
-		MISSING_BODY_OF_REJECTION(rejection(503), (part) -> "", true);
+		MISSING_BODY_OF_REJECTION(rejection(503), (part) -> "", true),
+
+		BODY_OF_ERROR(ScriptedUpstream.head(500, "text/plain"), (part) -> chunk("x"), false),
+
+		BODY_OF_UNPROCESSABLE(ScriptedUpstream.head(422, "text/plain"), (part) -> chunk("x"), false),
+
+		OTHER_BODY(ScriptedUpstream.head(200, "text/plain"), (part) -> chunk("x"), false),
+
+		EVENT(stream("id: 1\ndata: "), (part) -> chunk("x"), false),
+
+		LINES_OF_EVENT(stream("id: 1\n"), (part) -> chunk("data: x\n"), false),
+
+		COMMENTS(stream("id: 1\ndata: text 1\n\n"), (part) -> chunk(": comment\n\n"), false),
+
+		EMPTY_EVENTS(stream("id: 1\ndata: text 1\n\n"), (part) -> chunk("\n"), false),
+
+		UNNUMBERED_EVENTS(stream("id: 1\ndata: text 1\n\n"), (part) -> chunk("data: x\n\n"), false),
+
+		REPEATED_EVENT(stream("id: 1\ndata: text 1\n\n"), (part) -> chunk("id: 1\ndata: x\n\n"), false),
+
+		EVENTS_AFTER_A_GAP(stream("id: 1\ndata: text 1\n\n"), (part) -> numbered(part * REPEATED + 3), false),
+
+		NUMBERED_EVENTS(stream(": begin\n\n"), (part) -> numbered(part * REPEATED + 1), false),
+
+		LARGE_NUMBERED_EVENTS(stream(": begin\n\n"),
+				(part) -> ScriptedUpstream.chunk("id: " + (part + 1) + "\ndata: " + "x".repeat(500_000) + "\n\n"),
+				false);
 
 		private final String first;
 
@@ -131,9 +174,18 @@
 			return "HTTP/1.1 " + status + " x\r\nX-Not-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
 		}
 
+		private static String stream(String body) {
+			return ScriptedUpstream.head(200, "text/event-stream") + ScriptedUpstream.chunk(body);
+		}
+
 		private static String chunk(String text) {
 			return ScriptedUpstream.chunk(text.repeat(REPEATED));
 		}
+
+		private static String numbered(int from) {
+			return ScriptedUpstream.events(from, from + REPEATED - 1);
+		}
+
 	}
 
 	/** Records the end of a run. */
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/job/ItemRunTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/job/ItemRunTests.java
@@ -87,7 +87,8 @@
 	}
 
 	private static ItemRun run(Map<String, String> headers) {
-		JobItem item = new JobItem("item", "/p", headers, Base64.getEncoder().encodeToString("body".getBytes()), 1);
+		JobItem item = new JobItem("item", "/p", headers, Base64.getEncoder().encodeToString("body".getBytes()),
+				EVENTS);
 		return new ItemRun(new Job("job", Optional.empty(), "h", "/p", 0, 1, 1, 0, 1, false, List.of(item)), item);
 	}
 
