Limit the answers of the store

An answer of the store without end was collected until the time limit, up to 26.5 s for a watch, in the memory of the process.

Cause: PooledHttpClient had no limit on a body.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/http/PooledHttpClient.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/http/PooledHttpClient.java
@@ -21,17 +21,25 @@
 
 	private final ConnectionPool pool;
 
-	private PooledHttpClient(ConnectionPool pool) {
+	private final int maxResponseBytes;
+
+	private PooledHttpClient(ConnectionPool pool, int maxResponseBytes) {
+		if (maxResponseBytes <= 0) {
+			throw new IllegalArgumentException("maxResponseBytes is " + maxResponseBytes);
+		}
+		this.maxResponseBytes = maxResponseBytes;
 		this.pool = Objects.requireNonNull(pool, "pool is null");
 	}
 
 	/**
 	 * Creates a client that uses the connections of a pool.
 	 * @param pool the pool
+	 * @param maxResponseBytes the most bytes of the body of a response; a longer one is
+	 * malformed
 	 * @return the client
 	 */
-	public static PooledHttpClient of(ConnectionPool pool) {
-		return new PooledHttpClient(pool);
+	public static PooledHttpClient of(ConnectionPool pool, int maxResponseBytes) {
+		return new PooledHttpClient(pool, maxResponseBytes);
 	}
 
 	/**
@@ -112,6 +120,11 @@
 
 		@Override
 		public void content(ByteBuf data) {
+			if (data.readableBytes() > PooledHttpClient.this.maxResponseBytes - this.body.size()) {
+				this.connection.close();
+				failed(SendFailure.MALFORMED);
+				return;
+			}
 			byte[] bytes = new byte[data.readableBytes()];
 			data.readBytes(bytes);
 			this.body.writeBytes(bytes);
