--- a/modules/gateway/src/main/java/org/ragworthook/gateway/attempt/Attempt.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/attempt/Attempt.java
@@ -41,6 +41,14 @@
 
 	private static final int SERVER_ERROR = 500;
 
+	/**
+	 * The most bytes of comments between two events: thousands of heartbeats.
+	 */
+	private static final int MAX_COMMENT_BYTES = 65_536;
+
+	/** The class of the statuses of a success. */
+	private static final int SUCCESSFUL = 2;
+
 	private final TrackedUpstream upstream;
 
 	private final WorkClass work;
@@ -81,8 +89,14 @@
 
 	private long lastEventId;
 
-	/** Whether an event was missing; no event after it may be forwarded. */
-	private boolean gap;
+	/** The highest id of an event that was received in this attempt, or 0. */
+	private long highestId;
+
+	/** The bytes of the body since the last event that is new. */
+	private long bytesWithoutEvent;
+
+	/** The bytes of complete comments since the last event that has content. */
+	private long commentBytes;
 
 	private Attempt(TrackedUpstream upstream, WorkClass work, ConnectionPool pool, HeaderNames names, Outgoing request,
 			AttemptListener listener) {
@@ -237,16 +251,21 @@
 		if (this.state == State.ENDED) {
 			return;
 		}
-		boolean rejected = this.state == State.REFUSED;
-		SendFailure failure = this.sent ? SendFailure.BROKEN : SendFailure.NOT_SENT;
+		fail(this.sent ? SendFailure.BROKEN : SendFailure.NOT_SENT);
+	}
+
+	/**
+	 * Ends the attempt because of what was received, and closes its connection. The
+	 * attempt must be in progress.
+	 */
+	public void failAsMalformed() {
+		fail(SendFailure.MALFORMED);
+	}
+
+	private void fail(SendFailure failure) {
 		cancel();
-		this.observer.ended(rejected ? RunObserver.End.REJECTED : RunObserver.End.FAILED);
-		if (rejected) {
-			this.listener.notExecuted(this.status);
-		}
-		else {
-			this.listener.failed(failure);
-		}
+		this.observer.ended(RunObserver.End.FAILED);
+		this.listener.failed(failure);
 	}
 
 	@Override
@@ -254,36 +273,50 @@
 		this.status = head.status().code();
 		boolean notExecuted = this.status == MISDIRECTED || head.headers().contains(this.names.notExecuted());
 		if (notExecuted) {
-			this.state = State.REFUSED;
+			rejected();
 			return;
 		}
 		if (!head.headers().contains(this.names.signature())) {
-			cancel();
-			this.observer.ended(RunObserver.End.FAILED);
-			this.listener.failed(SendFailure.MALFORMED);
+			failAsMalformed();
 			return;
 		}
 		this.upstream.recordSuccess();
 		this.eventStream = this.status == HeadCheck.OK && SseFrameDecoder.decodes(head);
 		if (!this.headCheck.accepts(this.status, this.eventStream)) {
-			cancel();
-			this.observer.ended(RunObserver.End.FAILED);
-			this.listener.failed(SendFailure.UNUSABLE);
+			fail(SendFailure.UNUSABLE);
 			return;
 		}
 		this.state = State.ANSWERING;
 		this.listener.head(head);
 	}
 
+	/**
+	 * Ends the attempt at the head of a rejection, which states the outcome. Its body may
+	 * never end.
+	 */
+	private void rejected() {
+		ClientConnection rejecting = this.connection;
+		rejecting.rejected(this.requestId);
+		finish();
+		this.pool.releaseAfterResponse(this.address, rejecting);
+		this.observer.ended(RunObserver.End.REJECTED);
+		this.listener.notExecuted(this.status);
+	}
+
 	@Override
 	public void content(ByteBuf data) {
 		if (this.state != State.ANSWERING) {
 			return;
 		}
+		this.bytesWithoutEvent += data.readableBytes();
+		if (limitsBytes() && this.bytesWithoutEvent > this.pool.maxValueBytes()) {
+			failAsMalformed();
+			return;
+		}
 		if (this.eventStream) {
 			this.decoder.decode(data, this::event);
 			if (this.connection != null) {
-				this.connection.holdsPart(this.decoder.partialBytes());
+				this.connection.holdsPart(this.decoder.heldBytes());
 			}
 			return;
 		}
@@ -292,21 +325,41 @@
 		this.listener.data(bytes);
 	}
 
+	/**
+	 * Returns whether the bytes between two events, or of a body without events, are
+	 * limited. The body of a success online is not: its caller reads it up to the
+	 * deadline, and nothing of it is held.
+	 * @return whether more bytes than a sound upstream sends end the attempt
+	 */
+	private boolean limitsBytes() {
+		return this.eventStream || this.work == WorkClass.BATCH || this.status / 100 != SUCCESSFUL;
+	}
+
 	private void event(byte[] event) {
-		if (this.state != State.ANSWERING || this.gap) {
+		if (this.state != State.ANSWERING) {
 			return;
 		}
 		this.connection.holdsPart(0);
 		Optional<Long> id = SseFrameDecoder.id(event);
-		if (id.isPresent() || SseFrameDecoder.data(event).isPresent()) {
+		boolean hasContent = id.isPresent() || SseFrameDecoder.data(event).isPresent();
+		if (hasContent) {
 			this.observer.event();
 		}
+		if (hasContent && id.map((number) -> number > this.highestId).orElse(true)) {
+			this.highestId = id.orElse(this.highestId);
+			this.bytesWithoutEvent = 0;
+		}
+		this.commentBytes = hasContent ? 0 : this.commentBytes + event.length;
+		if (this.commentBytes > MAX_COMMENT_BYTES) {
+			failAsMalformed();
+			return;
+		}
 		if (id.isPresent()) {
 			if (id.get() <= this.lastEventId) {
 				return;
 			}
 			if (id.get() != this.lastEventId + 1) {
-				this.gap = true;
+				failAsMalformed();
 				return;
 			}
 			this.lastEventId = id.get();
@@ -316,20 +369,11 @@
 
 	@Override
 	public void complete(ResponseEnd end) {
-		if (this.state == State.REFUSED) {
-			this.connection.rejected(this.requestId);
-			releaseConnection();
-			this.observer.ended(RunObserver.End.REJECTED);
-			this.listener.notExecuted(this.status);
-			return;
-		}
 		if (this.state != State.ANSWERING) {
 			return;
 		}
-		if (this.gap || (this.eventStream && this.decoder.hasPartialEvent())) {
-			cancel();
-			this.observer.ended(RunObserver.End.FAILED);
-			this.listener.failed(SendFailure.MALFORMED);
+		if (this.eventStream && this.decoder.hasPartialEvent()) {
+			failAsMalformed();
 			return;
 		}
 		releaseConnection();
@@ -339,20 +383,14 @@
 
 	@Override
 	public void failed(SendFailure failure) {
-		boolean rejected = this.state == State.REFUSED;
 		if (this.state == State.ENDED) {
 			return;
 		}
 		finish();
-		if (rejected || failure.countsAgainstUpstream()) {
-			this.observer.ended(rejected ? RunObserver.End.REJECTED : RunObserver.End.FAILED);
-		}
-		if (rejected) {
-			this.listener.notExecuted(this.status);
-		}
-		else {
-			this.listener.failed(failure);
+		if (failure.countsAgainstUpstream()) {
+			this.observer.ended(RunObserver.End.FAILED);
 		}
+		this.listener.failed(failure);
 	}
 
 	private void releaseConnection() {
@@ -415,7 +453,7 @@
 
 	private enum State {
 
-		CONNECTING, WAITING, REFUSED, ANSWERING, ENDED
+		CONNECTING, WAITING, ANSWERING, ENDED
 
 	}
 
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/http/ConnectionPool.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/http/ConnectionPool.java
@@ -11,9 +11,11 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -32,6 +34,9 @@
  * moment is lost, and it is unknown whether it was executed; this shows as rare broken
  * responses of an otherwise healthy upstream. The pool therefore closes idle connections
  * before the server does.
+ * <p>
+ * A connection on which bytes arrive fast is read once in each round of the event loop,
+ * so that it does not delay the others.
  */
 public final class ConnectionPool implements AutoCloseable {
 
@@ -50,11 +55,10 @@
 	/** Unanswered TCP keep-alive probes after which the kernel drops a connection. */
 	private static final int KEEP_ALIVE_PROBES = 2;
 
-	private static final int MAX_HEADER_BYTES = 65_536;
-
 	private static final int MAX_CHUNK_BYTES = 65_536;
 
-	private static final int MAX_STATUS_LINE_BYTES = 8_192;
+	/** Limit of a pool that states none: that of an object of the platform's store. */
+	private static final long DEFAULT_MAX_VALUE_BYTES = 1 << 20;
 
 	private final EventLoop loop;
 
@@ -64,17 +68,21 @@
 
 	private final ByteBudget budget;
 
+	private final LongSupplier maxValueBytes;
+
 	private final Map<Address, Deque<IdleConnection>> idle = new HashMap<>();
 
 	private ConnectionPool(EventLoop loop, Ticker ticker, Duration connectTimeout, String requestIdHeader,
-			ByteBudget budget, IntSupplier pauses) {
+			ByteBudget budget, IntSupplier pauses, LongSupplier maxValueBytes) {
 		this.loop = Objects.requireNonNull(loop, "loop is null");
 		this.ticker = Objects.requireNonNull(ticker, "ticker is null");
 		this.budget = Objects.requireNonNull(budget, "budget is null");
 		Objects.requireNonNull(pauses, "pauses is null");
+		this.maxValueBytes = Objects.requireNonNull(maxValueBytes, "maxValueBytes is null");
 		this.bootstrap = new Bootstrap().group(loop)
 			.channelFactory(UpstreamSocketChannel::new)
 			.option(ChannelOption.TCP_NODELAY, true)
+			.option(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(1))
 			.option(ChannelOption.SO_KEEPALIVE, true)
 			.option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_PROBE_SECONDS)
 			.option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_PROBE_SECONDS)
@@ -85,7 +93,8 @@
 				@Override
 				protected void initChannel(UpstreamSocketChannel channel) {
 					channel.pipeline()
-						.addLast(new HttpClientCodec(MAX_STATUS_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+						.addLast(new HttpClientCodec(ClientConnection.MAX_STATUS_LINE_BYTES,
+								ClientConnection.MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
 						.addLast(new ClientConnection(channel, requestIdHeader, budget,
 								new ReadingPauses(ticker, pauses)));
 				}
@@ -119,7 +128,25 @@
 	 */
 	public static ConnectionPool of(EventLoop loop, Ticker ticker, Duration connectTimeout, String requestIdHeader,
 			ByteBudget budget, IntSupplier pauses) {
-		return new ConnectionPool(loop, ticker, connectTimeout, requestIdHeader, budget, pauses);
+		return of(loop, ticker, connectTimeout, requestIdHeader, budget, pauses, () -> DEFAULT_MAX_VALUE_BYTES);
+	}
+
+	/**
+	 * Creates an empty pool whose connections count what they hold.
+	 * @param loop the event loop of the connections
+	 * @param ticker the monotonic clock
+	 * @param connectTimeout the time limit for opening a connection
+	 * @param requestIdHeader the name of the header by which responses are matched to
+	 * requests
+	 * @param budget limits the bytes that connections hold
+	 * @param pauses returns how often this process was paused so far
+	 * @param maxValueBytes returns the most bytes of an event, or of another response
+	 * that is no stream
+	 * @return the pool
+	 */
+	public static ConnectionPool of(EventLoop loop, Ticker ticker, Duration connectTimeout, String requestIdHeader,
+			ByteBudget budget, IntSupplier pauses, LongSupplier maxValueBytes) {
+		return new ConnectionPool(loop, ticker, connectTimeout, requestIdHeader, budget, pauses, maxValueBytes);
 	}
 
 	/**
@@ -130,6 +157,14 @@
 		return this.budget;
 	}
 
+	/**
+	 * Returns the limit on what a sound server sends at once.
+	 * @return the most bytes of an event, or of another response that is no stream
+	 */
+	public long maxValueBytes() {
+		return this.maxValueBytes.getAsLong();
+	}
+
 	/**
 	 * Takes an idle connection from the pool or opens a new one.
 	 * @param address the server's address
@@ -202,6 +237,17 @@
 			.addLast(new IdleConnection(connection, this.ticker.nanos() + Duration.ofMillis(idleMillis).toNanos()));
 	}
 
+	/**
+	 * Returns a connection to the pool once the rest of its response was received, or
+	 * closes it if the rest is long or does not arrive soon. The listener of the request
+	 * is not called any more.
+	 * @param address the server's address
+	 * @param connection the connection, on which a head was received
+	 */
+	public void releaseAfterResponse(Address address, ClientConnection connection) {
+		connection.passRestTo(new DiscardedBody(connection, this.loop, () -> release(address, connection)));
+	}
+
 	/**
 	 * Closes the connections whose idle time is over.
 	 */
