--- a/modules/gateway/src/main/java/org/ragworthook/gateway/peer/LoadExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/peer/LoadExchange.java
@@ -117,7 +117,7 @@
 	public static LoadExchange start(EventLoop loop, Ticker ticker, UpstreamRegistry registry,
 			PoisonRequestDetector suspects, PeerIdentity self) {
 		LoadExchange exchange = new LoadExchange(loop, ticker, registry, suspects, self);
-		exchange.channel = ReportChannel.open(loop, self.address(), exchange::receive);
+		exchange.channel = ReportChannel.open(loop, self.address(), ticker, exchange::receive);
 		loop.scheduleAtFixedRate(exchange::round, REPORT_INTERVAL.toMillis(), REPORT_INTERVAL.toMillis(),
 				TimeUnit.MILLISECONDS);
 		return exchange;
@@ -252,6 +252,7 @@
 	}
 
 	private void round() {
+		this.channel.polled();
 		List<UpstreamLoad> now = loads();
 		boolean unchanged = now.equals(this.lastLoads) && this.lastWantsSlots == this.wantsSlots.getAsBoolean()
 				&& !this.backlogs.hasChanges() && this.sections.stream().noneMatch(ReportSection::hasChanges);
@@ -357,8 +358,8 @@
 		return new PeerLoad(load.getOnline(), load.getBatch(), yieldsFirst ? load.getBatch() : 0);
 	}
 
-	private void receive(LoadReport report) {
-		this.peers.accept(report).ifPresent((peer) -> accepted(peer, report));
+	private void receive(LoadReport report, long arrivedNanos) {
+		this.peers.accept(report, arrivedNanos).ifPresent((peer) -> accepted(peer, report));
 		this.sections.forEach((section) -> section.read(report));
 	}
 
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/peer/Peer.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/peer/Peer.java
@@ -17,6 +17,8 @@
 
 	private long receivedNanos;
 
+	private long arrivedNanos;
+
 	Peer(InetSocketAddress address) {
 		this.address = Objects.requireNonNull(address, "address is null");
 	}
@@ -30,9 +32,11 @@
 	 * out of order.
 	 * @param received the report
 	 * @param nowNanos the ticker's reading
+	 * @param earliestNanos the ticker's reading before which the report cannot have
+	 * arrived
 	 * @return whether the report was accepted
 	 */
-	boolean accept(LoadReport received, long nowNanos) {
+	boolean accept(LoadReport received, long nowNanos, long earliestNanos) {
 		if (this.report != null) {
 			boolean sameRun = received.getStartedMillis() == this.report.getStartedMillis();
 			if (received.getStartedMillis() < this.report.getStartedMillis()
@@ -42,6 +46,7 @@
 		}
 		this.report = received;
 		this.receivedNanos = nowNanos;
+		this.arrivedNanos = earliestNanos;
 		return true;
 	}
 
@@ -63,4 +68,14 @@
 				: Optional.empty();
 	}
 
+	/**
+	 * Returns the newest report if it cannot have arrived before a given time.
+	 * @param sinceNanos the ticker's reading before which a report is too old
+	 * @return the report, or empty if it may have arrived before
+	 */
+	Optional<LoadReport> reportArrivedSince(long sinceNanos) {
+		return (this.report != null && this.arrivedNanos - sinceNanos >= 0) ? Optional.of(this.report)
+				: Optional.empty();
+	}
+
 }
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/peer/PeerTable.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/peer/PeerTable.java
@@ -73,12 +73,14 @@
 	/**
 	 * Accepts a report unless a newer one of its sender was accepted before.
 	 * @param report the report
+	 * @param arrivedNanos the earliest time at which the report can have arrived, a
+	 * reading of the ticker
 	 * @return the sender, or empty if the report was not accepted
 	 */
-	Optional<Peer> accept(LoadReport report) {
+	Optional<Peer> accept(LoadReport report, long arrivedNanos) {
 		InetSocketAddress from = new InetSocketAddress(report.getHost(), report.getPort());
 		Peer peer = this.peers.computeIfAbsent(from, Peer::new);
-		return peer.accept(report, this.ticker.nanos()) ? Optional.of(peer) : Optional.empty();
+		return peer.accept(report, this.ticker.nanos(), arrivedNanos) ? Optional.of(peer) : Optional.empty();
 	}
 
 	/**
@@ -131,7 +133,8 @@
 
 	/**
 	 * Returns the newest reports of all peers that may run jobs.
-	 * @param maxAge the greatest allowed age of each report
+	 * @param maxAge the greatest allowed age of each report, counted from the earliest
+	 * time at which it can have arrived
 	 * @return the reports, or empty if the newest report of one of the peers is older
 	 */
 	Optional<List<LoadReport>> runnerReports(Duration maxAge) {
@@ -144,7 +147,7 @@
 			if (entry || left) {
 				continue;
 			}
-			Optional<LoadReport> recent = peer.reportSince(since);
+			Optional<LoadReport> recent = peer.reportArrivedSince(since);
 			if (recent.isEmpty()) {
 				return Optional.empty();
 			}
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/peer/JobSheddingSimulationTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/peer/JobSheddingSimulationTests.java
@@ -158,7 +158,7 @@
 
 		void receive(LoadReport report) {
 			if (!report.getInstance().equals(name())) {
-				this.peers.accept(report);
+				this.peers.accept(report, 0);
 				this.fleet.invalidate();
 			}
 		}
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/peer/ResultReportsSimulation.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/peer/ResultReportsSimulation.java
@@ -144,8 +144,13 @@
 	 * reports from one of the others
 	 * @param losses the share of reports that are lost
 	 * @param lostAnswers the share of writes whose answer is lost
+	 * @param backlogs times per second at which each process begins to read reports late:
+	 * for a while they wait in its socket, though it goes on serving requests
 	 */
-	record FaultRates(double pauses, double kills, double cuts, double losses, double lostAnswers) {
+	record FaultRates(double pauses, double kills, double cuts, double losses, double lostAnswers, double backlogs) {
+	}
+
+	private record Arrival(long atMillis, LoadReport report) {
 	}
 
 	private record Event(long atMillis, long sequence, Runnable task) {
@@ -160,7 +165,14 @@
 		/** The end of the link failure from each of the other processes. */
 		private final long[] cutUntilMillis = new long[OWNERS + ENTRIES];
 
-		private final List<LoadReport> socketBuffer = new ArrayList<>();
+		private final List<Arrival> socketBuffer = new ArrayList<>();
+
+		private long backlogMillis;
+
+		private long backloggedUntilMillis;
+
+		/** All reports that arrived before this time were read. */
+		private long drainedMillis;
 
 		private long run;
 
@@ -244,6 +256,10 @@
 			else if (up() && occurs(faults.pauses)) {
 				this.pausedUntilMillis = now + between(100, 6_000);
 			}
+			if (faults.backlogs > 0 && occurs(faults.backlogs)) {
+				this.backlogMillis = between(100, 3_000);
+				this.backloggedUntilMillis = now + between(1_000, 5_000);
+			}
 			if (occurs(faults.cuts)) {
 				this.cutUntilMillis[ResultReportsSimulation.this.random.nextInt(OWNERS + ENTRIES)] = now
 						+ between(200, 12_000);
@@ -279,9 +295,17 @@
 		}
 
 		private void receiveBuffered() {
-			this.socketBuffer
-				.forEach((report) -> this.peers.accept(report).ifPresent((peer) -> this.reports.read(report)));
-			this.socketBuffer.clear();
+			long now = ResultReportsSimulation.this.nowMillis;
+			long delay = (now < this.backloggedUntilMillis) ? this.backlogMillis : 0;
+			List<Arrival> read = this.socketBuffer.stream()
+				.filter((arrival) -> arrival.atMillis <= now - delay)
+				.toList();
+			this.socketBuffer.removeAll(read);
+			read.forEach((arrival) -> this.peers.accept(arrival.report, this.drainedMillis * NANOS_PER_MILLI)
+				.ifPresent((peer) -> this.reports.read(arrival.report)));
+			if (this.socketBuffer.isEmpty()) {
+				this.drainedMillis = now;
+			}
 		}
 
 		private void send() {
@@ -312,8 +336,8 @@
 		 */
 		private void receive(int from, LoadReport report) {
 			long now = ResultReportsSimulation.this.nowMillis;
-			if (now >= this.cutUntilMillis[from] && now >= this.downUntilMillis && this.socketBuffer.size() < 40) {
-				this.socketBuffer.add(report);
+			if (now >= this.cutUntilMillis[from] && now >= this.downUntilMillis && this.socketBuffer.size() < 200) {
+				this.socketBuffer.add(new Arrival(now, report));
 			}
 		}
 
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/peer/ResultReportsSimulationTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/peer/ResultReportsSimulationTests.java
@@ -20,21 +20,23 @@
 
 	/**
 	 * Processes are paused, killed and cut off from others in one direction, reports are
-	 * lost, and writes are carried out although their answer is lost: each fault alone,
-	 * and all together.
+	 * lost or wait unread, and writes are carried out although their answer is lost: each
+	 * fault alone, and all together.
 	 * @param pauses pauses per second of each process
 	 * @param kills kills per second of each process
 	 * @param cuts one-way link failures per second of each process
 	 * @param losses the share of reports that are lost
 	 * @param lostAnswers the share of writes whose answer is lost
+	 * @param backlogs times per second at which each process begins to read reports late
 	 */
 	@ParameterizedTest
-	@CsvSource({ "0, 0, 0, 0, 0", "0.05, 0, 0, 0, 0", "0, 0.05, 0, 0, 0", "0, 0, 0.1, 0, 0", "0, 0, 0, 0.2, 0",
-			"0, 0, 0, 0, 0.3", "0.03, 0.03, 0.05, 0.05, 0.1", "0.01, 0.01, 0.3, 0.02, 0.3" })
+	@CsvSource({ "0, 0, 0, 0, 0, 0", "0.05, 0, 0, 0, 0, 0", "0, 0.05, 0, 0, 0, 0", "0, 0, 0.1, 0, 0, 0",
+			"0, 0, 0, 0.2, 0, 0", "0, 0, 0, 0, 0.3, 0", "0, 0, 0, 0, 0, 0.1", "0.03, 0.03, 0.05, 0.05, 0.1, 0",
+			"0.03, 0.03, 0.05, 0.05, 0.1, 0.1", "0.01, 0.01, 0.3, 0.02, 0.3, 0" })
 	void shouldNotOmitASegmentThatACallerWasShown(double pauses, double kills, double cuts, double losses,
-			double lostAnswers) {
+			double lostAnswers, double backlogs) {
 		ResultReportsSimulation.FaultRates faults = new ResultReportsSimulation.FaultRates(pauses, kills, cuts, losses,
-				lostAnswers);
+				lostAnswers, backlogs);
 		for (long seed = 1; seed <= SEEDS; seed++) {
 			ResultReportsSimulation simulation = ResultReportsSimulation.run(seed, faults);
 			assertWithMessage("seed " + seed).that(simulation.violation()).isEmpty();
@@ -47,7 +49,7 @@
 	 */
 	@Test
 	void shouldAnswerFromReportsWithoutFaults() {
-		ResultReportsSimulation.FaultRates none = new ResultReportsSimulation.FaultRates(0, 0, 0, 0, 0);
+		ResultReportsSimulation.FaultRates none = new ResultReportsSimulation.FaultRates(0, 0, 0, 0, 0, 0);
 		int[] shares = LongStream.rangeClosed(1, 20)
 			.mapToInt((seed) -> ResultReportsSimulation.run(seed, none).answeredFromReportsPerMille())
 			.toArray();
