Test lost responses of items that have waited in a queue

A run whose head came late because it waited in the engine's queue may make no progress for three times that wait. With a known gap of 30 ms and a first event of 150 ms, a response that stops is noticed after 4.7, 9.2 and 14.3 s for heads after 1.5, 3 and 4.7 s. The test fails in its three cases.

--- a/modules/gateway/src/test/java/org/ragworthook/gateway/job/ItemStallTimeoutTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/job/ItemStallTimeoutTests.java
@@ -124,6 +124,23 @@
 		}
 	}
 
+	/**
+	 * Guards against an item that waits too long at an upstream that has lost it because
+	 * its run had waited in the engine's queue: the time to the head then says nothing
+	 * about how long the engine computes.
+	 * @param headMillis when the response begins; items are left in a queue for up to 4.8
+	 * s
+	 */
+	@ParameterizedTest
+	@CsvSource({ "1500", "3000", "4700" })
+	void shouldNoticeALostResponseAfterAWaitInTheQueue(long headMillis) {
+		List<Long> events = events(headMillis, 30, 10);
+		long last = events.get(events.size() - 1);
+		OptionalLong stalled = stalledMillis(known(30, 150), headMillis, events, last + 60_000);
+		assertThat(stalled.isPresent()).isTrue();
+		assertThat(stalled.getAsLong() - last).isLessThan(4_500);
+	}
+
 	/**
 	 * Guards against runs that end because this process was paused, which leaves the
 	 * events that were sent meanwhile unread.
