Test a waiting read of results after a read that throws

A read of the store that throws leaves PendingRead.reading set, so that the caller never gets an answer. No call that throws is known; JobLoader and ResultPublisher were protected against the same. The test fails.

--- a/modules/gateway/src/test/java/org/ragworthook/gateway/job/JobReaderTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/job/JobReaderTests.java
@@ -212,6 +212,27 @@
 		}
 	}
 
+	/**
+	 * Guards against a caller that never gets an answer because a read of the store threw
+	 * an exception instead of completing with one.
+	 */
+	@Test
+	void shouldEndAWaitingReadAfterAReadThatThrows() {
+		report(0);
+		CompletableFuture<Optional<JobReader.Page>> answer = this.reader.results("job", 0, READ_WAIT);
+		report(1);
+		this.store.thrown = Optional.of(new IllegalStateException("not sent"));
+		try {
+			this.reader.onResultsReported();
+		}
+		catch (IllegalStateException ex) {
+			assertThat(ex).hasMessageThat().isEqualTo("not sent");
+		}
+		this.store.thrown = Optional.empty();
+		this.time.advance(READ_WAIT);
+		assertThat(answer.isDone()).isTrue();
+	}
+
 	private static final class CountingStore implements RecordStore {
 
 		private final MemoryObjectStore objects = MemoryObjectStore.empty();
@@ -220,12 +241,18 @@
 
 		private Optional<StoreException> failure = Optional.empty();
 
+		/** What a read throws, in place of completing with it. */
+		private Optional<RuntimeException> thrown = Optional.empty();
+
 		/** Completes when reads may be answered. */
 		private CompletableFuture<Void> held = CompletableFuture.completedFuture(null);
 
 		@Override
 		public CompletableFuture<Optional<Stored>> read(ObjectKey key) {
 			this.reads.add(key);
+			this.thrown.ifPresent((exception) -> {
+				throw exception;
+			});
 			return this.failure.<CompletableFuture<Optional<Stored>>>map(CompletableFuture::failedFuture)
 				.orElseGet(() -> this.held.thenCompose((released) -> this.objects.read(key)));
 		}
