--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
@@ -77,7 +77,7 @@
 	 * stalled. The time grows until an upstream that is much slower than all that was
 	 * observed gets to send two events, which show its pace.
 	 */
-	private static final int MAX_STALL_TIMEOUT_DOUBLINGS = 3;
+	private static final int MAX_STALL_TIMEOUT_DOUBLINGS = 6;
 
 	private final Job job;
 
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemStallTimeout.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemStallTimeout.java
@@ -52,7 +52,8 @@
 	static Duration of(ServiceTimes times, OptionalDouble upstreamGapMillis, OptionalDouble upstreamFirstEventMillis,
 			RunProgress progress) {
 		double gap = max(times.gapMillis(), upstreamGapMillis, progress.gapMillis());
-		double firstEvent = max(times.firstEventMillis(), upstreamFirstEventMillis, progress.headMillis());
+		double known = max(times.firstEventMillis(), upstreamFirstEventMillis, OptionalDouble.empty());
+		double firstEvent = (known > 0) ? known : progress.headMillis().orElse(0);
 		Duration derived = Duration.ofNanos((long) ((LATENESS * gap + RECOMPUTATION * firstEvent) * NANOS_PER_MILLI));
 		Duration lowerBound = (gap > 0) ? LOWER_BOUND : UNKNOWN_LOWER_BOUND;
 		return (derived.compareTo(lowerBound) > 0) ? derived : lowerBound;
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobReader.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobReader.java
@@ -146,6 +146,10 @@
 	 * @return whether there is a result at the position, or never will be one
 	 */
 	private CompletableFuture<Boolean> readUntil(CachedResults cached, int position) {
+		return CompletableFuture.completedFuture(cached).thenCompose((present) -> readOn(present, position));
+	}
+
+	private CompletableFuture<Boolean> readOn(CachedResults cached, int position) {
 		if (position < cached.outcomes.size() || cached.outcomes.size() >= cached.itemCount) {
 			return CompletableFuture.completedFuture(true);
 		}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/Frontend.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/Frontend.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.vertx.core.Future;
@@ -212,15 +213,31 @@
 		}
 		if (!this.placementEnded && !this.context.stop().places()) {
 			this.placementEnded = true;
-			List.copyOf(this.open).forEach(RequestLifecycle::placementEnded);
+			endAll(RequestLifecycle::placementEnded);
 		}
 		if (!this.allAnswered && this.context.stop().answersAll()) {
 			this.allAnswered = true;
-			List.copyOf(this.open).forEach(RequestLifecycle::processEnds);
+			endAll(RequestLifecycle::processEnds);
 		}
 		this.connections.closeIdle();
 	}
 
+	/**
+	 * Ends the open requests. One that cannot be ended does not keep the others from
+	 * being answered.
+	 * @param end ends a request
+	 */
+	private void endAll(Consumer<RequestLifecycle> end) {
+		for (RequestLifecycle lifecycle : List.copyOf(this.open)) {
+			try {
+				end.accept(lifecycle);
+			}
+			catch (RuntimeException ex) {
+				LOG.warning("request_not_ended", "request", lifecycle.id(), "error", ex);
+			}
+		}
+	}
+
 	/**
 	 * Returns the number of requests whose response has not ended.
 	 * @return the count
@@ -288,16 +305,13 @@
 		request.response().endHandler((ended) -> lifecycle.end());
 		request.response().closeHandler((closed) -> lifecycle.end());
 		request.response().exceptionHandler((failure) -> lifecycle.end());
-		if (refusedAsStopping(request, response)) {
-			return;
-		}
 		IncomingRequest incoming = new IncomingRequest(request, response, lifecycle,
 				this.context.ticker().nanos() - this.pressure.unreadTime().toNanos());
 		Optional<Configuration> configuration = this.context.configuration().current();
 		if (configuration.isPresent()) {
 			route(incoming, configuration.get());
 		}
-		else {
+		else if (!refusedAsStopping(request, response, Optional.empty())) {
 			awaitConfiguration(incoming);
 		}
 	}
@@ -305,18 +319,27 @@
 	/**
 	 * Refuses a request that was not admitted before the end of this process came near.
 	 * Called when its headers and when its body are complete, since it may have been sent
-	 * in between.
+	 * in between. A submission of a job is served somewhat longer, and not refused as not
+	 * run: an earlier one with the same id may have been accepted.
 	 * @param request the request
 	 * @param response the response to the caller
+	 * @param route the route of the request, or empty if it has none or none is known
 	 * @return whether the request was refused
 	 */
-	private boolean refusedAsStopping(HttpServerRequest request, VertxCallerResponse response) {
-		if (this.context.stop().admits()) {
+	private boolean refusedAsStopping(HttpServerRequest request, VertxCallerResponse response, Optional<Route> route) {
+		boolean submission = route.filter((found) -> found.kind() == RouteKind.BATCH).isPresent();
+		if (this.context.stop().admits() || (submission && this.context.stop().places())) {
 			return false;
 		}
 		LOG.info("refused", "request", request.getHeader(this.context.headers().requestId()), "reason", "stopping",
 				"after_ms", this.context.stop().elapsedMillis());
-		response.respond(503, "not run: this instance stops", Optional.of(Duration.ZERO));
+		if (submission) {
+			response.respond(500, "this instance stops; the job may have been accepted before: send it again",
+					Optional.of(Duration.ZERO));
+		}
+		else {
+			response.respond(503, "not run: this instance stops", Optional.of(Duration.ZERO));
+		}
 		return true;
 	}
 
@@ -360,6 +383,9 @@
 		Optional<Route> route = configuration.route(host, request.uri());
 		Optional<JobRequest> call = route.isPresent() ? Optional.empty()
 				: this.jobs.format().parseRequest(request.method().name(), request.uri());
+		if (refusedAsStopping(request, incoming.response, route)) {
+			return true;
+		}
 		if (route.isEmpty() && call.isEmpty()) {
 			LOG.info("no_route", "request", request.getHeader(this.context.headers().requestId()), "host", host, "path",
 					request.path(), "config", configuration.version());
@@ -374,7 +400,7 @@
 		return this.access.authenticate(request, incoming.response, anonymous, () -> incoming.lifecycle.ended,
 				(account) -> {
 					if (call.isPresent()) {
-						if (refusedAsStopping(request, incoming.response)) {
+						if (refusedAsStopping(request, incoming.response, route)) {
 							return;
 						}
 						incoming.lifecycle.waitCause = WaitCause.STORE;
@@ -487,7 +513,7 @@
 			Optional<ClientAccount> account, byte[] body) {
 		HttpServerRequest request = incoming.request;
 		VertxCallerResponse response = incoming.response;
-		if (refusedAsStopping(request, response)) {
+		if (refusedAsStopping(request, response, Optional.of(route))) {
 			return;
 		}
 		String id = request.getHeader(this.context.headers().requestId());
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/JobRequestHandler.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/JobRequestHandler.java
@@ -15,6 +15,7 @@
 import org.ragworthook.core.error.Failures;
 import org.ragworthook.core.error.JobException;
 import org.ragworthook.core.log.EventLog;
+import org.ragworthook.core.store.ConditionalWriter;
 import org.ragworthook.gateway.dialect.JobFormat;
 import org.ragworthook.gateway.dialect.JobRequest;
 import org.ragworthook.gateway.job.Job;
@@ -186,7 +187,12 @@
 
 	private void end(JobRequest request, JobResponse response) {
 		this.store.end(request.jobId()).whenCompleteAsync((found, failure) -> {
-			if (failure != null) {
+			if (failure != null && mayHaveEffect(failure)) {
+				LOG.warning("job_end_unknown", "job", request.jobId(), "error", Failures.root(failure));
+				response.status(500, "the job may have been ended; send the call again",
+						Optional.of(DEFAULT_RETRY_AFTER));
+			}
+			else if (failure != null) {
 				storeFailed(request, failure, response);
 			}
 			else if (found) {
@@ -200,6 +206,12 @@
 		}, this.loop);
 	}
 
+	private static boolean mayHaveEffect(Throwable failure) {
+		return ConditionalWriter.codeOf(failure)
+			.filter((code) -> code == ErrorCode.STORE_UNAVAILABLE || code == ErrorCode.STORE_RATE_LIMITED)
+			.isEmpty();
+	}
+
 	private static void notFound(JobRequest request, JobResponse response) {
 		LOG.info("job_not_found", "job", request.jobId(), "action", request.action(), "item", request.itemId());
 		response.status(404, "there is no such job or item", Optional.empty());
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
@@ -443,8 +443,9 @@
 		this.leaving = true;
 		CompletableFuture<Void> idle = new CompletableFuture<>();
 		this.loop.execute(() -> {
-			CompletableFuture<Void> left = this.runner.map(JobRunner::stop)
-				.orElse(CompletableFuture.completedFuture(null))
+			CompletableFuture<Void> left = CompletableFuture.<Void>completedFuture(null)
+				.thenCompose(
+						(begun) -> this.runner.map(JobRunner::stop).orElse(CompletableFuture.completedFuture(null)))
 				.whenComplete((saved, failure) -> this.peers.exchange().leave());
 			this.timers.schedule(STOP_POLL_INTERVAL, () -> advanceStop(left, idle));
 		});
@@ -533,10 +534,20 @@
 
 		@Override
 		public void listed(List<Change<Job>> all) {
-			all.forEach((change) -> change.value().ifPresent((job) -> this.runner.put(job, false)));
+			all.forEach((change) -> change.value().ifPresent(this::put));
 			this.runner.initialListingComplete();
 		}
 
+		private void put(Job job) {
+			try {
+				this.runner.put(job, false);
+			}
+			catch (RuntimeException ex) {
+				// The jobs behind this one would not be known until the next listing.
+				LOG.warning("job_not_added", "job", job.id(), "error", ex);
+			}
+		}
+
 		@Override
 		public void changed(Change<Job> change) {
 			change.value().ifPresent((job) -> this.runner.put(job, true));
