Log as ended by a stop only the requests that it ends

Responses that had begun were listed in ended_by_stop too, although they may still be completed until the exit; those that are not have request_unfinished.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/Frontend.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/Frontend.java
@@ -610,6 +610,9 @@
 		 * only a request that cannot have had an effect is refused as not run.
 		 */
 		void processEnds() {
+			if (this.exchange != null && !this.exchange.unanswered()) {
+				return;
+			}
 			LOG.info("ended_by_stop", "request", id(), "waits_for", waitsFor().label(), "age_ms", ageMillis(),
 					"after_ms", Frontend.this.context.stop().elapsedMillis());
 			if (this.exchange != null) {
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
@@ -235,12 +235,20 @@
 		}
 	}
 
+	/**
+	 * Returns whether no response has begun, neither an upstream's nor the gateway's own.
+	 * @return whether the request can still be answered by {@link #processEnds()}
+	 */
+	boolean unanswered() {
+		return !this.ended && !this.response.started();
+	}
+
 	/**
 	 * Called shortly before the process ends. Ends the request unless its response has
 	 * begun, which may still be completed.
 	 */
 	void processEnds() {
-		if (this.ended || this.response.started()) {
+		if (!unanswered()) {
 			return;
 		}
 		if (this.mayHaveRun || (this.attempt != null && this.attempt.sent())) {
