Send no request again on a connection that has answered its id

A late copy of the first answer of 500 was taken for the answer of an item's second run, which keeps the id and often the connection, so that the item was given up too early. The same held for callers that send a request again. A connection remembered only the ids of rejected requests.

It now remembers the id of every response that it has received, and is replaced after 256 of them.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/http/ClientConnection.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/http/ClientConnection.java
@@ -34,9 +34,9 @@
 	private static final long NO_LIMIT = Long.MAX_VALUE;
 
 	/**
-	 * Rejections after which a connection is replaced instead of remembering more ids.
+	 * Responses after which a connection is replaced instead of remembering more ids.
 	 */
-	private static final int MAX_REJECTED_IDS = 100;
+	private static final int MAX_ANSWERED_IDS = 256;
 
 	private final UpstreamSocketChannel channel;
 
@@ -53,8 +53,12 @@
 
 	private boolean reusable = true;
 
-	/** The ids of the requests that the upstream has rejected on this connection. */
-	private final Set<String> rejectedIds = new HashSet<>();
+	/**
+	 * The ids of the requests that the upstream has responded to on this connection. A
+	 * request may be sent again under its id, and a duplicate of the earlier response
+	 * could then not be told from the later one.
+	 */
+	private final Set<String> answeredIds = new HashSet<>();
 
 	private long idleLimitMillis = NO_LIMIT;
 
@@ -107,23 +111,26 @@
 	}
 
 	/**
-	 * Records that the upstream has rejected a request. The request may be sent again
-	 * under the same id, and a duplicate of the rejection could then not be told from its
-	 * response, so it has to be sent on another connection.
+	 * Records that the upstream has rejected a request, so that it has to be sent again
+	 * on another connection.
 	 * @param requestId the id of the request
 	 */
 	public void rejected(String requestId) {
-		this.rejectedIds.add(requestId);
-		this.reusable &= this.rejectedIds.size() <= MAX_REJECTED_IDS;
+		answered(requestId);
+	}
+
+	private void answered(String requestId) {
+		this.answeredIds.add(requestId);
+		this.reusable &= this.answeredIds.size() <= MAX_ANSWERED_IDS;
 	}
 
 	/**
 	 * Returns whether a request can be sent on this connection.
 	 * @param requestId the id of the request
-	 * @return false if the upstream has rejected a request of that id here
+	 * @return false if the upstream has responded to a request of that id here
 	 */
 	boolean accepts(String requestId) {
-		return !this.rejectedIds.contains(requestId);
+		return !this.answeredIds.contains(requestId);
 	}
 
 	/**
@@ -203,6 +210,9 @@
 			return;
 		}
 		this.exchange.headReceived = true;
+		if (this.exchange.expectedId != null) {
+			answered(this.exchange.expectedId);
+		}
 		this.exchange.end = ResponseEnd.statedBy(this.exchange.method, head);
 		if (!HttpUtil.isKeepAlive(head)) {
 			this.reusable = false;
