--- a/modules/gateway/src/test/java/org/ragworthook/gateway/job/JobRunnerTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/job/JobRunnerTests.java
@@ -13,6 +13,7 @@
 import org.ragworthook.core.store.MemoryObjectStore;
 import org.ragworthook.core.store.Stamps;
 import org.ragworthook.core.time.ManualTime;
+import org.ragworthook.gateway.upstream.UpstreamRegistry;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -38,8 +39,8 @@
 		ConditionalWriter writer = ConditionalWriter.of(objects, Stamps.of("t"));
 		ProgressStore progress = ProgressStore.of(objects, writer, new NoProgress(), "batch-1");
 		return JobRunner.of(new JobRunner.Dependencies(JobStore.of(objects, writer), progress, new Owners(), () -> true,
-				null, null, null, null, null, null, this.time, () -> 0L, this.time, null, Runnable::run, null, null,
-				() -> 0, Set::of, null, null, null, null, null, () -> true, null));
+				null, null, UpstreamRegistry.empty(), null, null, null, this.time, () -> 0L, this.time, null,
+				Runnable::run, null, null, () -> 0, Set::of, null, null, null, null, null, () -> true, null));
 	}
 
 	private static Job job(String id) {
