--- a/review/standins-2/Calls.java
+++ b/review/standins-2/Calls.java
@@ -63,9 +63,14 @@
 	/** Sends a request for a stream and reads it to its end. */
 	static Stream stream(String base, String id, int events, long deadlineMillis, String prompt)
 			throws InterruptedException {
-		List<String> data = new ArrayList<>();
 		byte[] body = new byte[1_500];
 		ThreadLocalRandom.current().nextBytes(body);
+		return stream(base, id, events, deadlineMillis, prompt, body);
+	}
+
+	static Stream stream(String base, String id, int events, long deadlineMillis, String prompt, byte[] body)
+			throws InterruptedException {
+		List<String> data = new ArrayList<>();
 		HttpRequest request = HttpRequest.newBuilder(URI.create(base + "/lohu930/2f"))
 			.timeout(Duration.ofMillis(deadlineMillis + 1_000))
 			.headers("Host", Fleet.HOST, "X-Request-Id", id, "X-Model", "m", "X-Token-Usage", "450," + events,
--- a/review/standins-2/Fleet.java
+++ b/review/standins-2/Fleet.java
@@ -74,6 +74,17 @@
 			this.process.destroyForcibly();
 		}
 
+		/** Stops the process with SIGTERM; it is started again a second after its end. */
+		void stop() {
+			this.killed = true;
+			Fleet.this.record.line("%s SIGTERM", this.name);
+			this.process.destroy();
+		}
+
+		long pid() {
+			return this.process.pid();
+		}
+
 		boolean alive() {
 			return this.process.isAlive();
 		}
@@ -232,12 +243,16 @@
 
 	/** Writes a configuration with a streaming route per service and one for batch jobs. */
 	void configure(int version, String streamService, String batchService) {
+		configure(version, streamService, batchService, 5_000);
+	}
+
+	void configure(int version, String streamService, String batchService, int timeoutMillis) {
 		ObjectNode spec = Store.JSON.createObjectNode();
 		spec.put("version", version);
 		ArrayNode routes = spec.putArray("routes");
 		ObjectNode stream = routes.addObject();
 		stream.put("name", "r-stream").put("host", HOST).put("pathPrefix", "/lohu930/").put("kind", "streaming");
-		stream.put("timeoutMs", 5000).put("targetLatencyMs", 300).put("priority", 0).put("service", streamService);
+		stream.put("timeoutMs", timeoutMillis).put("targetLatencyMs", 300).put("priority", 0).put("service", streamService);
 		stream.put("maxAttempts", 2).put("sessionAffinity", true).put("resumable", true).put("gapTargetMs", 250);
 		ObjectNode batch = routes.addObject();
 		batch.put("name", "r-batch").put("host", HOST).put("pathPrefix", "/pule252/").put("kind", "batch");
--- a/review/standins-2/Runner.java
+++ b/review/standins-2/Runner.java
@@ -47,6 +47,9 @@
 	/** The time to the first token. */
 	volatile long firstMillis;
 
+	/** Whether the head of an answer is sent before the first token. */
+	volatile boolean headFirst;
+
 	private volatile String version;
 
 	private volatile long born;
@@ -193,10 +196,15 @@
 		exchange.getResponseHeaders().set("Content-Type", "text/event-stream");
 		exchange.getResponseHeaders().set("X-Response-Signature", "sig." + this.id + "." + request);
 		exchange.getResponseHeaders().set("X-Weight-Versions", "1");
-		// A request begins to run with its first token.
-		Thread.sleep(this.firstMillis);
+		if (!this.headFirst) {
+			Thread.sleep(this.firstMillis);
+		}
 		exchange.sendResponseHeaders(200, 0);
 		OutputStream out = exchange.getResponseBody();
+		out.flush();
+		if (this.headFirst) {
+			Thread.sleep(this.firstMillis);
+		}
 		String end = "broken";
 		try {
 			for (long event = from + 1; event <= events; event++) {
