--- a/review/standins-2/Store.java
+++ b/review/standins-2/Store.java
@@ -42,6 +42,9 @@
 
 	private final List<HttpServer> servers = new ArrayList<>();
 
+	/** After how long waiting watches are cut off, by port; not at all by default. */
+	private final Map<Integer, Long> watchLimits = new ConcurrentHashMap<>();
+
 	private long revision = 100;
 
 	Store(String host) {
@@ -75,6 +78,11 @@
 		this.silentUntil.put(port, System.nanoTime() + millis * 1_000_000);
 	}
 
+	/** Cuts off the watches of a machine that have waited for some time, in order. */
+	void cutWatchesAfter(int port, long millis) {
+		this.watchLimits.put(port, millis);
+	}
+
 	private boolean silent(int port) {
 		Long until = this.silentUntil.get(port);
 		return until != null && until - System.nanoTime() > 0;
@@ -141,11 +149,15 @@
 		}
 		Answer answer;
 		try {
-			answer = answer(exchange, body);
+			answer = answer(exchange, body, this.watchLimits.getOrDefault(port, Long.MAX_VALUE / 2_000_000));
 		}
 		catch (InterruptedException ex) {
 			return;
 		}
+		if (answer == CUT) {
+			exchange.close();
+			return;
+		}
 		if (silent(port)) {
 			return;
 		}
@@ -159,11 +171,14 @@
 	private record Answer(int status, JsonNode body) {
 	}
 
+	/** No answer: the connection is closed. */
+	private static final Answer CUT = new Answer(0, JSON.createObjectNode());
+
 	private static Answer empty(int status) {
 		return new Answer(status, JSON.createObjectNode());
 	}
 
-	private Answer answer(HttpExchange exchange, byte[] body) throws IOException, InterruptedException {
+	private Answer answer(HttpExchange exchange, byte[] body, long watchLimit) throws IOException, InterruptedException {
 		String[] path = exchange.getRequestURI().getRawPath().substring("/objects/".length()).split("/");
 		String kind = decode(path[0]);
 		String name = (path.length > 1) ? decode(path[1]) : null;
@@ -173,7 +188,7 @@
 				if (name != null) {
 					return read(kind, name);
 				}
-				return query.containsKey("watch") ? watch(kind, query) : list(kind, query.getOrDefault("after", ""));
+				return query.containsKey("watch") ? watch(kind, query, watchLimit) : list(kind, query.getOrDefault("after", ""));
 			case "POST":
 				return write(kind, null, JSON.readTree(body), body.length, query, false);
 			case "PUT":
@@ -222,9 +237,11 @@
 		return new Answer(200, page);
 	}
 
-	private synchronized Answer watch(String kind, Map<String, String> query) throws InterruptedException {
+	private synchronized Answer watch(String kind, Map<String, String> query, long limit) throws InterruptedException {
 		long from = Long.parseLong(query.get("watch"));
-		long endNanos = System.nanoTime() + Long.parseLong(query.getOrDefault("waitMs", "0")) * 1_000_000;
+		long waitMillis = Long.parseLong(query.getOrDefault("waitMs", "0"));
+		boolean cut = waitMillis > limit;
+		long endNanos = System.nanoTime() + Math.min(waitMillis, limit) * 1_000_000;
 		while (true) {
 			ObjectNode answer = JSON.createObjectNode();
 			ArrayNode list = answer.putArray("events");
@@ -237,6 +254,9 @@
 				}
 			}
 			long left = (endNanos - System.nanoTime()) / 1_000_000;
+			if (list.isEmpty() && left <= 0 && cut) {
+				return CUT;
+			}
 			if (!list.isEmpty() || left <= 0) {
 				answer.put("storeRevision", this.revision);
 				return new Answer(200, answer);
