Try a runner that leaves while waiting watches are cut off

The script removes a runner's entry, lets it serve 5 s more, and cuts the watches of the entry that have waited for 1.5 s. Processes now end also when a script is ended by a signal.

--- a/review/standins-2/Fleet.java
+++ b/review/standins-2/Fleet.java
@@ -39,6 +39,9 @@
 
 	private final Map<String, Machine> machines = new LinkedHashMap<>();
 
+	/** Whether streams may go on at another runner. */
+	boolean resumable = true;
+
 	private volatile boolean closing;
 
 	final class Machine {
@@ -97,6 +100,8 @@
 		this.logs = this.folder;
 		this.base = freePorts();
 		record.line("ports from %d, files in a temporary folder", this.base);
+		// Also when this process is ended by a signal.
+		Runtime.getRuntime().addShutdownHook(new Thread(this::endProcesses));
 	}
 
 	private static int freePorts() throws IOException {
@@ -253,7 +258,7 @@
 		ObjectNode stream = routes.addObject();
 		stream.put("name", "r-stream").put("host", HOST).put("pathPrefix", "/lohu930/").put("kind", "streaming");
 		stream.put("timeoutMs", timeoutMillis).put("targetLatencyMs", 300).put("priority", 0).put("service", streamService);
-		stream.put("maxAttempts", 2).put("sessionAffinity", true).put("resumable", true).put("gapTargetMs", 250);
+		stream.put("maxAttempts", this.resumable ? 2 : 1).put("sessionAffinity", true).put("resumable", this.resumable).put("gapTargetMs", 250);
 		ObjectNode batch = routes.addObject();
 		batch.put("name", "r-batch").put("host", HOST).put("pathPrefix", "/pule252/").put("kind", "batch");
 		batch.put("timeoutMs", 15000).put("targetLatencyMs", 400).put("priority", 2).put("service", batchService);
@@ -297,13 +302,17 @@
 		return this.logs.resolve(machine.name + ".log");
 	}
 
-	void close() {
+	private void endProcesses() {
 		this.closing = true;
 		for (Machine machine : this.machines.values()) {
 			if (machine.process != null) {
 				machine.process.destroyForcibly();
 			}
 		}
+	}
+
+	void close() {
+		endProcesses();
 		for (Machine machine : this.machines.values()) {
 			try {
 				if (machine.process != null) {
--- a/review/standins-2/Removed.java
+++ b/review/standins-2/Removed.java
@@ -49,6 +49,7 @@
 	}
 
 	private static int run(Record record, Fleet fleet, boolean trouble) throws Exception {
+		fleet.resumable = false;
 		Fleet.Machine entry = fleet.add("entry", 0);
 		Fleet.Machine storage = fleet.add("batch", 0);
 		List<Runner> runners = new ArrayList<>();
