--- a/modules/gateway/src/main/java/org/ragworthook/gateway/feed/Change.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/feed/Change.java
@@ -9,8 +9,9 @@
  * @param <T> the type of the entry
  * @param name the entry's name in its collection
  * @param value the entry, or empty if it was removed or cannot be parsed
+ * @param version the version of the collection that the last change of the entry created
  */
-public record Change<T>(String name, Optional<T> value) {
+public record Change<T>(String name, Optional<T> value, long version) {
 
 	/**
 	 * Checks the components.
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/feed/Changes.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/feed/Changes.java
@@ -18,4 +18,12 @@
 		changes = List.copyOf(changes);
 	}
 
+	/**
+	 * Returns the version of the newest of these changes.
+	 * @return the version, 0 if there are no changes
+	 */
+	long newestChange() {
+		return this.changes.stream().mapToLong(Change::version).max().orElse(0);
+	}
+
 }
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/feed/Feed.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/feed/Feed.java
@@ -24,7 +24,8 @@
 	CompletableFuture<Changes<T>> list();
 
 	/**
-	 * Waits for changes after a version (long poll).
+	 * Waits for changes after a version (long poll). The call ends if the future is
+	 * cancelled.
 	 * @param after the version after which changes are wanted
 	 * @param maxWait how long to wait for the first change
 	 * @return the changes, none if the wait has ended without one, or empty if the
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/feed/FeedFollower.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/feed/FeedFollower.java
@@ -3,11 +3,15 @@
 import java.time.Duration;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
 
 import org.ragworthook.core.error.Failures;
 import org.ragworthook.core.log.EventLog;
+import org.ragworthook.core.time.Ticker;
 import org.ragworthook.core.time.Timers;
 
 /**
@@ -19,6 +23,11 @@
  * miss the changes in between, so that upstreams are used long after they left, or
  * callers are refused under an outdated configuration. So the collection is listed anew
  * after every interruption.
+ * <p>
+ * The response to a watch can also be lost without any sign on its connection. The watch
+ * is in doubt once another call of this process got no response, or once a change that is
+ * known from elsewhere is overdue. The collection is then listed while the watch stays
+ * open, and whichever is answered first is used. Used on the event loop.
  *
  * @param <T> the type of the entries
  */
@@ -26,14 +35,24 @@
 
 	private static final EventLog LOG = EventLog.of(FeedFollower.class);
 
+	/** How much later than to a peer a change may be delivered to this process. */
+	static final Duration MAX_DELIVERY_LAG = Duration.ofMillis(500);
+
+	/** Upper bound of a random delay that spreads the listings of many processes. */
+	static final Duration MAX_SPREAD = Duration.ofMillis(200);
+
 	private final Feed<T> feed;
 
 	private final FeedListener<T> listener;
 
+	private final Ticker ticker;
+
 	private final Timers timers;
 
 	private final Executor loop;
 
+	private final RandomGenerator random;
+
 	private final Duration maxWait;
 
 	private final StoreHealth health;
@@ -44,40 +63,45 @@
 
 	private boolean stopped;
 
+	private Optional<Listing> listing = Optional.empty();
+
+	private Optional<Watch> openWatch = Optional.empty();
+
+	/** The version up to which all changes were received. */
+	private long seenVersion;
+
+	/** The version of the newest change that was received. */
+	private long newestChange;
+
+	/** The highest version of a change that a peer has received. */
+	private long expectedVersion;
+
 	/**
 	 * Ends the coalescing delay in progress and polls at once; empty while there is none.
 	 */
 	private Optional<Runnable> pendingPoll = Optional.empty();
 
-	private FeedFollower(Feed<T> feed, FeedListener<T> listener, Timers timers, Executor loop, Duration maxWait,
-			StoreHealth health, Supplier<Duration> coalescingDelay) {
-		this.feed = Objects.requireNonNull(feed, "feed is null");
-		this.listener = Objects.requireNonNull(listener, "listener is null");
-		this.timers = Objects.requireNonNull(timers, "timers is null");
-		this.loop = Objects.requireNonNull(loop, "loop is null");
-		this.maxWait = Objects.requireNonNull(maxWait, "maxWait is null");
-		this.health = Objects.requireNonNull(health, "health is null");
-		this.coalescingDelay = Objects.requireNonNull(coalescingDelay, "coalescingDelay is null");
+	private FeedFollower(Builder<T> builder) {
+		this.feed = builder.feed;
+		this.listener = builder.listener;
+		this.ticker = Objects.requireNonNull(builder.ticker, "ticker is null");
+		this.timers = Objects.requireNonNull(builder.timers, "timers is null");
+		this.loop = Objects.requireNonNull(builder.loop, "loop is null");
+		this.random = Objects.requireNonNull(builder.random, "random is null");
+		this.maxWait = Objects.requireNonNull(builder.maxWait, "maxWait is null");
+		this.health = Objects.requireNonNull(builder.health, "health is null");
+		this.coalescingDelay = Objects.requireNonNull(builder.coalescingDelay, "coalescingDelay is null");
 	}
 
 	/**
-	 * Starts to follow a collection.
+	 * Returns a builder of a follower.
 	 * @param <T> the type of the entries
 	 * @param feed the collection
 	 * @param listener receives the content and the changes
-	 * @param timers runs tasks later, on the event loop
-	 * @param loop the event loop
-	 * @param maxWait how long one call waits for changes
-	 * @param health is notified whether the platform answers
-	 * @param coalescingDelay gives the delay between received changes and the next poll,
-	 * so that one call fetches all changes of that time; zero for no delay
-	 * @return the follower
+	 * @return the builder
 	 */
-	public static <T> FeedFollower<T> start(Feed<T> feed, FeedListener<T> listener, Timers timers, Executor loop,
-			Duration maxWait, StoreHealth health, Supplier<Duration> coalescingDelay) {
-		FeedFollower<T> follower = new FeedFollower<>(feed, listener, timers, loop, maxWait, health, coalescingDelay);
-		loop.execute(follower::list);
-		return follower;
+	public static <T> Builder<T> builder(Feed<T> feed, FeedListener<T> listener) {
+		return new Builder<>(feed, listener);
 	}
 
 	/**
@@ -87,41 +111,75 @@
 		this.stopped = true;
 	}
 
-	private void list() {
-		if (this.stopped) {
+	/**
+	 * Returns the name of the collection.
+	 * @return the name
+	 */
+	public String name() {
+		return this.feed.name();
+	}
+
+	/**
+	 * Returns the version of the newest change that was received.
+	 * @return the version, 0 if there was no change
+	 */
+	public long newestChange() {
+		return this.newestChange;
+	}
+
+	// -- listing
+
+	private void list(Duration delay) {
+		if (this.listing.isPresent()) {
 			return;
 		}
-		this.feed.list().whenCompleteAsync((all, failure) -> {
-			if (failure != null) {
-				onFailure(failure);
-				return;
-			}
-			onSuccess();
-			LOG.info("feed_listed", "feed", this.feed.name(), "entries", all.changes().size(), "version",
-					all.version());
-			notifyListener(() -> this.listener.listed(all.changes()));
-			watch(all.version());
-		}, this.loop);
+		Listing next = new Listing();
+		this.listing = Optional.of(next);
+		if (delay.isZero()) {
+			next.start();
+		}
+		else {
+			this.timers.schedule(delay, next::start);
+		}
+	}
+
+	private void listed(Changes<T> all) {
+		this.listing = Optional.empty();
+		onSuccess();
+		LOG.info("feed_listed", "feed", this.feed.name(), "entries", all.changes().size(), "version", all.version());
+		this.openWatch.ifPresent(Watch::cancel);
+		received(all);
+		notifyListener(() -> this.listener.listed(all.changes()));
+		watch(all.version());
 	}
 
+	private void received(Changes<T> changes) {
+		this.seenVersion = changes.version();
+		this.newestChange = Math.max(this.newestChange, changes.newestChange());
+	}
+
+	// -- watching
+
 	private void watch(long version) {
 		if (this.stopped) {
 			return;
 		}
-		this.feed.changes(version, this.maxWait).whenCompleteAsync((changes, failure) -> {
-			if (failure != null) {
-				onFailure(failure);
-				return;
-			}
-			onSuccess();
-			if (changes.isEmpty()) {
-				LOG.info("feed_history_lost", "feed", this.feed.name(), "version", version);
-				list();
-				return;
-			}
-			changes.get().changes().forEach((change) -> notifyListener(() -> this.listener.changed(change)));
-			watchAfterDelay(changes.get());
-		}, this.loop);
+		Watch watch = new Watch(version);
+		this.openWatch = Optional.of(watch);
+		watch.start();
+	}
+
+	/**
+	 * Delivers changes. A listing in progress is dropped: it may be older than the
+	 * changes, and the watch is no longer in doubt.
+	 * @param changes the changes
+	 */
+	private void changed(Changes<T> changes) {
+		this.listing = Optional.empty();
+		onSuccess();
+		received(changes);
+		changes.changes().forEach((change) -> notifyListener(() -> this.listener.changed(change)));
+		watchAfterDelay(changes);
 	}
 
 	/**
@@ -171,12 +229,10 @@
 		this.health.recordSuccess();
 	}
 
-	private void onFailure(Throwable failure) {
+	private void interrupted(Throwable failure) {
 		this.failures++;
-		this.health.recordFailure();
 		LOG.warning("feed_interrupted", "feed", this.feed.name(), "failures", this.failures, "error",
 				Failures.root(failure));
-		this.timers.schedule(retryDelay(), this::list);
 	}
 
 	/**
@@ -189,4 +245,250 @@
 		return Duration.ofMillis(Math.min(400, 50L << Math.min(3, this.failures - 1)));
 	}
 
+	// -- doubt
+
+	/**
+	 * Called when a peer has received a change of the collection. Lists the collection if
+	 * the watch does not deliver the change soon.
+	 * @param version the version of the change
+	 */
+	public void expectVersion(long version) {
+		if (version > this.expectedVersion && version > this.seenVersion) {
+			this.expectedVersion = version;
+			expectChange(() -> this.seenVersion >= version);
+		}
+	}
+
+	/**
+	 * Called when a change of the collection is known from elsewhere. Lists the
+	 * collection if the watch does not deliver the change soon.
+	 * @param received returns whether the change has been delivered
+	 */
+	public void expectChange(BooleanSupplier received) {
+		if (!received.getAsBoolean()) {
+			Duration spread = Duration.ofNanos(this.random.nextLong(MAX_SPREAD.toNanos()));
+			this.timers.schedule(MAX_DELIVERY_LAG.plus(spread), () -> checkDelivery(received));
+		}
+	}
+
+	private void checkDelivery(BooleanSupplier received) {
+		if (this.stopped || received.getAsBoolean()) {
+			return;
+		}
+		long openedBefore = this.ticker.nanos() - MAX_DELIVERY_LAG.toNanos();
+		if (this.listing.isPresent() || !openSince(openedBefore)) {
+			expectChange(received);
+			return;
+		}
+		LOG.warning("watch_in_doubt", "feed", this.feed.name(), "reason", "change_overdue", "version",
+				this.seenVersion);
+		list(Duration.ZERO);
+	}
+
+	private void onUnanswered(long owedSinceNanos) {
+		if (!this.stopped && this.listing.isEmpty() && openSince(owedSinceNanos)) {
+			LOG.warning("watch_in_doubt", "feed", this.feed.name(), "reason", "call_unanswered", "version",
+					this.seenVersion);
+			list(Duration.ZERO);
+		}
+	}
+
+	private boolean openSince(long nanos) {
+		return this.openWatch.filter((watch) -> watch.openedNanos - nanos <= 0).isPresent();
+	}
+
+	/**
+	 * Lists the collection until the listing is answered, or a watch that is open
+	 * meanwhile.
+	 */
+	private final class Listing {
+
+		void start() {
+			if (FeedFollower.this.stopped || !isCurrent()) {
+				return;
+			}
+			FeedFollower.this.feed.list().whenCompleteAsync((all, failure) -> {
+				if (!isCurrent()) {
+					return;
+				}
+				if (failure == null) {
+					listed(all);
+					return;
+				}
+				FeedFollower.this.health.recordFailure();
+				interrupted(failure);
+				FeedFollower.this.timers.schedule(retryDelay(), this::start);
+			}, FeedFollower.this.loop);
+		}
+
+		private boolean isCurrent() {
+			return FeedFollower.this.listing.filter((current) -> current == this).isPresent();
+		}
+
+	}
+
+	/**
+	 * One call that waits for changes.
+	 */
+	private final class Watch {
+
+		private final long version;
+
+		private final long openedNanos = FeedFollower.this.ticker.nanos();
+
+		private Optional<CompletableFuture<?>> call = Optional.empty();
+
+		Watch(long version) {
+			this.version = version;
+		}
+
+		void start() {
+			CompletableFuture<Optional<Changes<T>>> changes = FeedFollower.this.feed.changes(this.version,
+					FeedFollower.this.maxWait);
+			this.call = Optional.of(changes);
+			changes.whenCompleteAsync(this::completed, FeedFollower.this.loop);
+		}
+
+		private void completed(Optional<Changes<T>> changes, Throwable failure) {
+			if (FeedFollower.this.openWatch.filter((current) -> current == this).isEmpty()) {
+				return;
+			}
+			FeedFollower.this.openWatch = Optional.empty();
+			if (failure != null) {
+				FeedFollower.this.health.recordFailure();
+				interrupted(failure);
+				list(retryDelay());
+			}
+			else if (changes.isEmpty()) {
+				onSuccess();
+				LOG.info("feed_history_lost", "feed", FeedFollower.this.feed.name(), "version", this.version);
+				list(Duration.ZERO);
+			}
+			else {
+				changed(changes.get());
+			}
+		}
+
+		void cancel() {
+			FeedFollower.this.openWatch = Optional.empty();
+			this.call.ifPresent((open) -> open.cancel(false));
+		}
+
+	}
+
+	/**
+	 * Builds a follower.
+	 *
+	 * @param <T> the type of the entries
+	 */
+	public static final class Builder<T> {
+
+		private final Feed<T> feed;
+
+		private final FeedListener<T> listener;
+
+		private Ticker ticker;
+
+		private Timers timers;
+
+		private Executor loop;
+
+		private RandomGenerator random;
+
+		private Duration maxWait;
+
+		private StoreHealth health;
+
+		private Supplier<Duration> coalescingDelay = () -> Duration.ZERO;
+
+		private Builder(Feed<T> feed, FeedListener<T> listener) {
+			this.feed = Objects.requireNonNull(feed, "feed is null");
+			this.listener = Objects.requireNonNull(listener, "listener is null");
+		}
+
+		/**
+		 * Sets the monotonic clock.
+		 * @param clock the clock
+		 * @return this builder
+		 */
+		public Builder<T> ticker(Ticker clock) {
+			this.ticker = clock;
+			return this;
+		}
+
+		/**
+		 * Sets what runs tasks later, on the event loop.
+		 * @param scheduler the timers
+		 * @return this builder
+		 */
+		public Builder<T> timers(Timers scheduler) {
+			this.timers = scheduler;
+			return this;
+		}
+
+		/**
+		 * Sets the event loop.
+		 * @param executor the event loop
+		 * @return this builder
+		 */
+		public Builder<T> loop(Executor executor) {
+			this.loop = executor;
+			return this;
+		}
+
+		/**
+		 * Sets the source of the random delays.
+		 * @param generator the source
+		 * @return this builder
+		 */
+		public Builder<T> random(RandomGenerator generator) {
+			this.random = generator;
+			return this;
+		}
+
+		/**
+		 * Sets how long one call waits for changes.
+		 * @param duration the duration
+		 * @return this builder
+		 */
+		public Builder<T> maxWait(Duration duration) {
+			this.maxWait = duration;
+			return this;
+		}
+
+		/**
+		 * Sets what records whether the platform answers.
+		 * @param record the record
+		 * @return this builder
+		 */
+		public Builder<T> health(StoreHealth record) {
+			this.health = record;
+			return this;
+		}
+
+		/**
+		 * Sets the delay between received changes and the next poll, so that one call
+		 * fetches all changes of that time.
+		 * @param delay returns the delay, zero for none
+		 * @return this builder
+		 */
+		public Builder<T> coalescingDelay(Supplier<Duration> delay) {
+			this.coalescingDelay = delay;
+			return this;
+		}
+
+		/**
+		 * Starts to follow the collection.
+		 * @return the follower
+		 * @throws NullPointerException if a part is not set
+		 */
+		public FeedFollower<T> start() {
+			FeedFollower<T> follower = new FeedFollower<>(this);
+			this.health.onUnanswered(follower::onUnanswered);
+			this.loop.execute(() -> follower.list(Duration.ZERO));
+			return follower;
+		}
+
+	}
+
 }
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/feed/StoreHealth.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/feed/StoreHealth.java
@@ -1,8 +1,11 @@
 package org.ragworthook.gateway.feed;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Objects;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongConsumer;
 
 import org.ragworthook.core.log.EventLog;
 import org.ragworthook.core.time.Ticker;
@@ -14,12 +17,17 @@
 
 	private static final EventLog LOG = EventLog.of(StoreHealth.class);
 
+	/** How soon after an outage the platform lists all live entries again. */
+	static final Duration SETTLING_TIME = Duration.ofMillis(2_000);
+
 	private final Ticker ticker;
 
 	private final AtomicLong downSinceNanos = new AtomicLong();
 
 	private final AtomicLong upSinceNanos = new AtomicLong();
 
+	private final List<LongConsumer> listeners = new CopyOnWriteArrayList<>();
+
 	private volatile boolean up = true;
 
 	private StoreHealth(Ticker ticker) {
@@ -37,18 +45,29 @@
 	}
 
 	/**
-	 * Called when the store has answered.
+	 * Adds a listener for calls that got no response within their time limit. The
+	 * response to a watch that was open at that time may be lost as well.
+	 * @param listener called with the time since which the store has owed the response,
+	 * by the monotonic clock in nanoseconds
+	 */
+	public void onUnanswered(LongConsumer listener) {
+		this.listeners.add(Objects.requireNonNull(listener, "listener is null"));
+	}
+
+	/**
+	 * Called when the store has answered a listing or a watch.
 	 */
 	public void recordSuccess() {
+		long now = this.ticker.nanos();
 		if (!this.up) {
 			this.up = true;
-			this.upSinceNanos.set(this.ticker.nanos());
-			LOG.info("store_regained", "after_ms", (this.ticker.nanos() - this.downSinceNanos.get()) / 1_000_000);
+			this.upSinceNanos.set(now);
+			LOG.info("store_regained", "after_ms", (now - this.downSinceNanos.get()) / 1_000_000);
 		}
 	}
 
 	/**
-	 * Called when the store has not answered.
+	 * Called when the store has not answered a listing or a watch.
 	 */
 	public void recordFailure() {
 		if (this.up) {
@@ -58,6 +77,17 @@
 		}
 	}
 
+	/**
+	 * Called when a call of any kind got no response within its time limit. The store may
+	 * have been away until now, so it counts as up from now at the earliest.
+	 * @param owedSinceNanos since when the store has owed the response, by the monotonic
+	 * clock
+	 */
+	public void recordUnanswered(long owedSinceNanos) {
+		this.upSinceNanos.set(this.ticker.nanos());
+		this.listeners.forEach((listener) -> listener.accept(owedSinceNanos));
+	}
+
 	/**
 	 * Returns whether the store answered the last call.
 	 * @return whether it is up
@@ -75,11 +105,21 @@
 	}
 
 	/**
-	 * Returns for how long the store has answered without a failure.
+	 * Returns for how long the store has answered without an outage.
 	 * @return the duration, zero while it is down
 	 */
 	public Duration upFor() {
 		return this.up ? Duration.ofNanos(this.ticker.nanos() - this.upSinceNanos.get()) : Duration.ZERO;
 	}
 
+	/**
+	 * Returns how long it takes until entries that expired during an outage are listed
+	 * again, if the store stays up.
+	 * @return the duration, zero if all live entries are listed
+	 */
+	public Duration untilSettled() {
+		Duration left = SETTLING_TIME.minus(upFor());
+		return left.isNegative() ? Duration.ZERO : left;
+	}
+
 }
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/feed/UpstreamFeedListener.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/feed/UpstreamFeedListener.java
@@ -24,9 +24,6 @@
 
 	private static final EventLog LOG = EventLog.of(UpstreamFeedListener.class);
 
-	/** How soon after an outage the platform lists all live upstreams again. */
-	private static final Duration RELISTING_TIME = Duration.ofMillis(2_000);
-
 	private final UpstreamRegistry registry;
 
 	private final StoreHealth health;
@@ -95,14 +92,14 @@
 	}
 
 	private void onMissing(String id) {
-		Duration upFor = this.health.upFor();
-		if (upFor.compareTo(RELISTING_TIME) >= 0) {
+		Duration wait = this.health.untilSettled();
+		if (wait.isZero()) {
 			this.registry.remove(id, "not_listed");
 			return;
 		}
 		if (this.missing.add(id)) {
-			Duration wait = RELISTING_TIME.minus(upFor);
-			LOG.info("upstream_missing", "upstream", id, "store_up_ms", upFor.toMillis(), "kept_ms", wait.toMillis());
+			LOG.info("upstream_missing", "upstream", id, "store_up_ms", this.health.upFor().toMillis(), "kept_ms",
+					wait.toMillis());
 			this.timers.schedule(wait, () -> recheck(id));
 		}
 	}
@@ -111,7 +108,7 @@
 		if (!this.missing.remove(id)) {
 			return;
 		}
-		if (this.health.up() && this.health.upFor().compareTo(RELISTING_TIME) >= 0) {
+		if (this.health.untilSettled().isZero()) {
 			this.registry.remove(id, "not_listed_after_outage");
 		}
 		else {
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/http/PooledHttpClient.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/http/PooledHttpClient.java
@@ -47,10 +47,16 @@
 	 * @param address the server's address
 	 * @param request the request, which is released by this method
 	 * @param timeout the time limit for the response, including the time to connect
-	 * @return the response; fails with a {@link SendException}
+	 * @return the response; fails with a {@link SendException}; if it is cancelled, the
+	 * call ends and its connection is closed
 	 */
 	public CompletableFuture<BufferedResponse> call(Address address, FullHttpRequest request, Duration timeout) {
 		Call call = new Call(address, request, timeout);
+		call.result.whenComplete((response, failure) -> {
+			if (call.result.isCancelled()) {
+				this.pool.loop().execute(call::cancelled);
+			}
+		});
 		this.pool.loop().execute(call::start);
 		return call.result;
 	}
@@ -109,7 +115,14 @@
 			if (this.connection != null) {
 				this.connection.close();
 			}
-			failed((this.connection != null) ? SendFailure.BROKEN : SendFailure.NOT_SENT);
+			failed((this.connection != null) ? SendFailure.TIMED_OUT : SendFailure.NOT_SENT);
+		}
+
+		private void cancelled() {
+			this.timer.cancel(false);
+			if (this.connection != null) {
+				this.connection.close();
+			}
 		}
 
 		@Override
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/http/SendFailure.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/http/SendFailure.java
@@ -11,6 +11,12 @@
 	/** The connection was lost after the request was sent; it may have been executed. */
 	BROKEN,
 
+	/**
+	 * The request was sent and no complete response was received within the time limit;
+	 * it may have been executed.
+	 */
+	TIMED_OUT,
+
 	/**
 	 * The request was sent and malformed or unexpected bytes were received; it may have
 	 * been executed.
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
@@ -148,6 +148,16 @@
 		schedule();
 	}
 
+	/**
+	 * Returns whether a change of a job has arrived here.
+	 * @param jobId the job's id
+	 * @param ended whether its caller has ended it; otherwise it was accepted
+	 * @return whether the job is known, and known to be ended if it was
+	 */
+	public boolean knows(String jobId, boolean ended) {
+		return Optional.ofNullable(this.jobs.get(jobId)).filter((job) -> !ended || job.job().ended()).isPresent();
+	}
+
 	/**
 	 * Stops all runs, publishes the results of finished items and saves the progress of
 	 * the others.
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/peer/JobChangeReports.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/peer/JobChangeReports.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
-import java.util.function.Consumer;
 
 import org.ragworthook.core.time.Ticker;
 import org.ragworthook.wire.load.ChangedJob;
@@ -46,7 +45,7 @@
 	/** The received changes, oldest first. */
 	private final Set<ChangedJob> received = new LinkedHashSet<>();
 
-	private Consumer<String> listener = (jobId) -> {
+	private Listener listener = (jobId, ended) -> {
 	};
 
 	JobChangeReports(Ticker ticker, Runnable flush) {
@@ -69,9 +68,9 @@
 	/**
 	 * Sets the listener for jobs that other processes have changed. It is called once for
 	 * each change.
-	 * @param reader called with the job's id, on the event loop
+	 * @param reader called on the event loop
 	 */
-	public void onChange(Consumer<String> reader) {
+	public void onChange(Listener reader) {
 		this.listener = Objects.requireNonNull(reader, "reader is null");
 	}
 
@@ -103,7 +102,7 @@
 	public void read(LoadReport report) {
 		for (ChangedJob job : report.getChangedJobsList()) {
 			if (this.received.add(job)) {
-				this.listener.accept(job.getJob());
+				this.listener.changed(job.getJob(), job.getEnded());
 			}
 		}
 		var oldest = this.received.iterator();
@@ -113,4 +112,19 @@
 		}
 	}
 
+	/**
+	 * Receives the jobs that other processes have changed.
+	 */
+	@FunctionalInterface
+	public interface Listener {
+
+		/**
+		 * Called when the store has a change of a job.
+		 * @param jobId the job's id
+		 * @param ended whether the job was ended rather than accepted
+		 */
+		void changed(String jobId, boolean ended);
+
+	}
+
 }
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
@@ -58,6 +58,7 @@
 import org.ragworthook.gateway.online.FrontendFactory;
 import org.ragworthook.gateway.online.OnlineContext;
 import org.ragworthook.gateway.online.StopSchedule;
+import org.ragworthook.gateway.peer.FeedVersionReports;
 import org.ragworthook.gateway.peer.LeaseReports;
 import org.ragworthook.gateway.peer.LoadExchange;
 import org.ragworthook.gateway.peer.PeerDirectory;
@@ -148,6 +149,8 @@
 
 	private final List<FeedFollower<?>> followers = new CopyOnWriteArrayList<>();
 
+	private final FeedVersionReports feedVersions;
+
 	private Optional<Frontend> frontend = Optional.empty();
 
 	private Optional<JobRunner> runner = Optional.empty();
@@ -165,7 +168,8 @@
 		this.loop = ((ContextInternal) this.vertx.getOrCreateContext()).nettyEventLoop();
 		this.timers = new EventLoopTimers(this.loop);
 		this.servers = new ServerStarter(this.vertx, this.timers, () -> this.leaving);
-		this.platform = adapter.apply(new PlatformContext(this.loop, this.ticker, this.timers, this.metrics));
+		this.platform = adapter
+			.apply(new PlatformContext(this.loop, this.ticker, this.timers, this.metrics, this.health));
 		this.writer = ConditionalWriter.of(this.platform.store(), Stamps
 			.of(settings.instance() + "-" + this.startedMillis + "-" + ThreadLocalRandom.current().nextInt()));
 		this.jobs = JobStore.of(this.platform.store(), this.writer);
@@ -178,6 +182,7 @@
 		PressureReports.attach(this.peers.exchange(), this.pressure);
 		PoisonPartReports.attach(this.peers.exchange(), this.poisonParts, this.ticker);
 		SpeedReports.attach(this.peers.exchange(), this.observed, this.ticker);
+		this.feedVersions = FeedVersionReports.attach(this.peers.exchange(), this.health, this.ticker);
 		this.lease = settings.bounds().maxRevocationDelay().map(this::lease);
 		this.accessControl = AccessControl.of(this::accounts, this.lease);
 		this.upstreamFeed = UpstreamFeedListener.of(this.upstreams, this.health, this.timers);
@@ -274,9 +279,17 @@
 	}
 
 	private <T> FeedFollower<T> follow(Feed<T> feed, FeedListener<T> listener, Supplier<Duration> coalescingDelay) {
-		FeedFollower<T> follower = FeedFollower.start(feed, listener, this.timers, this.loop,
-				this.settings.bounds().watchTimeout(), this.health, coalescingDelay);
+		FeedFollower<T> follower = FeedFollower.builder(feed, listener)
+			.ticker(this.ticker)
+			.timers(this.timers)
+			.loop(this.loop)
+			.random(ThreadLocalRandom.current())
+			.maxWait(this.settings.bounds().watchTimeout())
+			.health(this.health)
+			.coalescingDelay(coalescingDelay)
+			.start();
 		this.followers.add(follower);
+		this.feedVersions.add(follower);
 		return follower;
 	}
 
@@ -388,9 +401,10 @@
 	private void followJobs(JobRunner jobRunner, JobOwners owners) {
 		FeedFollower<Job> follower = follow(this.platform.jobs(), new JobListener(jobRunner),
 				() -> CoalescingDelay.forJobs(this.peers.fleet().liveRunners().size()));
-		this.peers.jobChanges().onChange((jobId) -> {
+		this.peers.jobChanges().onChange((jobId, ended) -> {
 			if (owners.ownedHere(jobId)) {
 				follower.pollNow();
+				follower.expectChange(() -> jobRunner.knows(jobId, ended));
 			}
 		});
 	}
@@ -512,8 +526,10 @@
 	 * @param ticker the monotonic clock
 	 * @param timers schedules tasks on the event loop
 	 * @param metrics counts the adapter's calls of the store
+	 * @param storeHealth records the adapter's calls of the store that get no response
 	 */
-	public record PlatformContext(EventLoop loop, Ticker ticker, Timers timers, GatewayMetrics metrics) {
+	public record PlatformContext(EventLoop loop, Ticker ticker, Timers timers, GatewayMetrics metrics,
+			StoreHealth storeHealth) {
 	}
 
 	private final class ConfigurationListener implements FeedListener<Configuration> {
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/feed/FeedFollowerTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/feed/FeedFollowerTests.java
@@ -3,7 +3,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
@@ -30,6 +32,10 @@
 
 	private final List<String> delivered = new ArrayList<>();
 
+	private int listings;
+
+	private final StoreHealth health = StoreHealth.of(this.time);
+
 	/**
 	 * All upstreams of a fleet register within three seconds of a common start, and every
 	 * process watches them. Without a delay each registration is a call by each process:
@@ -129,19 +135,151 @@
 		assertThat(this.delivered).containsExactly("good");
 	}
 
+	/**
+	 * Guards against changes that are missed for as long as a watch may wait, because its
+	 * response is lost and its connection stays open.
+	 */
+	@Test
+	void shouldListAgainOnceACallOfAnotherKindIsUnanswered() {
+		this.collection.listsContent = true;
+		follow(1);
+		loseChange("a");
+		this.time.advance(Duration.ofMillis(1_500));
+		this.health.recordUnanswered(0);
+		assertThat(this.delivered).containsExactly("a");
+		this.collection.change("b");
+		assertThat(this.delivered).containsExactly("a", "b").inOrder();
+	}
+
+	/**
+	 * Guards against further listings for calls that were sent before the collection was
+	 * listed anew.
+	 */
+	@Test
+	void shouldListOnceForAllCallsThatWereSentBefore() {
+		follow(1);
+		this.time.advance(Duration.ofMillis(1_500));
+		int callsBefore = this.collection.calls;
+		for (int sentMillis = 0; sentMillis < 100; sentMillis += 10) {
+			this.health.recordUnanswered(Duration.ofMillis(sentMillis).toNanos());
+			this.time.advance(Duration.ofMillis(10));
+		}
+		assertThat(this.collection.calls - callsBefore).isEqualTo(2);
+	}
+
+	/**
+	 * Guards against an entry without other calls to the store that applies an old
+	 * configuration although its peers have received the new one.
+	 */
+	@Test
+	void shouldListAgainIfAPeerHasReceivedAnOverdueChange() {
+		this.collection.listsContent = true;
+		FeedFollower<String> follower = follow(1);
+		loseChange("a");
+		follower.expectVersion(1);
+		this.time.advance(FeedFollower.MAX_DELIVERY_LAG.plus(FeedFollower.MAX_SPREAD));
+		assertThat(this.delivered).containsExactly("a");
+		assertThat(follower.newestChange()).isEqualTo(1);
+	}
+
+	/**
+	 * Guards against a job that goes on after its caller has ended it, since the owner's
+	 * watch is lost.
+	 */
+	@Test
+	void shouldListAgainIfAnAnnouncedChangeIsOverdue() {
+		this.collection.listsContent = true;
+		FeedFollower<String> follower = follow(1);
+		loseChange("ended");
+		follower.expectChange(() -> this.delivered.contains("ended"));
+		this.time.advance(FeedFollower.MAX_DELIVERY_LAG.plus(FeedFollower.MAX_SPREAD));
+		assertThat(this.delivered).containsExactly("ended");
+	}
+
+	/**
+	 * Guards against additional calls to the store while all watches deliver, also during
+	 * a coalescing delay, and for a change that never comes.
+	 */
+	@Test
+	void shouldMakeNoFurtherCallsWhileTheWatchDelivers() {
+		this.collection.listsContent = true;
+		FeedFollower<String> follower = follow(300);
+		int callsBefore = this.collection.calls;
+		for (int version = 1; version <= 20; version++) {
+			follower.expectVersion(version);
+			this.collection.change("c" + version);
+			follower.expectVersion(version);
+			this.time.advance(Duration.ofSeconds(2));
+		}
+		assertThat(this.delivered).hasSize(20);
+		assertThat(this.collection.calls - callsBefore).isEqualTo(20);
+		follower.expectChange(() -> false);
+		this.time.advance(Duration.ofMinutes(1));
+		assertThat(this.collection.calls - callsBefore).isEqualTo(22);
+	}
+
+	/**
+	 * Guards against an older state that a late listing brings back after the watch has
+	 * delivered a newer one.
+	 */
+	@Test
+	void shouldDropAListingThatTheWatchHasOvertaken() {
+		CompletableFuture<Changes<String>> late = new CompletableFuture<>();
+		follow(1);
+		this.collection.listing = Optional.of(late);
+		this.health.recordUnanswered(0);
+		Changes<String> old = this.collection.content();
+		this.collection.change("a");
+		late.complete(old);
+		assertThat(this.delivered).containsExactly("a");
+		assertThat(this.listings).isEqualTo(1);
+		this.collection.change("b");
+		assertThat(this.delivered).containsExactly("a", "b").inOrder();
+	}
+
+	/**
+	 * Guards against a watch that works and is given up while the store answers no
+	 * listing.
+	 */
+	@Test
+	void shouldUseTheOpenWatchWhileListingsFail() {
+		follow(1);
+		this.collection.listing = Optional.of(CompletableFuture.failedFuture(new IllegalStateException("no answer")));
+		this.health.recordUnanswered(0);
+		this.time.advance(Duration.ofSeconds(1));
+		assertThat(this.health.up()).isFalse();
+		this.collection.change("a");
+		assertThat(this.delivered).containsExactly("a");
+		assertThat(this.health.up()).isTrue();
+	}
+
+	private void loseChange(String name) {
+		this.collection.loseWatch();
+		this.collection.change(name);
+		assertThat(this.delivered).isEmpty();
+	}
+
 	private FeedFollower<String> follow(int processes) {
 		return follow(() -> DELAY.forProcesses(processes));
 	}
 
 	private FeedFollower<String> follow(Supplier<Duration> coalescingDelay) {
-		return FeedFollower.start(this.collection, new Listener(), this.time, Runnable::run, WAIT,
-				StoreHealth.of(this.time), coalescingDelay);
+		return FeedFollower.builder(this.collection, new Listener())
+			.ticker(this.time)
+			.timers(this.time)
+			.loop(Runnable::run)
+			.random(new Random(7))
+			.maxWait(WAIT)
+			.health(this.health)
+			.coalescingDelay(coalescingDelay)
+			.start();
 	}
 
 	private final class Listener implements FeedListener<String> {
 
 		@Override
 		public void listed(List<Change<String>> all) {
+			FeedFollowerTests.this.listings++;
 			all.forEach(this::changed);
 		}
 
@@ -168,6 +306,12 @@
 
 		private int calls;
 
+		/** Whether a listing returns the content; otherwise changes arrive by watch. */
+		private boolean listsContent;
+
+		/** The answer to listings, instead of one at once. */
+		private Optional<CompletableFuture<Changes<String>>> listing = Optional.empty();
+
 		void change(String name) {
 			this.changes.put(this.changes.size() + 1L, name);
 			answer();
@@ -178,9 +322,9 @@
 				return;
 			}
 			List<Change<String>> newer = this.changes.tailMap(this.pendingAfter, false)
-				.values()
+				.entrySet()
 				.stream()
-				.map((name) -> new Change<>(name, Optional.of(name)))
+				.map(Collection::change)
 				.toList();
 			CompletableFuture<Optional<Changes<String>>> poll = this.pendingPoll;
 			this.pendingPoll = null;
@@ -192,10 +336,31 @@
 			return "names";
 		}
 
+		private static Change<String> change(Map.Entry<Long, String> change) {
+			return new Change<>(change.getValue(), Optional.of(change.getValue()), change.getKey());
+		}
+
+		/**
+		 * Loses the response to the watch that is waiting.
+		 */
+		void loseWatch() {
+			this.pendingPoll = null;
+		}
+
+		/**
+		 * Returns the content as it is now, for an answer that arrives later.
+		 * @return the content
+		 */
+		Changes<String> content() {
+			long version = this.changes.isEmpty() ? 0 : this.changes.lastKey();
+			return new Changes<>(this.changes.entrySet().stream().map(Collection::change).toList(), version);
+		}
+
 		@Override
 		public CompletableFuture<Changes<String>> list() {
 			this.calls++;
-			return CompletableFuture.completedFuture(new Changes<>(List.of(), 0));
+			return this.listing.orElseGet(() -> CompletableFuture
+				.completedFuture(this.listsContent ? content() : new Changes<>(List.of(), 0)));
 		}
 
 		@Override
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/feed/UpstreamFeedListenerTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/feed/UpstreamFeedListenerTests.java
@@ -34,11 +34,11 @@
 
 	private static Change<UpstreamDescriptor> change(String id, boolean draining) {
 		return new Change<>(id, Optional.of(new UpstreamDescriptor(id, "svc", new Address("10.0.0.1", 80), "z", 8,
-				draining, SoftwareVersion.of("v1"))));
+				draining, SoftwareVersion.of("v1"))), 1);
 	}
 
 	private static Change<UpstreamDescriptor> removed(String id) {
-		return new Change<>(id, Optional.empty());
+		return new Change<>(id, Optional.empty(), 2);
 	}
 
 	private int serving() {
@@ -95,6 +95,23 @@
 		assertThat(serving()).isEqualTo(0);
 	}
 
+	/**
+	 * Guards against dropping live upstreams whose entries expired during an outage that
+	 * this process has noticed only by one unanswered call.
+	 */
+	@Test
+	void shouldKeepLapsedEntriesAfterAnUnansweredCall() {
+		this.time.advance(Duration.ofSeconds(10));
+		this.health.recordUnanswered(this.time.nanos() - Duration.ofMillis(1_500).toNanos());
+		this.health.recordSuccess();
+		this.listener.listed(List.of());
+		this.time.advance(Duration.ofMillis(1_900));
+		assertThat(serving()).isEqualTo(2);
+		this.listener.changed(change("a", false));
+		this.time.advance(Duration.ofMillis(200));
+		assertThat(this.registry.ids()).containsExactly("a");
+	}
+
 	/**
 	 * An entry that cannot be parsed names no upstream.
 	 */
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/job/ProgressSaverTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/job/ProgressSaverTests.java
@@ -285,8 +285,8 @@
 		public CompletableFuture<Changes<List<ItemProgress>>> list() {
 			this.listings++;
 			List<Change<List<ItemProgress>>> all = new ArrayList<>();
-			this.objects.forEach(
-					(key, stored) -> all.add(new Change<>(key.name(), Optional.of(ProgressStore.progress(stored)))));
+			this.objects.forEach((key, stored) -> all
+				.add(new Change<>(key.name(), Optional.of(ProgressStore.progress(stored)), stored.version())));
 			return CompletableFuture.completedFuture(new Changes<>(all, this.version));
 		}
 
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/peer/JobChangeReportsTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/peer/JobChangeReportsTests.java
@@ -38,7 +38,7 @@
 		JobChangeReports owner = new JobChangeReports(this.time, () -> {
 		});
 		List<String> changes = new ArrayList<>();
-		owner.onChange(changes::add);
+		owner.onChange((job, ended) -> changes.add(job + " " + ended));
 		this.entry.changed("job", false);
 		assertThat(this.flushes.get()).isEqualTo(1);
 		for (int round = 0; round < 3; round++) {
@@ -48,7 +48,7 @@
 		}
 		this.entry.changed("job", true);
 		owner.read(report());
-		assertThat(changes).containsExactly("job", "job");
+		assertThat(changes).containsExactly("job false", "job true").inOrder();
 	}
 
 	@Test
--- a/modules/wire/src/main/java/org/ragworthook/wire/load/Load.java
+++ b/modules/wire/src/main/java/org/ragworthook/wire/load/Load.java
@@ -31,6 +31,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_ragworthook_LoadReport_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ragworthook_FeedVersion_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ragworthook_FeedVersion_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_ragworthook_AccountLoad_descriptor;
   static final 
@@ -110,7 +115,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\nload.proto\022\013ragworthook\"\217\010\n\nLoadReport" +
+      "\n\nload.proto\022\013ragworthook\"\300\010\n\nLoadReport" +
       "\022\020\n\010instance\030\001 \001(\t\022\026\n\016started_millis\030\002 \001" +
       "(\004\022\020\n\010sequence\030\003 \001(\004\022\014\n\004host\030\004 \001(\t\022\014\n\004po" +
       "rt\030\005 \001(\r\022\021\n\truns_jobs\030\006 \001(\010\022\017\n\007leaving\030\007" +
@@ -136,43 +141,45 @@
       "loads\030\034 \003(\0132\030.ragworthook.AccountLoad\0220\n" +
       "\016other_accounts\030\035 \001(\0132\030.ragworthook.Acco" +
       "untLoad\022\025\n\rbehind_millis\030\036 \001(\r\022\022\n\nsheds_" +
-      "jobs\030\037 \001(\010B\017\n\r_clock_micros\"N\n\013AccountLo" +
-      "ad\022\017\n\007account\030\001 \001(\007\022\016\n\006online\030\002 \001(\r\022\r\n\005b" +
-      "atch\030\003 \001(\r\022\017\n\007waiting\030\004 \001(\r\"\275\001\n\013SuspectP" +
-      "art\022\014\n\004part\030\001 \001(\006\022\021\n\tupstreams\030\002 \003(\007\022\023\n\013" +
-      "ages_millis\030\003 \003(\r\022\037\n\022success_age_millis\030" +
-      "\004 \001(\rH\000\210\001\001\022\020\n\010position\030\005 \001(\r\022\022\n\ncompanio" +
-      "ns\030\006 \003(\006\022\032\n\022companions_omitted\030\007 \001(\010B\025\n\023" +
-      "_success_age_millis\"U\n\021StreamOriginEntry" +
-      "\022\017\n\007request\030\001 \001(\t\022\r\n\005known\030\002 \001(\010\022\017\n\007serv" +
-      "ice\030\003 \001(\t\022\017\n\007version\030\004 \001(\t\"K\n\014Confirmati" +
-      "on\022\020\n\010instance\030\001 \001(\007\022\026\n\016started_millis\030\002" +
-      " \001(\004\022\021\n\tat_micros\030\003 \001(\022\"<\n\014AccountUsage\022" +
-      "\017\n\007account\030\001 \001(\007\022\014\n\004sent\030\002 \001(\004\022\r\n\005level\030" +
-      "\003 \001(\021\"(\n\nChangedJob\022\013\n\003job\030\001 \001(\t\022\r\n\005ende" +
-      "d\030\002 \001(\010\"G\n\nJobListing\022\013\n\003job\030\001 \001(\t\022\r\n\005it" +
-      "ems\030\002 \001(\r\022\020\n\010segments\030\003 \001(\r\022\013\n\003all\030\004 \001(\010" +
-      "\"\202\002\n\007SlotAsk\022\016\n\006number\030\001 \001(\004\022\017\n\007service\030" +
-      "\002 \001(\t\022\026\n\016failure_domain\030\003 \001(\t\022\016\n\006except\030" +
-      "\004 \003(\007\022\023\n\013goal_millis\030\005 \001(\021\022\017\n\007request\030\006 " +
-      "\001(\t\022\'\n\006prompt\030\007 \003(\0132\027.ragworthook.Shared" +
-      "Part\022\024\n\007account\030\010 \001(\007H\000\210\001\001\022\020\n\010priority\030\t" +
-      " \001(\021\022\016\n\006weight\030\n \001(\r\022\033\n\023retry_within_mil" +
-      "lis\030\013 \001(\rB\n\n\010_account\"*\n\nSharedPart\022\014\n\004h" +
-      "ash\030\001 \001(\007\022\016\n\006tokens\030\002 \001(\r\"\211\001\n\nSlotAnswer" +
-      "\022\016\n\006number\030\001 \001(\004\022\r\n\005waits\030\002 \001(\010\022\020\n\010upstr" +
-      "eam\030\003 \001(\007\022\016\n\006yields\030\004 \001(\010\022\r\n\005grant\030\005 \001(\004" +
-      "\022\017\n\007refused\030\006 \001(\010\022\032\n\022retry_after_millis\030" +
-      "\007 \001(\r\"G\n\013HeardRunner\022\020\n\010instance\030\001 \001(\t\022\022" +
-      "\n\nstore_lost\030\002 \001(\010\022\022\n\nsheds_jobs\030\003 \001(\010\"-" +
-      "\n\014RouteBacklog\022\r\n\005route\030\001 \001(\007\022\016\n\006tokens\030" +
-      "\002 \001(\004\"\237\001\n\014UpstreamLoad\022\020\n\010upstream\030\001 \001(\007" +
-      "\022\016\n\006online\030\002 \001(\r\022\r\n\005batch\030\003 \001(\r\022\022\n\ngap_m" +
-      "icros\030\004 \001(\r\022\032\n\022first_event_micros\030\005 \001(\r\022" +
-      "\017\n\007samples\030\006 \001(\r\022\016\n\006tokens\030\007 \001(\004\022\r\n\005byte" +
-      "s\030\010 \001(\004\"5\n\016SuspectRequest\022\023\n\013fingerprint" +
-      "\030\001 \001(\006\022\016\n\006breaks\030\002 \001(\rB\035\n\031org.ragworthoo" +
-      "k.wire.loadP\001b\006proto3"
+      "jobs\030\037 \001(\010\022/\n\rfeed_versions\030  \003(\0132\030.ragw" +
+      "orthook.FeedVersionB\017\n\r_clock_micros\",\n\013" +
+      "FeedVersion\022\014\n\004feed\030\001 \001(\t\022\017\n\007version\030\002 \001" +
+      "(\004\"N\n\013AccountLoad\022\017\n\007account\030\001 \001(\007\022\016\n\006on" +
+      "line\030\002 \001(\r\022\r\n\005batch\030\003 \001(\r\022\017\n\007waiting\030\004 \001" +
+      "(\r\"\275\001\n\013SuspectPart\022\014\n\004part\030\001 \001(\006\022\021\n\tupst" +
+      "reams\030\002 \003(\007\022\023\n\013ages_millis\030\003 \003(\r\022\037\n\022succ" +
+      "ess_age_millis\030\004 \001(\rH\000\210\001\001\022\020\n\010position\030\005 " +
+      "\001(\r\022\022\n\ncompanions\030\006 \003(\006\022\032\n\022companions_om" +
+      "itted\030\007 \001(\010B\025\n\023_success_age_millis\"U\n\021St" +
+      "reamOriginEntry\022\017\n\007request\030\001 \001(\t\022\r\n\005know" +
+      "n\030\002 \001(\010\022\017\n\007service\030\003 \001(\t\022\017\n\007version\030\004 \001(" +
+      "\t\"K\n\014Confirmation\022\020\n\010instance\030\001 \001(\007\022\026\n\016s" +
+      "tarted_millis\030\002 \001(\004\022\021\n\tat_micros\030\003 \001(\022\"<" +
+      "\n\014AccountUsage\022\017\n\007account\030\001 \001(\007\022\014\n\004sent\030" +
+      "\002 \001(\004\022\r\n\005level\030\003 \001(\021\"(\n\nChangedJob\022\013\n\003jo" +
+      "b\030\001 \001(\t\022\r\n\005ended\030\002 \001(\010\"G\n\nJobListing\022\013\n\003" +
+      "job\030\001 \001(\t\022\r\n\005items\030\002 \001(\r\022\020\n\010segments\030\003 \001" +
+      "(\r\022\013\n\003all\030\004 \001(\010\"\202\002\n\007SlotAsk\022\016\n\006number\030\001 " +
+      "\001(\004\022\017\n\007service\030\002 \001(\t\022\026\n\016failure_domain\030\003" +
+      " \001(\t\022\016\n\006except\030\004 \003(\007\022\023\n\013goal_millis\030\005 \001(" +
+      "\021\022\017\n\007request\030\006 \001(\t\022\'\n\006prompt\030\007 \003(\0132\027.rag" +
+      "worthook.SharedPart\022\024\n\007account\030\010 \001(\007H\000\210\001" +
+      "\001\022\020\n\010priority\030\t \001(\021\022\016\n\006weight\030\n \001(\r\022\033\n\023r" +
+      "etry_within_millis\030\013 \001(\rB\n\n\010_account\"*\n\n" +
+      "SharedPart\022\014\n\004hash\030\001 \001(\007\022\016\n\006tokens\030\002 \001(\r" +
+      "\"\211\001\n\nSlotAnswer\022\016\n\006number\030\001 \001(\004\022\r\n\005waits" +
+      "\030\002 \001(\010\022\020\n\010upstream\030\003 \001(\007\022\016\n\006yields\030\004 \001(\010" +
+      "\022\r\n\005grant\030\005 \001(\004\022\017\n\007refused\030\006 \001(\010\022\032\n\022retr" +
+      "y_after_millis\030\007 \001(\r\"G\n\013HeardRunner\022\020\n\010i" +
+      "nstance\030\001 \001(\t\022\022\n\nstore_lost\030\002 \001(\010\022\022\n\nshe" +
+      "ds_jobs\030\003 \001(\010\"-\n\014RouteBacklog\022\r\n\005route\030\001" +
+      " \001(\007\022\016\n\006tokens\030\002 \001(\004\"\237\001\n\014UpstreamLoad\022\020\n" +
+      "\010upstream\030\001 \001(\007\022\016\n\006online\030\002 \001(\r\022\r\n\005batch" +
+      "\030\003 \001(\r\022\022\n\ngap_micros\030\004 \001(\r\022\032\n\022first_even" +
+      "t_micros\030\005 \001(\r\022\017\n\007samples\030\006 \001(\r\022\016\n\006token" +
+      "s\030\007 \001(\004\022\r\n\005bytes\030\010 \001(\004\"5\n\016SuspectRequest" +
+      "\022\023\n\013fingerprint\030\001 \001(\006\022\016\n\006breaks\030\002 \001(\rB\035\n" +
+      "\031org.ragworthook.wire.loadP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -183,87 +190,93 @@
     internal_static_ragworthook_LoadReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragworthook_LoadReport_descriptor,
-        new java.lang.String[] { "Instance", "StartedMillis", "Sequence", "Host", "Port", "RunsJobs", "Leaving", "Loads", "Suspects", "StoreLost", "HeardRunners", "WantsSlots", "Backlogs", "BacklogKnown", "Asks", "Answers", "Dispatcher", "GrantsSeen", "Listings", "ChangedJobs", "AccountUsages", "ClockMicros", "ConfigurationVersion", "Confirmations", "StreamOrigins", "OriginQueries", "SuspectParts", "AccountLoads", "OtherAccounts", "BehindMillis", "ShedsJobs", });
-    internal_static_ragworthook_AccountLoad_descriptor =
+        new java.lang.String[] { "Instance", "StartedMillis", "Sequence", "Host", "Port", "RunsJobs", "Leaving", "Loads", "Suspects", "StoreLost", "HeardRunners", "WantsSlots", "Backlogs", "BacklogKnown", "Asks", "Answers", "Dispatcher", "GrantsSeen", "Listings", "ChangedJobs", "AccountUsages", "ClockMicros", "ConfigurationVersion", "Confirmations", "StreamOrigins", "OriginQueries", "SuspectParts", "AccountLoads", "OtherAccounts", "BehindMillis", "ShedsJobs", "FeedVersions", });
+    internal_static_ragworthook_FeedVersion_descriptor =
       getDescriptor().getMessageType(1);
+    internal_static_ragworthook_FeedVersion_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ragworthook_FeedVersion_descriptor,
+        new java.lang.String[] { "Feed", "Version", });
+    internal_static_ragworthook_AccountLoad_descriptor =
+      getDescriptor().getMessageType(2);
     internal_static_ragworthook_AccountLoad_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragworthook_AccountLoad_descriptor,
         new java.lang.String[] { "Account", "Online", "Batch", "Waiting", });
     internal_static_ragworthook_SuspectPart_descriptor =
-      getDescriptor().getMessageType(2);
+      getDescriptor().getMessageType(3);
     internal_static_ragworthook_SuspectPart_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragworthook_SuspectPart_descriptor,
         new java.lang.String[] { "Part", "Upstreams", "AgesMillis", "SuccessAgeMillis", "Position", "Companions", "CompanionsOmitted", });
     internal_static_ragworthook_StreamOriginEntry_descriptor =
-      getDescriptor().getMessageType(3);
+      getDescriptor().getMessageType(4);
     internal_static_ragworthook_StreamOriginEntry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragworthook_StreamOriginEntry_descriptor,
         new java.lang.String[] { "Request", "Known", "Service", "Version", });
     internal_static_ragworthook_Confirmation_descriptor =
-      getDescriptor().getMessageType(4);
+      getDescriptor().getMessageType(5);
     internal_static_ragworthook_Confirmation_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragworthook_Confirmation_descriptor,
         new java.lang.String[] { "Instance", "StartedMillis", "AtMicros", });
     internal_static_ragworthook_AccountUsage_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(6);
     internal_static_ragworthook_AccountUsage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragworthook_AccountUsage_descriptor,
         new java.lang.String[] { "Account", "Sent", "Level", });
     internal_static_ragworthook_ChangedJob_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(7);
     internal_static_ragworthook_ChangedJob_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragworthook_ChangedJob_descriptor,
         new java.lang.String[] { "Job", "Ended", });
     internal_static_ragworthook_JobListing_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(8);
     internal_static_ragworthook_JobListing_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragworthook_JobListing_descriptor,
         new java.lang.String[] { "Job", "Items", "Segments", "All", });
     internal_static_ragworthook_SlotAsk_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(9);
     internal_static_ragworthook_SlotAsk_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragworthook_SlotAsk_descriptor,
         new java.lang.String[] { "Number", "Service", "FailureDomain", "Except", "GoalMillis", "Request", "Prompt", "Account", "Priority", "Weight", "RetryWithinMillis", });
     internal_static_ragworthook_SharedPart_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(10);
     internal_static_ragworthook_SharedPart_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragworthook_SharedPart_descriptor,
         new java.lang.String[] { "Hash", "Tokens", });
     internal_static_ragworthook_SlotAnswer_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(11);
     internal_static_ragworthook_SlotAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragworthook_SlotAnswer_descriptor,
         new java.lang.String[] { "Number", "Waits", "Upstream", "Yields", "Grant", "Refused", "RetryAfterMillis", });
     internal_static_ragworthook_HeardRunner_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(12);
     internal_static_ragworthook_HeardRunner_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragworthook_HeardRunner_descriptor,
         new java.lang.String[] { "Instance", "StoreLost", "ShedsJobs", });
     internal_static_ragworthook_RouteBacklog_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(13);
     internal_static_ragworthook_RouteBacklog_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragworthook_RouteBacklog_descriptor,
         new java.lang.String[] { "Route", "Tokens", });
     internal_static_ragworthook_UpstreamLoad_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(14);
     internal_static_ragworthook_UpstreamLoad_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragworthook_UpstreamLoad_descriptor,
         new java.lang.String[] { "Upstream", "Online", "Batch", "GapMicros", "FirstEventMicros", "Samples", "Tokens", "Bytes", });
     internal_static_ragworthook_SuspectRequest_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(15);
     internal_static_ragworthook_SuspectRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragworthook_SuspectRequest_descriptor,
--- a/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReport.java
+++ b/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReport.java
@@ -51,6 +51,7 @@
         com.google.protobuf.LazyStringArrayList.emptyList();
     suspectParts_ = java.util.Collections.emptyList();
     accountLoads_ = java.util.Collections.emptyList();
+    feedVersions_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -1209,6 +1210,67 @@
     return shedsJobs_;
   }
 
+  public static final int FEED_VERSIONS_FIELD_NUMBER = 32;
+  @SuppressWarnings("serial")
+  private java.util.List<org.ragworthook.wire.load.FeedVersion> feedVersions_;
+  /**
+   * <pre>
+   * of changes that the sender has received a moment ago
+   * </pre>
+   *
+   * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.ragworthook.wire.load.FeedVersion> getFeedVersionsList() {
+    return feedVersions_;
+  }
+  /**
+   * <pre>
+   * of changes that the sender has received a moment ago
+   * </pre>
+   *
+   * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.ragworthook.wire.load.FeedVersionOrBuilder> 
+      getFeedVersionsOrBuilderList() {
+    return feedVersions_;
+  }
+  /**
+   * <pre>
+   * of changes that the sender has received a moment ago
+   * </pre>
+   *
+   * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
+   */
+  @java.lang.Override
+  public int getFeedVersionsCount() {
+    return feedVersions_.size();
+  }
+  /**
+   * <pre>
+   * of changes that the sender has received a moment ago
+   * </pre>
+   *
+   * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
+   */
+  @java.lang.Override
+  public org.ragworthook.wire.load.FeedVersion getFeedVersions(int index) {
+    return feedVersions_.get(index);
+  }
+  /**
+   * <pre>
+   * of changes that the sender has received a moment ago
+   * </pre>
+   *
+   * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
+   */
+  @java.lang.Override
+  public org.ragworthook.wire.load.FeedVersionOrBuilder getFeedVersionsOrBuilder(
+      int index) {
+    return feedVersions_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -1316,6 +1378,9 @@
     if (shedsJobs_ != false) {
       output.writeBool(31, shedsJobs_);
     }
+    for (int i = 0; i < feedVersions_.size(); i++) {
+      output.writeMessage(32, feedVersions_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -1510,6 +1575,15 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(31, shedsJobs_);
     }
+
+        {
+          final int count = feedVersions_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(feedVersions_.get(i));
+          }
+          size += 2 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -1602,6 +1676,8 @@
         != other.getBehindMillis()) return false;
     if (getShedsJobs()
         != other.getShedsJobs()) return false;
+    if (!getFeedVersionsList()
+        .equals(other.getFeedVersionsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -1718,6 +1794,10 @@
     hash = (37 * hash) + SHEDS_JOBS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getShedsJobs());
+    if (getFeedVersionsCount() > 0) {
+      hash = (37 * hash) + FEED_VERSIONS_FIELD_NUMBER;
+      hash = (53 * hash) + getFeedVersionsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1867,6 +1947,7 @@
         internalGetSuspectPartsFieldBuilder();
         internalGetAccountLoadsFieldBuilder();
         internalGetOtherAccountsFieldBuilder();
+        internalGetFeedVersionsFieldBuilder();
       }
     }
     @java.lang.Override
@@ -1987,6 +2068,13 @@
       }
       behindMillis_ = 0;
       shedsJobs_ = false;
+      if (feedVersionsBuilder_ == null) {
+        feedVersions_ = java.util.Collections.emptyList();
+      } else {
+        feedVersions_ = null;
+        feedVersionsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x80000000);
       return this;
     }
 
@@ -2137,6 +2225,15 @@
       } else {
         result.accountLoads_ = accountLoadsBuilder_.build();
       }
+      if (feedVersionsBuilder_ == null) {
+        if (((bitField0_ & 0x80000000) != 0)) {
+          feedVersions_ = java.util.Collections.unmodifiableList(feedVersions_);
+          bitField0_ = (bitField0_ & ~0x80000000);
+        }
+        result.feedVersions_ = feedVersions_;
+      } else {
+        result.feedVersions_ = feedVersionsBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.ragworthook.wire.load.LoadReport result) {
@@ -2621,6 +2718,32 @@
       if (other.getShedsJobs() != false) {
         setShedsJobs(other.getShedsJobs());
       }
+      if (feedVersionsBuilder_ == null) {
+        if (!other.feedVersions_.isEmpty()) {
+          if (feedVersions_.isEmpty()) {
+            feedVersions_ = other.feedVersions_;
+            bitField0_ = (bitField0_ & ~0x80000000);
+          } else {
+            ensureFeedVersionsIsMutable();
+            feedVersions_.addAll(other.feedVersions_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.feedVersions_.isEmpty()) {
+          if (feedVersionsBuilder_.isEmpty()) {
+            feedVersionsBuilder_.dispose();
+            feedVersionsBuilder_ = null;
+            feedVersions_ = other.feedVersions_;
+            bitField0_ = (bitField0_ & ~0x80000000);
+            feedVersionsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetFeedVersionsFieldBuilder() : null;
+          } else {
+            feedVersionsBuilder_.addAllMessages(other.feedVersions_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -2906,6 +3029,19 @@
               bitField0_ |= 0x40000000;
               break;
             } // case 248
+            case 258: {
+              org.ragworthook.wire.load.FeedVersion m =
+                  input.readMessage(
+                      org.ragworthook.wire.load.FeedVersion.parser(),
+                      extensionRegistry);
+              if (feedVersionsBuilder_ == null) {
+                ensureFeedVersionsIsMutable();
+                feedVersions_.add(m);
+              } else {
+                feedVersionsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 258
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -7737,6 +7873,312 @@
       return this;
     }
 
+    private java.util.List<org.ragworthook.wire.load.FeedVersion> feedVersions_ =
+      java.util.Collections.emptyList();
+    private void ensureFeedVersionsIsMutable() {
+      if (!((bitField0_ & 0x80000000) != 0)) {
+        feedVersions_ = new java.util.ArrayList<org.ragworthook.wire.load.FeedVersion>(feedVersions_);
+        bitField0_ |= 0x80000000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.ragworthook.wire.load.FeedVersion, org.ragworthook.wire.load.FeedVersion.Builder, org.ragworthook.wire.load.FeedVersionOrBuilder> feedVersionsBuilder_;
+
+    /**
+     * <pre>
+     * of changes that the sender has received a moment ago
+     * </pre>
+     *
+     * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
+     */
+    public java.util.List<org.ragworthook.wire.load.FeedVersion> getFeedVersionsList() {
+      if (feedVersionsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(feedVersions_);
+      } else {
+        return feedVersionsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * of changes that the sender has received a moment ago
+     * </pre>
+     *
+     * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
+     */
+    public int getFeedVersionsCount() {
+      if (feedVersionsBuilder_ == null) {
+        return feedVersions_.size();
+      } else {
+        return feedVersionsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * of changes that the sender has received a moment ago
+     * </pre>
+     *
+     * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
+     */
+    public org.ragworthook.wire.load.FeedVersion getFeedVersions(int index) {
+      if (feedVersionsBuilder_ == null) {
+        return feedVersions_.get(index);
+      } else {
+        return feedVersionsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * of changes that the sender has received a moment ago
+     * </pre>
+     *
+     * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
+     */
+    public Builder setFeedVersions(
+        int index, org.ragworthook.wire.load.FeedVersion value) {
+      if (feedVersionsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureFeedVersionsIsMutable();
+        feedVersions_.set(index, value);
+        onChanged();
+      } else {
+        feedVersionsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * of changes that the sender has received a moment ago
+     * </pre>
+     *
+     * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
+     */
+    public Builder setFeedVersions(
+        int index, org.ragworthook.wire.load.FeedVersion.Builder builderForValue) {
+      if (feedVersionsBuilder_ == null) {
+        ensureFeedVersionsIsMutable();
+        feedVersions_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        feedVersionsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * of changes that the sender has received a moment ago
+     * </pre>
+     *
+     * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
+     */
+    public Builder addFeedVersions(org.ragworthook.wire.load.FeedVersion value) {
+      if (feedVersionsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureFeedVersionsIsMutable();
+        feedVersions_.add(value);
+        onChanged();
+      } else {
+        feedVersionsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * of changes that the sender has received a moment ago
+     * </pre>
+     *
+     * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
+     */
+    public Builder addFeedVersions(
+        int index, org.ragworthook.wire.load.FeedVersion value) {
+      if (feedVersionsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureFeedVersionsIsMutable();
+        feedVersions_.add(index, value);
+        onChanged();
+      } else {
+        feedVersionsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * of changes that the sender has received a moment ago
+     * </pre>
+     *
+     * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
+     */
+    public Builder addFeedVersions(
+        org.ragworthook.wire.load.FeedVersion.Builder builderForValue) {
+      if (feedVersionsBuilder_ == null) {
+        ensureFeedVersionsIsMutable();
+        feedVersions_.add(builderForValue.build());
+        onChanged();
+      } else {
+        feedVersionsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * of changes that the sender has received a moment ago
+     * </pre>
+     *
+     * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
+     */
+    public Builder addFeedVersions(
+        int index, org.ragworthook.wire.load.FeedVersion.Builder builderForValue) {
+      if (feedVersionsBuilder_ == null) {
+        ensureFeedVersionsIsMutable();
+        feedVersions_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        feedVersionsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * of changes that the sender has received a moment ago
+     * </pre>
+     *
+     * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
+     */
+    public Builder addAllFeedVersions(
+        java.lang.Iterable<? extends org.ragworthook.wire.load.FeedVersion> values) {
+      if (feedVersionsBuilder_ == null) {
+        ensureFeedVersionsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, feedVersions_);
+        onChanged();
+      } else {
+        feedVersionsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * of changes that the sender has received a moment ago
+     * </pre>
+     *
+     * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
+     */
+    public Builder clearFeedVersions() {
+      if (feedVersionsBuilder_ == null) {
+        feedVersions_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x80000000);
+        onChanged();
+      } else {
+        feedVersionsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * of changes that the sender has received a moment ago
+     * </pre>
+     *
+     * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
+     */
+    public Builder removeFeedVersions(int index) {
+      if (feedVersionsBuilder_ == null) {
+        ensureFeedVersionsIsMutable();
+        feedVersions_.remove(index);
+        onChanged();
+      } else {
+        feedVersionsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * of changes that the sender has received a moment ago
+     * </pre>
+     *
+     * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
+     */
+    public org.ragworthook.wire.load.FeedVersion.Builder getFeedVersionsBuilder(
+        int index) {
+      return internalGetFeedVersionsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * of changes that the sender has received a moment ago
+     * </pre>
+     *
+     * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
+     */
+    public org.ragworthook.wire.load.FeedVersionOrBuilder getFeedVersionsOrBuilder(
+        int index) {
+      if (feedVersionsBuilder_ == null) {
+        return feedVersions_.get(index);  } else {
+        return feedVersionsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * of changes that the sender has received a moment ago
+     * </pre>
+     *
+     * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
+     */
+    public java.util.List<? extends org.ragworthook.wire.load.FeedVersionOrBuilder> 
+         getFeedVersionsOrBuilderList() {
+      if (feedVersionsBuilder_ != null) {
+        return feedVersionsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(feedVersions_);
+      }
+    }
+    /**
+     * <pre>
+     * of changes that the sender has received a moment ago
+     * </pre>
+     *
+     * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
+     */
+    public org.ragworthook.wire.load.FeedVersion.Builder addFeedVersionsBuilder() {
+      return internalGetFeedVersionsFieldBuilder().addBuilder(
+          org.ragworthook.wire.load.FeedVersion.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * of changes that the sender has received a moment ago
+     * </pre>
+     *
+     * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
+     */
+    public org.ragworthook.wire.load.FeedVersion.Builder addFeedVersionsBuilder(
+        int index) {
+      return internalGetFeedVersionsFieldBuilder().addBuilder(
+          index, org.ragworthook.wire.load.FeedVersion.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * of changes that the sender has received a moment ago
+     * </pre>
+     *
+     * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
+     */
+    public java.util.List<org.ragworthook.wire.load.FeedVersion.Builder> 
+         getFeedVersionsBuilderList() {
+      return internalGetFeedVersionsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.ragworthook.wire.load.FeedVersion, org.ragworthook.wire.load.FeedVersion.Builder, org.ragworthook.wire.load.FeedVersionOrBuilder> 
+        internalGetFeedVersionsFieldBuilder() {
+      if (feedVersionsBuilder_ == null) {
+        feedVersionsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.ragworthook.wire.load.FeedVersion, org.ragworthook.wire.load.FeedVersion.Builder, org.ragworthook.wire.load.FeedVersionOrBuilder>(
+                feedVersions_,
+                ((bitField0_ & 0x80000000) != 0),
+                getParentForChildren(),
+                isClean());
+        feedVersions_ = null;
+      }
+      return feedVersionsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:ragworthook.LoadReport)
   }
 
--- a/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReportOrBuilder.java
+++ b/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReportOrBuilder.java
@@ -753,4 +753,48 @@
    * @return The shedsJobs.
    */
   boolean getShedsJobs();
+
+  /**
+   * <pre>
+   * of changes that the sender has received a moment ago
+   * </pre>
+   *
+   * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
+   */
+  java.util.List<org.ragworthook.wire.load.FeedVersion> 
+      getFeedVersionsList();
+  /**
+   * <pre>
+   * of changes that the sender has received a moment ago
+   * </pre>
+   *
+   * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
+   */
+  org.ragworthook.wire.load.FeedVersion getFeedVersions(int index);
+  /**
+   * <pre>
+   * of changes that the sender has received a moment ago
+   * </pre>
+   *
+   * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
+   */
+  int getFeedVersionsCount();
+  /**
+   * <pre>
+   * of changes that the sender has received a moment ago
+   * </pre>
+   *
+   * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
+   */
+  java.util.List<? extends org.ragworthook.wire.load.FeedVersionOrBuilder> 
+      getFeedVersionsOrBuilderList();
+  /**
+   * <pre>
+   * of changes that the sender has received a moment ago
+   * </pre>
+   *
+   * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
+   */
+  org.ragworthook.wire.load.FeedVersionOrBuilder getFeedVersionsOrBuilder(
+      int index);
 }
