Tell a watch that is cut off from an outage of the store

Cause: a watch without a response counted as a failure of the store, though the listing 50 ms later was answered. A missing upstream is kept until the store has been up for 2 s, since entries expire during an outage; each cut began these 2 s anew. The log shows upstream_missing every 1.55 s with store_up_ms from 136 to 446, and no upstream_gone.

Now the next listing decides whether the store is lost, counted from the cut. A cut does not begin the 2 s anew if the store has answered in the 2 s before: an outage that fits in between is shorter than the three heartbeats after which entries expire. If it has not, the 2 s begin at the cut.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/feed/FeedFollower.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/feed/FeedFollower.java
@@ -355,7 +355,7 @@
 			}
 			FeedFollower.this.openWatch = Optional.empty();
 			if (failure != null) {
-				FeedFollower.this.health.recordFailure();
+				FeedFollower.this.health.recordInterruption();
 				interrupted(failure);
 				list(retryDelay());
 			}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/feed/StoreHealth.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/feed/StoreHealth.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongConsumer;
@@ -12,6 +13,9 @@
 
 /**
  * Records whether the platform's store answers this process.
+ * <p>
+ * A watch that is cut off is no outage: the store may end one that waits. Whether the
+ * store is down is decided by the next call, which does not wait at the store.
  */
 public final class StoreHealth {
 
@@ -20,19 +24,31 @@
 	/** How soon after an outage the platform lists all live entries again. */
 	static final Duration SETTLING_TIME = Duration.ofMillis(2_000);
 
+	/**
+	 * The longest time without a response that cannot hide an outage in which entries
+	 * expire: less than three heartbeats of an upstream.
+	 */
+	private static final Duration MAX_RESPONSE_GAP = Duration.ofMillis(2_000);
+
 	private final Ticker ticker;
 
 	private final AtomicLong downSinceNanos = new AtomicLong();
 
 	private final AtomicLong upSinceNanos = new AtomicLong();
 
+	private final AtomicLong lastResponseNanos = new AtomicLong();
+
 	private final List<LongConsumer> listeners = new CopyOnWriteArrayList<>();
 
+	/** When a watch was cut off; empty once a later call has been answered. */
+	private volatile Optional<Long> interruptedNanos = Optional.empty();
+
 	private volatile boolean up = true;
 
 	private StoreHealth(Ticker ticker) {
 		this.ticker = Objects.requireNonNull(ticker, "ticker is null");
 		this.upSinceNanos.set(ticker.nanos() - Duration.ofHours(1).toNanos());
+		this.lastResponseNanos.set(ticker.nanos());
 	}
 
 	/**
@@ -64,15 +80,32 @@
 			this.upSinceNanos.set(now);
 			LOG.info("store_regained", "after_ms", (now - this.downSinceNanos.get()) / 1_000_000);
 		}
+		this.interruptedNanos = Optional.empty();
+		this.lastResponseNanos.set(now);
+	}
+
+	/**
+	 * Called when a watch has ended without a response. An outage that has ended before
+	 * may have gone unnoticed if the store has not answered for some time.
+	 */
+	public void recordInterruption() {
+		long now = this.ticker.nanos();
+		if (!this.up || this.interruptedNanos.isPresent()) {
+			return;
+		}
+		this.interruptedNanos = Optional.of(now);
+		if (now - this.lastResponseNanos.get() > MAX_RESPONSE_GAP.toNanos()) {
+			this.upSinceNanos.set(now);
+		}
 	}
 
 	/**
-	 * Called when the store has not answered a listing or a watch.
+	 * Called when the store has not answered a listing.
 	 */
 	public void recordFailure() {
 		if (this.up) {
 			this.up = false;
-			this.downSinceNanos.set(this.ticker.nanos());
+			this.downSinceNanos.set(this.interruptedNanos.orElseGet(this.ticker::nanos));
 			LOG.warning("store_lost");
 		}
 	}
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/feed/FeedFollowerTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/feed/FeedFollowerTests.java
@@ -253,6 +253,37 @@
 		assertThat(this.health.up()).isTrue();
 	}
 
+	/**
+	 * Guards against a cut watch that counts as an outage although the listing after it
+	 * is answered.
+	 */
+	@Test
+	void shouldKeepTheStoreUpWhileOnlyWatchesAreCutOff() {
+		follow(1);
+		for (int cut = 0; cut < 5; cut++) {
+			this.time.advance(Duration.ofMillis(1_500));
+			this.collection.cutWatch();
+			assertThat(this.health.up()).isTrue();
+			this.time.advance(Duration.ofMillis(50));
+		}
+		assertThat(this.listings).isEqualTo(6);
+		assertThat(this.health.upFor()).isGreaterThan(Duration.ofMinutes(1));
+	}
+
+	/**
+	 * Guards against an outage that counts as shorter than it is because it began with a
+	 * cut watch.
+	 */
+	@Test
+	void shouldCountAnOutageFromTheCutOfTheWatch() {
+		follow(1);
+		this.time.advance(Duration.ofSeconds(1));
+		this.collection.listing = Optional.of(CompletableFuture.failedFuture(new IllegalStateException("refused")));
+		this.collection.cutWatch();
+		this.time.advance(Duration.ofMillis(1_500));
+		assertThat(this.health.downFor()).isEqualTo(Duration.ofMillis(1_500));
+	}
+
 	private void loseChange(String name) {
 		this.collection.loseWatch();
 		this.collection.change(name);
@@ -347,6 +378,15 @@
 			this.pendingPoll = null;
 		}
 
+		/**
+		 * Cuts off the watch that is waiting.
+		 */
+		void cutWatch() {
+			CompletableFuture<Optional<Changes<String>>> poll = this.pendingPoll;
+			this.pendingPoll = null;
+			poll.completeExceptionally(new IllegalStateException("cut off"));
+		}
+
 		/**
 		 * Returns the content as it is now, for an answer that arrives later.
 		 * @return the content
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/feed/UpstreamFeedListenerTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/feed/UpstreamFeedListenerTests.java
@@ -6,6 +6,8 @@
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.ragworthook.core.fleet.Address;
 import org.ragworthook.core.time.ManualTime;
 import org.ragworthook.gateway.upstream.SoftwareVersion;
@@ -95,6 +97,37 @@
 		assertThat(serving()).isEqualTo(0);
 	}
 
+	/**
+	 * Guards against requests to an upstream that was removed, as long as the store cuts
+	 * off waiting watches and answers every other call.
+	 * @param cutMillis after which time each watch is cut off
+	 * @param removedMillis when the entry is removed
+	 */
+	@ParameterizedTest
+	@CsvSource({ "100, 5000", "1500, 5000", "1500, 6001", "1900, 5000", "2500, 5000", "2500, 7549", "9000, 9100" })
+	void shouldDropARemovedUpstreamWhileWatchesAreCutOff(int cutMillis, int removedMillis) {
+		long now = 0;
+		long waited = 0;
+		while (now < removedMillis + 2_000) {
+			this.time.advance(Duration.ofMillis(1));
+			now++;
+			if (now == removedMillis) {
+				this.listener.changed(removed("a"));
+			}
+			waited++;
+			if (waited == cutMillis) {
+				this.health.recordInterruption();
+			}
+			if (waited == cutMillis + 50) {
+				this.health.recordSuccess();
+				this.listener.listed((now < removedMillis) ? List.of(change("a", false), change("b", false))
+						: List.of(change("b", false)));
+				waited = 0;
+			}
+		}
+		assertThat(this.registry.ids()).containsExactly("b");
+	}
+
 	/**
 	 * Guards against dropping live upstreams whose entries expired during an outage that
 	 * this process has noticed only by one unanswered call.
@@ -112,6 +145,24 @@
 		assertThat(this.registry.ids()).containsExactly("a");
 	}
 
+	/**
+	 * Guards against dropping live upstreams whose entries expired during an outage that
+	 * ended just before the watches were cut off.
+	 */
+	@Test
+	void shouldKeepLapsedEntriesAfterACutThatFollowsALongWait() {
+		this.health.recordSuccess();
+		this.time.advance(Duration.ofSeconds(6));
+		this.health.recordInterruption();
+		this.time.advance(Duration.ofMillis(50));
+		this.health.recordSuccess();
+		this.listener.listed(List.of());
+		this.time.advance(Duration.ofMillis(1_900));
+		assertThat(serving()).isEqualTo(2);
+		this.time.advance(Duration.ofMillis(100));
+		assertThat(serving()).isEqualTo(0);
+	}
+
 	/**
 	 * An entry that cannot be parsed names no upstream.
 	 */
