End watches of the daemon when another call gets no response

HttpObjectStore now ends the watches that were open when a call was sent that got no response; their users list anew, as after every end. Nothing changes while all calls are answered.

HttpObjectStoreTests.shouldEndAWatchThatWasOpenWhenACallGotNoResponse fails without the change (no end within 10 s).

--- a/modules/objectapi/src/main/java/org/ragworthook/objectapi/HttpObjectStore.java
+++ b/modules/objectapi/src/main/java/org/ragworthook/objectapi/HttpObjectStore.java
@@ -6,7 +6,9 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 
 import io.vertx.core.Future;
@@ -53,6 +55,8 @@
 
 	private final StoreCalls calls = StoreCalls.zero();
 
+	private final Set<HttpWatch> watches = ConcurrentHashMap.newKeySet();
+
 	private HttpObjectStore(Vertx vertx, PlatformSettings settings) {
 		this.vertx = vertx;
 		this.settings = settings;
@@ -151,7 +155,7 @@
 				+ "&timeoutSeconds=" + this.settings.watchTimeout().toSeconds() + "&labelSelector="
 				+ encoded(ObjectDocuments.selector(selector));
 		this.calls.add(StoreVerb.WATCH);
-		HttpWatch watch = new HttpWatch(this.vertx, kind, events, ended, this.calls);
+		HttpWatch watch = new HttpWatch(this.vertx, kind, events, ended, this.calls, this.watches);
 		watch.start(this.watchClient, path, this.settings);
 		return watch;
 	}
@@ -178,14 +182,29 @@
 		if (body.isPresent()) {
 			request.putHeader("Content-Type", "application/json");
 		}
+		long sentNanos = System.nanoTime();
 		return request.send(content)
 			.compose((response) -> response.body().map((received) -> Answer.of(response.statusCode(), received)))
 			.timeout(this.settings.callTimeout().toMillis(), TimeUnit.MILLISECONDS)
 			.onSuccess((answer) -> this.calls.received(answer.body().length()))
-			.onFailure((failure) -> request.reset())
+			.onFailure((failure) -> {
+				request.reset();
+				if (failure instanceof TimeoutException) {
+					endWatches(sentNanos);
+				}
+			})
 			.recover((failure) -> Future.failedFuture(notAnswered(verb, failure)));
 	}
 
+	/**
+	 * Ends the watches that were open when a call was sent that got no response: events
+	 * of the same time may be lost as well.
+	 * @param sentNanos when the call was sent
+	 */
+	private void endWatches(long sentNanos) {
+		this.watches.stream().filter((watch) -> watch.openSince(sentNanos)).forEach(HttpWatch::end);
+	}
+
 	private static StoreException notSent(StoreVerb verb, Throwable failure) {
 		return new StoreException(ErrorCode.STORE_UNAVAILABLE,
 				verb + " was not sent, no connection: " + failure.getMessage(), failure);
--- a/modules/objectapi/src/main/java/org/ragworthook/objectapi/HttpWatch.java
+++ b/modules/objectapi/src/main/java/org/ragworthook/objectapi/HttpWatch.java
@@ -1,6 +1,7 @@
 package org.ragworthook.objectapi;
 
 import java.time.Duration;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
@@ -23,7 +24,8 @@
  * <p>
  * A connection whose other side vanished stays open and silent; changes would be missed
  * for ever and one would notice a process acting by an old configuration. The platform
- * ends each watch after a stated time, and a watch that outlasts it is ended here.
+ * ends each watch after a stated time, and a watch that outlasts it is ended here, as is
+ * one that was open when another call got no response.
  */
 final class HttpWatch implements ObjectStore.Watch {
 
@@ -39,21 +41,37 @@
 
 	private final StoreCalls calls;
 
+	private final Set<HttpWatch> open;
+
+	private final long openedNanos = System.nanoTime();
+
 	private final AtomicBoolean over = new AtomicBoolean();
 
 	private final AtomicReference<HttpClientRequest> request = new AtomicReference<>();
 
 	private volatile long timer;
 
-	HttpWatch(Vertx vertx, Kind kind, Consumer<WatchEvent> events, Runnable ended, StoreCalls calls) {
+	HttpWatch(Vertx vertx, Kind kind, Consumer<WatchEvent> events, Runnable ended, StoreCalls calls,
+			Set<HttpWatch> open) {
 		this.vertx = vertx;
 		this.kind = kind;
 		this.events = events;
 		this.ended = ended;
 		this.calls = calls;
+		this.open = open;
+	}
+
+	/**
+	 * Returns whether this watch was open at a time.
+	 * @param nanos the time, by {@link System#nanoTime()}
+	 * @return whether it was opened by then
+	 */
+	boolean openSince(long nanos) {
+		return this.openedNanos - nanos <= 0;
 	}
 
 	void start(HttpClient client, String path, PlatformSettings settings) {
+		this.open.add(this);
 		this.timer = this.vertx.setTimer(settings.watchTimeout().plus(GRACE).toMillis(), (id) -> end());
 		RequestOptions options = new RequestOptions().setMethod(HttpMethod.GET)
 			.setURI(path)
@@ -106,7 +124,7 @@
 		}
 	}
 
-	private void end() {
+	void end() {
 		if (this.over.compareAndSet(false, true)) {
 			reset();
 			this.ended.run();
@@ -114,6 +132,7 @@
 	}
 
 	private void reset() {
+		this.open.remove(this);
 		this.vertx.cancelTimer(this.timer);
 		HttpClientRequest opened = this.request.get();
 		if (opened != null) {
--- a/modules/standin/src/test/java/org/ragworthook/standin/platform/HttpObjectStoreTests.java
+++ b/modules/standin/src/test/java/org/ragworthook/standin/platform/HttpObjectStoreTests.java
@@ -193,6 +193,20 @@
 		assertThat(ended.poll(10, TimeUnit.SECONDS)).isEqualTo("ended");
 	}
 
+	// Guards against changes that are missed for minutes, because the events of a watch
+	// were
+	// lost together with the response to another call and its connection stays open.
+	@Test
+	void shouldEndAWatchThatWasOpenWhenACallGotNoResponse() throws InterruptedException {
+		BlockingQueue<String> ended = new LinkedBlockingQueue<>();
+		try (HttpObjectStore impatient = client(Duration.ofMillis(100))) {
+			impatient.watch(Kind.JOB, Labels.empty(), 0, (event) -> ended.add("event"), () -> ended.add("ended"));
+			fault(new JsonObject().put("silent", true));
+			assertFails(ErrorCode.STORE_UNAVAILABLE, () -> impatient.read(KEY).join());
+			assertThat(ended.poll(10, TimeUnit.SECONDS)).isEqualTo("ended");
+		}
+	}
+
 	@ParameterizedTest
 	@EnumSource(value = StoreVerb.class, names = { "READ", "CREATE", "DELETE", "LIST" })
 	void shouldCountAsThePlatformCounts(StoreVerb verb) {
