Keep missing upstreams after a listing that was answered late

A watch is cut off when an outage begins, and the listing after it waits at the store until the outage ends. If that took less than its time limit and the store had answered in the 2 s before the cut, an outage of up to 3.4 s counted as none, and upstreams whose entries had expired in it were dropped. A listing that is answered more than 500 ms after the cut now begins the 2 s anew, if the response before it is older than 2 s.

UpstreamFeedListenerTests.shouldKeepLapsedEntriesAfterAListingThatWasAnsweredLate fails without the change.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/feed/StoreHealth.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/feed/StoreHealth.java
@@ -30,6 +30,12 @@
 	 */
 	private static final Duration MAX_RESPONSE_GAP = Duration.ofMillis(2_000);
 
+	/**
+	 * How soon after a watch was cut off the next listing is answered by a store that was
+	 * up at the cut.
+	 */
+	private static final Duration PROMPT_RESPONSE = Duration.ofMillis(500);
+
 	private final Ticker ticker;
 
 	private final AtomicLong downSinceNanos = new AtomicLong();
@@ -80,6 +86,9 @@
 			this.upSinceNanos.set(now);
 			LOG.info("store_regained", "after_ms", (now - this.downSinceNanos.get()) / 1_000_000);
 		}
+		else if (mayFollowOutage(now) && this.interruptedNanos.filter((cut) -> !isPrompt(cut, now)).isPresent()) {
+			this.upSinceNanos.set(now);
+		}
 		this.interruptedNanos = Optional.empty();
 		this.lastResponseNanos.set(now);
 	}
@@ -94,11 +103,19 @@
 			return;
 		}
 		this.interruptedNanos = Optional.of(now);
-		if (now - this.lastResponseNanos.get() > MAX_RESPONSE_GAP.toNanos()) {
+		if (mayFollowOutage(now)) {
 			this.upSinceNanos.set(now);
 		}
 	}
 
+	private boolean mayFollowOutage(long now) {
+		return now - this.lastResponseNanos.get() > MAX_RESPONSE_GAP.toNanos();
+	}
+
+	private static boolean isPrompt(long cut, long now) {
+		return now - cut <= PROMPT_RESPONSE.toNanos();
+	}
+
 	/**
 	 * Called when the store has not answered a listing.
 	 */
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/feed/UpstreamFeedListenerTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/feed/UpstreamFeedListenerTests.java
@@ -163,6 +163,22 @@
 		assertThat(serving()).isEqualTo(0);
 	}
 
+	/**
+	 * Guards against dropping live upstreams whose entries expired during an outage that
+	 * began with a cut watch and ended before the listing after it timed out.
+	 */
+	@Test
+	void shouldKeepLapsedEntriesAfterAListingThatWasAnsweredLate() {
+		this.health.recordSuccess();
+		this.time.advance(Duration.ofMillis(1_900));
+		this.health.recordInterruption();
+		this.time.advance(Duration.ofMillis(1_400));
+		this.health.recordSuccess();
+		this.listener.listed(List.of());
+		this.time.advance(Duration.ofMillis(1_900));
+		assertThat(serving()).isEqualTo(2);
+	}
+
 	/**
 	 * An entry that cannot be parsed names no upstream.
 	 */
