Forward the head of a response with the first part of its body

Cause: a response counted as begun once the upstream's head was received, and the server writes a head only with the first part of the body. So the request was broken off although it could still be answered. The head is now kept until the first part of the body or the end of the response, and dropped with its attempt; until then the request is answered with 504 or 502, or served anew by another upstream where the route allows that.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/ForwardedResponse.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/ForwardedResponse.java
@@ -17,6 +17,10 @@
  * Its end is sent only by {@link #complete}, after an upstream has sent the whole of its
  * own response. Every other end of a response that has begun breaks off the caller's
  * connection.
+ * <p>
+ * An upstream may send its head long before the first part of the body. The head is
+ * forwarded together with that part, so that until then the request can still be answered
+ * with an error, or by another upstream.
  */
 final class ForwardedResponse {
 
@@ -24,6 +28,9 @@
 
 	private Progress progress = Progress.NOT_STARTED;
 
+	/** The head of the attempt in progress, until a part of its body was received. */
+	private Optional<ReceivedHead> receivedHead = Optional.empty();
+
 	private int status;
 
 	private long lastEvent;
@@ -59,11 +66,11 @@
 	}
 
 	/**
-	 * Returns the status that was sent to the caller.
-	 * @return the HTTP status, or 0 before the response has begun
+	 * Returns the status of the response.
+	 * @return the HTTP status, or 0 before a head was received
 	 */
 	int status() {
-		return this.status;
+		return this.receivedHead.map(ReceivedHead::status).orElse(this.status);
 	}
 
 	/**
@@ -109,22 +116,37 @@
 	}
 
 	/**
-	 * Forwards the head of an upstream's response. The caller keeps the first one, so the
-	 * head of a continuation is dropped.
+	 * Receives the head of an upstream's response, which is forwarded with the first part
+	 * of the body. The caller keeps the first one, so the head of a continuation is
+	 * dropped.
 	 * @param head the head
 	 * @param eventStream whether the body is a stream of events
 	 * @param upstream the upstream that sent it
 	 */
 	void head(HttpResponse head, boolean eventStream, UpstreamDescriptor upstream) {
-		if (started()) {
-			return;
+		if (!started()) {
+			this.receivedHead = Optional.of(new ReceivedHead(head, eventStream, upstream));
 		}
-		this.status = head.status().code();
-		this.progress = eventStream ? Progress.EVENTS : Progress.OTHER_BODY;
-		if (this.origin.isEmpty()) {
-			this.origin = Optional.of(StreamOrigin.of(upstream));
-		}
-		this.caller.head(head, eventStream);
+	}
+
+	/**
+	 * Called when an attempt has ended without a complete response. Drops its head if
+	 * that was not forwarded.
+	 */
+	void attemptFailed() {
+		this.receivedHead = Optional.empty();
+	}
+
+	private void forwardHead() {
+		this.receivedHead.ifPresent((received) -> {
+			this.status = received.status();
+			this.progress = received.eventStream() ? Progress.EVENTS : Progress.OTHER_BODY;
+			if (this.origin.isEmpty()) {
+				this.origin = Optional.of(StreamOrigin.of(received.upstream()));
+			}
+			this.caller.head(received.head(), received.eventStream());
+		});
+		this.receivedHead = Optional.empty();
 	}
 
 	/**
@@ -133,6 +155,7 @@
 	 * @param eventId the id of the last event up to and including this part
 	 */
 	void data(byte[] data, long eventId) {
+		forwardHead();
 		if (this.progress == Progress.EVENTS && eventId == this.lastEvent && SseFrameDecoder.data(data).isPresent()) {
 			this.progress = Progress.OTHER_BODY;
 		}
@@ -144,6 +167,7 @@
 	 * Ends the response as complete.
 	 */
 	void complete() {
+		forwardHead();
 		this.caller.end();
 	}
 
@@ -189,6 +213,21 @@
 		this.caller.onWritable(listener);
 	}
 
+	/**
+	 * A head that was received and not forwarded.
+	 *
+	 * @param head the head
+	 * @param eventStream whether the body is a stream of events
+	 * @param upstream the upstream that sent it
+	 */
+	private record ReceivedHead(HttpResponse head, boolean eventStream, UpstreamDescriptor upstream) {
+
+		int status() {
+			return this.head.status().code();
+		}
+
+	}
+
 	/**
 	 * What was forwarded of a response.
 	 */
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
@@ -28,7 +28,6 @@
 import org.ragworthook.gateway.upstream.PromptSegment;
 import org.ragworthook.gateway.upstream.SlotSharing;
 import org.ragworthook.gateway.upstream.TrackedUpstream;
-import org.ragworthook.gateway.upstream.UpstreamDescriptor;
 import org.ragworthook.gateway.upstream.WorkClass;
 
 /**
@@ -396,6 +395,7 @@
 				this.response.lastEvent());
 		this.context.metrics().attemptFailed("silent");
 		this.attempt.cancel();
+		this.response.attemptFailed();
 		this.attempts++;
 		this.mayHaveRun = true;
 		send(other.get(), PlacementSource.ENTRY, false, SlotSharing.needsPreemption(other.get()));
@@ -618,21 +618,27 @@
 		public void head(HttpResponse head) {
 			OnlineExchange exchange = OnlineExchange.this;
 			exchange.recordActivity();
-			UpstreamDescriptor upstream = exchange.attempt.upstream().descriptor();
-			if (!exchange.response.started()) {
-				exchange.clock.firstByte();
+			exchange.response.head(head, exchange.attempt.eventStream(), exchange.attempt.upstream().descriptor());
+		}
+
+		private void beginResponse() {
+			OnlineExchange exchange = OnlineExchange.this;
+			if (exchange.response.started()) {
+				return;
 			}
+			exchange.clock.firstByte();
 			if (exchange.attempt.eventStream() && exchange.response.origin().isEmpty()
 					&& exchange.request.route().resumable()) {
-				exchange.context.origins().began(exchange.request.id(), StreamOrigin.of(upstream));
+				exchange.context.origins()
+					.began(exchange.request.id(), StreamOrigin.of(exchange.attempt.upstream().descriptor()));
 			}
-			exchange.response.head(head, exchange.attempt.eventStream(), upstream);
 		}
 
 		@Override
 		public void data(byte[] data) {
 			OnlineExchange exchange = OnlineExchange.this;
 			exchange.recordActivity();
+			beginResponse();
 			exchange.response.data(data, exchange.attempt.lastEventId());
 			if (exchange.response.writeQueueFull()) {
 				Attempt current = exchange.attempt;
@@ -647,6 +653,7 @@
 		@Override
 		public void complete(ResponseEnd end) {
 			OnlineExchange exchange = OnlineExchange.this;
+			beginResponse();
 			exchange.attempts++;
 			logAttemptEnd(end.label());
 			if (end != ResponseEnd.CONNECTION_CLOSED && exchange.attempt.status() / 100 == 2) {
@@ -722,6 +729,7 @@
 			OnlineExchange exchange = OnlineExchange.this;
 			TrackedUpstream upstream = exchange.attempt.upstream();
 			exchange.attempt = null;
+			exchange.response.attemptFailed();
 			exchange.queues.stallDetector().remove(exchange);
 			exchange.use.none();
 			exchange.context.loadChanged().run();
