Count responses that end with their connection as proof of a sound part

Cause: only a response with a length or chunks proves that a part is sound, as a crash ends the others in the same way. Upstreams that send neither never proved any part. Such a response now counts once its upstream has sent something 0.3 to 1.5 s later, which one that has crashed does not do.

PoisonPartDetectorTests has two new tests.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
@@ -498,9 +498,7 @@
 					this.statusCode, "end", end.label(), "stream", this.eventStream, "first_event",
 					this.resumedAfter + 1, "last_event", run.lastEvent, "server_errors", run.serverErrors);
 			if (this.statusCode == OK) {
-				if (end != ResponseEnd.CONNECTION_CLOSED) {
-					this.listener.succeeded(run);
-				}
+				this.listener.succeeded(run, this.upstream, end);
 				keepUnnumbered();
 				this.listener.ended(run, Optional.of(new ItemOutcome(run.item.id(), true, run.output.toString())));
 			}
@@ -604,11 +602,12 @@
 		void failed(ItemRun run, TrackedUpstream upstream, SendFailure failure);
 
 		/**
-		 * Called when a run has ended with a response that the upstream has marked as
-		 * complete.
+		 * Called when a run has ended with the whole output.
 		 * @param run the item
+		 * @param upstream the upstream
+		 * @param end what marked the end of the response
 		 */
-		void succeeded(ItemRun run);
+		void succeeded(ItemRun run, TrackedUpstream upstream, ResponseEnd end);
 
 		/**
 		 * Called when an upstream has sent a part of its response.
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobRunner.java
@@ -25,6 +25,7 @@
 import org.ragworthook.gateway.account.AccountLoads;
 import org.ragworthook.gateway.dialect.HeaderNames;
 import org.ragworthook.gateway.http.ConnectionPool;
+import org.ragworthook.gateway.http.ResponseEnd;
 import org.ragworthook.gateway.http.SendFailure;
 import org.ragworthook.gateway.metrics.GatewayMetrics;
 import org.ragworthook.gateway.observe.ObservedSpeeds;
@@ -407,8 +408,14 @@
 		}
 
 		@Override
-		public void succeeded(ItemRun run) {
-			JobRunner.this.dependencies.poisonParts().recordSuccess(sharedParts(run));
+		public void succeeded(ItemRun run, TrackedUpstream upstream, ResponseEnd end) {
+			PoisonPartDetector poisonParts = JobRunner.this.dependencies.poisonParts();
+			if (end == ResponseEnd.CONNECTION_CLOSED) {
+				poisonParts.recordClosedResponse(sharedParts(run), upstream.key());
+			}
+			else {
+				poisonParts.recordSuccess(sharedParts(run));
+			}
 		}
 
 		@Override
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
@@ -656,13 +656,24 @@
 			beginResponse();
 			exchange.attempts++;
 			logAttemptEnd(end.label());
-			if (end != ResponseEnd.CONNECTION_CLOSED && exchange.attempt.status() / 100 == 2) {
-				exchange.context.poisonParts().recordSuccess(exchange.sharedParts);
+			if (exchange.attempt.status() / 100 == 2) {
+				recordSuccess(end);
 			}
 			exchange.finish("answered", exchange.response.status());
 			exchange.response.complete();
 		}
 
+		private void recordSuccess(ResponseEnd end) {
+			OnlineExchange exchange = OnlineExchange.this;
+			if (end == ResponseEnd.CONNECTION_CLOSED) {
+				exchange.context.poisonParts()
+					.recordClosedResponse(exchange.sharedParts, exchange.attempt.upstream().key());
+			}
+			else {
+				exchange.context.poisonParts().recordSuccess(exchange.sharedParts);
+			}
+		}
+
 		@Override
 		public void notExecuted(int status) {
 			OnlineExchange exchange = OnlineExchange.this;
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/suspect/PoisonPartDetector.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/suspect/PoisonPartDetector.java
@@ -1,10 +1,12 @@
 package org.ragworthook.gateway.suspect;
 
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.IdentityHashMap;
@@ -59,6 +61,15 @@
 	 */
 	private static final Duration REPORT_PERIOD = Duration.ofSeconds(3);
 
+	/**
+	 * Time within which an upstream has to send something after it has ended a response
+	 * by closing its connection, to show that it has not crashed: shorter than a start.
+	 */
+	static final Duration MAX_PROOF_TIME = Duration.ofMillis(1_500);
+
+	/** Limits the memory; the oldest responses are forgotten first. */
+	private static final int MAX_UNPROVEN_RESPONSES = 512;
+
 	/** How often changes by the passage of time are looked for. */
 	private static final Duration REFRESH_INTERVAL = Duration.ofMillis(100);
 
@@ -83,6 +94,9 @@
 
 	private final SuccessTimes successes = new SuccessTimes();
 
+	/** The responses that a close has ended and a crash may have, oldest first. */
+	private final Deque<ClosedResponse> closedResponses = new ArrayDeque<>();
+
 	/** When a complete response has contradicted the crashes of a part. */
 	private final Map<Long, Long> contradicted = new HashMap<>();
 
@@ -143,6 +157,7 @@
 			return;
 		}
 		long now = this.ticker.nanos();
+		settleClosedResponses(now);
 		Set<Long> unproven = parts.stream()
 			.filter((part) -> successNanos(part, now).isEmpty())
 			.collect(Collectors.toUnmodifiableSet());
@@ -219,12 +234,40 @@
 	}
 
 	/**
-	 * Called when a response has ended that its upstream had marked as complete. The end
-	 * of a connection is no such mark, since a crash closes it as well.
+	 * Called when a response has ended that its upstream had marked as complete.
 	 * @param parts the request's shared parts
 	 */
 	public void recordSuccess(Collection<Long> parts) {
+		recordSuccess(parts, this.ticker.nanos());
+	}
+
+	/**
+	 * Called when the end of a connection has ended a response. A crash closes its
+	 * connections as well, so the response counts as complete once its upstream has sent
+	 * something afterwards.
+	 * @param parts the request's shared parts
+	 * @param upstreamKey the key of the upstream
+	 */
+	public void recordClosedResponse(Collection<Long> parts, int upstreamKey) {
 		long now = this.ticker.nanos();
+		settleClosedResponses(now);
+		this.closedResponses.add(new ClosedResponse(parts, upstreamKey, now));
+		if (this.closedResponses.size() > MAX_UNPROVEN_RESPONSES) {
+			this.closedResponses.remove();
+		}
+	}
+
+	private void settleClosedResponses(long now) {
+		this.closedResponses.removeIf((closed) -> {
+			boolean complete = alive(closed.upstreamKey(), closed.nanos());
+			if (complete) {
+				recordSuccess(closed.parts(), closed.nanos());
+			}
+			return complete || now - closed.nanos() >= MAX_PROOF_TIME.toNanos();
+		});
+	}
+
+	private void recordSuccess(Collection<Long> parts, long now) {
 		boolean suspected = false;
 		for (long part : parts) {
 			this.successes.add(part, now);
@@ -361,6 +404,7 @@
 	}
 
 	private void refresh(long now) {
+		settleClosedResponses(now);
 		this.refreshedNanos = now;
 		this.changed = false;
 		this.contradicted.values().removeIf((nanos) -> now - nanos >= REPORT_PERIOD.toNanos());
@@ -389,6 +433,16 @@
 		return this.activity.activeAfter(upstreamKey, lossNanos + SETTLE_TIME.toNanos());
 	}
 
+	/**
+	 * A response that the end of its connection has ended.
+	 *
+	 * @param parts the request's shared parts
+	 * @param upstreamKey the key of the upstream
+	 * @param nanos when it ended, as a reading of the ticker
+	 */
+	private record ClosedResponse(Collection<Long> parts, int upstreamKey, long nanos) {
+	}
+
 	/**
 	 * Knows when upstreams have sent something.
 	 */
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/job/EndlessItemTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/job/EndlessItemTests.java
@@ -23,6 +23,7 @@
 import org.ragworthook.gateway.dialect.HeaderNames;
 import org.ragworthook.gateway.http.ConnectionPool;
 import org.ragworthook.gateway.http.EndlessServer;
+import org.ragworthook.gateway.http.ResponseEnd;
 import org.ragworthook.gateway.http.SendFailure;
 import org.ragworthook.gateway.upstream.SoftwareVersion;
 import org.ragworthook.gateway.upstream.TrackedUpstream;
@@ -217,7 +218,7 @@
 		}
 
 		@Override
-		public void succeeded(ItemRun run) {
+		public void succeeded(ItemRun run, TrackedUpstream upstream, ResponseEnd end) {
 		}
 
 		@Override
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/job/ItemRunTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/job/ItemRunTests.java
@@ -31,6 +31,7 @@
 import org.ragworthook.core.time.Ticker;
 import org.ragworthook.gateway.dialect.HeaderNames;
 import org.ragworthook.gateway.http.ConnectionPool;
+import org.ragworthook.gateway.http.ResponseEnd;
 import org.ragworthook.gateway.http.SendFailure;
 import org.ragworthook.gateway.observe.RunObserver;
 import org.ragworthook.gateway.origin.StreamOrigin;
@@ -427,7 +428,7 @@
 		}
 
 		@Override
-		public void succeeded(ItemRun run) {
+		public void succeeded(ItemRun run, TrackedUpstream upstream, ResponseEnd end) {
 		}
 
 		@Override
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/suspect/PoisonPartDetectorTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/suspect/PoisonPartDetectorTests.java
@@ -96,6 +96,32 @@
 		}
 	}
 
+	/**
+	 * Guards against a part that all requests share and that is refused for good, since
+	 * responses without a length never count as complete.
+	 */
+	@Test
+	void shouldServeAPartWhoseResponsesEndWithTheirConnection() {
+		this.detector.recordClosedResponse(Set.of(OTHER), 100);
+		this.time.advance(PoisonPartDetector.SETTLE_TIME);
+		this.alive.add(100);
+		crashes(4, OTHER);
+		assertThat(refuses(OTHER)).isFalse();
+	}
+
+	/** Guards against a crash that counts as a complete response of the poison part. */
+	@Test
+	void shouldNotTakeTheCloseOfACrashForACompleteResponse() {
+		for (int upstream = 0; upstream < 3; upstream++) {
+			this.detector.recordClosedResponse(Set.of(POISON), 100 + upstream);
+			crash(this.detector, upstream, POISON);
+		}
+		this.time.advance(PoisonPartDetector.MAX_PROOF_TIME);
+		assertThat(refuses(POISON)).isTrue();
+		this.alive.addAll(List.of(100, 101, 102));
+		assertThat(refuses(POISON)).isTrue();
+	}
+
 	/** The route has no complete response yet; its sound requests are to get one. */
 	@ParameterizedTest
 	@ValueSource(ints = { 3, 5, 12 })
