Use a granted slot only at an upstream that may run the request

Cause: the entry looked up the granted upstream by its key alone. It now has to be one of the request's candidates; otherwise the entry places the request.

EqualUpstreamKeyTests: fails before, passes after.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
@@ -563,9 +563,10 @@
 			if (exchange.endedBeforePlacement()) {
 				return;
 			}
+			// Upstreams of two services can have the same key.
 			Optional<TrackedUpstream> upstream = exchange.context.upstreams()
 				.byKey(upstreamKey)
-				.filter((known) -> !known.descriptor().draining() && !exchange.excluded().contains(known));
+				.filter((known) -> exchange.candidates().contains(known) && !exchange.excluded().contains(known));
 			if (upstream.isPresent()) {
 				send(upstream.get(), PlacementSource.DISPATCHER, false, yields);
 			}
