Skip responses without a request id on kept connections

A caller got the complete 200 of an earlier request as the answer to its own, which the upstream answered with 500; a second rejection without an id made a request that was running count as not run.

Cause: a response without X-Request-Id was taken for the one to the request in progress. An upstream that answers a request a second time, late, sends it where the next response on the connection is expected. Only a response with another id was skipped.

Upstreams repeat the id, so it is what identifies a response. One without it is taken only if the connection has carried nothing else, so that it cannot be a second one; the connection is then closed behind it. On a kept connection it is skipped within the present limits. A skipped response without a length ends the request at once, since nothing can be told from its body.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/http/ClientConnection.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/http/ClientConnection.java
@@ -24,11 +24,13 @@
 /**
  * A client connection that carries one request at a time. Used on its event loop.
  * <p>
- * An upstream may send a duplicate of an earlier response late. If the duplicate were
- * taken for the response to the current request, it would be forwarded to the wrong
+ * An upstream may send a duplicate of an earlier response late, or a part of one. If it
+ * were taken for the response to the current request, it would be forwarded to the wrong
  * caller. Responses are therefore matched by the request id that they repeat: a response
- * with another id is skipped until the expected one follows, and bytes that arrive while
- * there is no request close the connection.
+ * with another id, or without one, is skipped until the expected one follows, and bytes
+ * that arrive while there is no request close the connection. Only the first response on
+ * a connection that has carried nothing else needs no id; the connection then carries no
+ * further request, since its server does not identify responses.
  * <p>
  * The HTTP decoder drops white space before a status line, and interim and skipped
  * responses may follow each other without end. All bytes up to the end of the expected
@@ -59,7 +61,7 @@
 
 	private final UpstreamSocketChannel channel;
 
-	private final String requestIdHeader;
+	private final ResponseHeads heads;
 
 	/** The request in progress, or {@code null} if there is none. */
 	private Exchange exchange;
@@ -85,12 +87,15 @@
 
 	private final ReadingPauses pauses;
 
+	/** The number of requests that were sent on this connection. */
+	private int requests;
+
 	/** The bytes that were received before the request in progress, or up to its end. */
 	private long receivedBefore;
 
 	ClientConnection(UpstreamSocketChannel channel, String requestIdHeader, ByteBudget budget, ReadingPauses pauses) {
 		this.channel = channel;
-		this.requestIdHeader = requestIdHeader;
+		this.heads = new ResponseHeads(requestIdHeader);
 		this.pauses = pauses;
 		this.memory = new ConnectionMemory(budget, channel, this::closeToFreeMemory);
 	}
@@ -98,8 +103,8 @@
 	/**
 	 * Sends a request.
 	 * @param request the request
-	 * @param expectedId the request id that the response must repeat, or empty to accept
-	 * any response
+	 * @param expectedId the request id that the response must repeat unless it is the
+	 * first one on the connection, or empty to accept any response
 	 * @param listener receives the response
 	 */
 	public void send(FullHttpRequest request, Optional<String> expectedId, ResponseListener listener) {
@@ -109,7 +114,8 @@
 			listener.failed(SendFailure.NOT_SENT);
 			return;
 		}
-		this.exchange = new Exchange(listener, request.method(), expectedId.orElse(null));
+		this.exchange = new Exchange(listener, request.method(), expectedId.orElse(null), this.requests == 0);
+		this.requests++;
 		this.receivedBefore = this.channel.receivedBytes();
 		this.pauses.requestStarted();
 		int length = request.content().readableBytes();
@@ -265,11 +271,12 @@
 			fail(SendFailure.MALFORMED);
 			return;
 		}
-		String id = (this.exchange.expectedId != null) ? head.headers().get(this.requestIdHeader) : null;
-		if (id != null && !id.equals(this.exchange.expectedId)) {
-			skipOther();
+		Optional<SkipReason> skipReason = skipReason(head);
+		if (skipReason.isPresent()) {
+			skip(head);
 			return;
 		}
+		this.reusable &= this.exchange.expectedId == null || !this.heads.statedIds(head).isEmpty();
 		this.exchange.headReceived = true;
 		if (this.exchange.expectedId != null) {
 			answered(this.exchange.expectedId);
@@ -283,10 +290,22 @@
 		this.exchange.listener.head(head);
 	}
 
-	private void skipOther() {
+	private Optional<SkipReason> skipReason(HttpResponse head) {
+		Exchange current = this.exchange;
+		return (current.expectedId != null) ? this.heads.skipReason(head, current.expectedId,
+				current.firstOnConnection && current.otherResponses == 0) : Optional.empty();
+	}
+
+	/**
+	 * Skips a response that is not known to belong to the request in progress. Nothing
+	 * can be told from a body that ends with the connection.
+	 * @param head the head of the response
+	 */
+	private void skip(HttpResponse head) {
 		this.skipping = true;
 		this.exchange.otherResponses++;
-		if (this.exchange.otherResponses > MAX_SKIPPED_RESPONSES) {
+		if (this.exchange.otherResponses > MAX_SKIPPED_RESPONSES
+				|| ResponseEnd.statedBy(HttpMethod.GET, head) == ResponseEnd.CONNECTION_CLOSED) {
 			fail(SendFailure.MALFORMED);
 		}
 	}
@@ -360,6 +379,9 @@
 
 		private final String expectedId;
 
+		/** Whether no request was sent on the connection before. */
+		private final boolean firstOnConnection;
+
 		private boolean headReceived;
 
 		/** The number of responses to other requests that came first. */
@@ -368,10 +390,11 @@
 		/** What marks the end of the response; known once its head was received. */
 		private ResponseEnd end;
 
-		Exchange(ResponseListener listener, HttpMethod method, String expectedId) {
+		Exchange(ResponseListener listener, HttpMethod method, String expectedId, boolean firstOnConnection) {
 			this.listener = listener;
 			this.method = method;
 			this.expectedId = expectedId;
+			this.firstOnConnection = firstOnConnection;
 		}
 
 	}
