Log and count responses that were skipped

The log of the incident named the status of the response, and neither on which connection it came nor what else came there, so that its causes could not be told apart.

response_skipped states the request, the id that the response repeats, the reason, the status, the address and how many requests the connection carried before; unrequested_bytes stands for bytes that came without a request. attempt_ended, item_answered, item_not_run and item_broke_off state how many requests the connection had carried and how many responses were skipped. ragworthook_gateway_responses_skipped_total counts them by reason.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/attempt/Attempt.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/attempt/Attempt.java
@@ -75,6 +75,12 @@
 
 	private ClientConnection connection;
 
+	/** How many requests the connection carried before this one. */
+	private int carriedBefore;
+
+	/** How many responses were skipped before the one to this request. */
+	private int skippedResponses;
+
 	private State state = State.CONNECTING;
 
 	/** Whether the response is a stream of server-sent events. */
@@ -222,6 +228,23 @@
 		return this.eventStream;
 	}
 
+	/**
+	 * Returns how many requests the connection of the ended attempt carried before.
+	 * @return the number, or 0 if the connection was a new one
+	 */
+	public int carriedBefore() {
+		return this.carriedBefore;
+	}
+
+	/**
+	 * Returns how many responses were skipped on the connection of the ended attempt
+	 * before the one to its request.
+	 * @return the number of responses
+	 */
+	public int skippedResponses() {
+		return this.skippedResponses;
+	}
+
 	/**
 	 * Resumes or pauses reading the response.
 	 * @param on whether to read
@@ -403,6 +426,10 @@
 
 	private void finish() {
 		this.state = State.ENDED;
+		if (this.connection != null) {
+			this.carriedBefore = this.connection.requestsBefore();
+			this.skippedResponses = this.connection.skippedResponses();
+		}
 		this.connection = null;
 		this.upstream.removeRestartTask(this.upstreamRestarted);
 		this.upstream.end(this.work);
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/http/ClientConnection.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/http/ClientConnection.java
@@ -4,6 +4,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -20,6 +21,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import org.ragworthook.core.log.EventLog;
 import org.ragworthook.gateway.memory.ByteBudget;
 
 /**
@@ -39,6 +41,8 @@
  */
 public final class ClientConnection extends ChannelInboundHandlerAdapter {
 
+	private static final EventLog LOG = EventLog.of(ClientConnection.class);
+
 	private static final long NO_LIMIT = Long.MAX_VALUE;
 
 	/**
@@ -62,6 +66,9 @@
 	/** More than the duplicates of one response. */
 	private static final int MAX_SKIPPED_RESPONSES = 8;
 
+	/** The most characters of a stated request id that are logged. */
+	private static final int MAX_LOGGED_ID_LENGTH = 80;
+
 	private final UpstreamSocketChannel channel;
 
 	private final ResponseHeads heads;
@@ -92,9 +99,15 @@
 
 	private final ReadingPauses pauses;
 
+	/** Receives the reason for each response that is skipped. */
+	private final Consumer<String> skipListener;
+
 	/** The number of requests that were sent on this connection. */
 	private int requests;
 
+	/** The number of responses that were skipped since the last request was sent. */
+	private int skippedResponses;
+
 	/** Whether a read is in progress, behind which more messages may be decoded. */
 	private boolean inRead;
 
@@ -104,8 +117,10 @@
 	/** The bytes that were received before the request in progress, or up to its end. */
 	private long receivedBefore;
 
-	ClientConnection(UpstreamSocketChannel channel, String requestIdHeader, ByteBudget budget, ReadingPauses pauses) {
+	ClientConnection(UpstreamSocketChannel channel, String requestIdHeader, ByteBudget budget, ReadingPauses pauses,
+			Consumer<String> skipListener) {
 		this.channel = channel;
+		this.skipListener = skipListener;
 		this.heads = new ResponseHeads(requestIdHeader);
 		this.decoder = new ResponseDecoder(new HttpDecoderConfig().setMaxInitialLineLength(MAX_STATUS_LINE_BYTES)
 			.setMaxHeaderSize(MAX_HEADER_BYTES)
@@ -138,6 +153,7 @@
 		}
 		this.exchange = new Exchange(listener, request.method(), expectedId.orElse(null), this.requests == 0);
 		this.requests++;
+		this.skippedResponses = 0;
 		this.reusable &= !HttpMethod.HEAD.equals(request.method());
 		this.receivedBefore = this.channel.receivedBytes();
 		this.pauses.requestStarted();
@@ -224,6 +240,22 @@
 				&& (this.written == null || this.written.isDone());
 	}
 
+	/**
+	 * Returns how many requests the connection carried before the last one.
+	 * @return the number of requests
+	 */
+	public int requestsBefore() {
+		return Math.max(0, this.requests - 1);
+	}
+
+	/**
+	 * Returns how many responses were skipped since the last request was sent.
+	 * @return the number of responses that did not belong to it
+	 */
+	public int skippedResponses() {
+		return this.skippedResponses;
+	}
+
 	/**
 	 * Runs a task when the read in progress is over. The decoder may hold bytes behind
 	 * the response that has just ended. Those came before a request that is sent now, and
@@ -288,7 +320,7 @@
 		if (this.exchange.headReceived) {
 			return Long.MAX_VALUE;
 		}
-		return MAX_HEAD_BYTES + ((this.exchange.otherResponses > 0) ? MAX_SKIPPED_BYTES : 0);
+		return MAX_HEAD_BYTES + ((this.skippedResponses > 0) ? MAX_SKIPPED_BYTES : 0);
 	}
 
 	private void read(HttpObject message) {
@@ -323,7 +355,7 @@
 		}
 		Optional<SkipReason> skipReason = skipReason(head);
 		if (skipReason.isPresent()) {
-			skip(head);
+			skip(head, skipReason.get());
 			return;
 		}
 		this.reusable &= this.exchange.expectedId == null || !this.heads.statedIds(head).isEmpty();
@@ -343,7 +375,7 @@
 	private Optional<SkipReason> skipReason(HttpResponse head) {
 		Exchange current = this.exchange;
 		return (current.expectedId != null) ? this.heads.skipReason(head, current.expectedId,
-				current.firstOnConnection && current.otherResponses == 0) : Optional.empty();
+				current.firstOnConnection && this.skippedResponses == 0) : Optional.empty();
 	}
 
 	private boolean answersHead(HttpResponse head) {
@@ -355,11 +387,18 @@
 	 * Skips a response that is not known to belong to the request in progress. Nothing
 	 * can be told from a body that ends with the connection.
 	 * @param head the head of the response
+	 * @param reason why the response is skipped
 	 */
-	private void skip(HttpResponse head) {
+	private void skip(HttpResponse head, SkipReason reason) {
 		this.skipping = true;
-		this.exchange.otherResponses++;
-		if (this.exchange.otherResponses > MAX_SKIPPED_RESPONSES
+		this.skippedResponses++;
+		String stated = String.join(",", this.heads.statedIds(head));
+		LOG.info("response_skipped", "request", this.exchange.expectedId, "stated",
+				stated.substring(0, Math.min(MAX_LOGGED_ID_LENGTH, stated.length())), "reason", reason.label(),
+				"status", head.status().code(), "address", this.channel.remoteAddress(), "carried_before",
+				requestsBefore());
+		this.skipListener.accept(reason.label());
+		if (this.skippedResponses > MAX_SKIPPED_RESPONSES
 				|| ResponseEnd.statedBy(HttpMethod.GET, head) == ResponseEnd.CONNECTION_CLOSED) {
 			fail(SendFailure.MALFORMED);
 		}
@@ -407,6 +446,10 @@
 
 	private void fail(SendFailure failure) {
 		Exchange failed = this.exchange;
+		if (failed == null && failure == SendFailure.MALFORMED && this.channel.isActive()) {
+			LOG.info("unrequested_bytes", "bytes", this.channel.receivedBytes() - this.receivedBefore, "address",
+					this.channel.remoteAddress(), "carried_before", this.requests);
+		}
 		this.exchange = null;
 		this.reusable = false;
 		this.channel.close();
@@ -439,9 +482,6 @@
 
 		private boolean headReceived;
 
-		/** The number of responses to other requests that came first. */
-		private int otherResponses;
-
 		/** What marks the end of the response; known once its head was received. */
 		private ResponseEnd end;
 
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/http/ConnectionPool.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/http/ConnectionPool.java
@@ -70,6 +70,9 @@
 
 	private final Map<Address, Deque<IdleConnection>> idle = new HashMap<>();
 
+	private Consumer<String> skipListener = (reason) -> {
+	};
+
 	private ConnectionPool(EventLoop loop, Ticker ticker, Duration connectTimeout, String requestIdHeader,
 			ByteBudget budget, IntSupplier pauses, LongSupplier maxValueBytes) {
 		this.loop = Objects.requireNonNull(loop, "loop is null");
@@ -91,7 +94,8 @@
 				@Override
 				protected void initChannel(UpstreamSocketChannel channel) {
 					ClientConnection connection = new ClientConnection(channel, requestIdHeader, budget,
-							new ReadingPauses(ticker, pauses));
+							new ReadingPauses(ticker, pauses),
+							(reason) -> ConnectionPool.this.skipListener.accept(reason));
 					channel.pipeline()
 						.addLast(new HttpRequestEncoder())
 						.addLast(connection.decoder())
@@ -148,6 +152,15 @@
 		return new ConnectionPool(loop, ticker, connectTimeout, requestIdHeader, budget, pauses, maxValueBytes);
 	}
 
+	/**
+	 * Sets who is told of responses that are skipped, since they are not known to belong
+	 * to the request in progress. Called before the pool is used.
+	 * @param listener receives the reason for each one
+	 */
+	public void onSkippedResponse(Consumer<String> listener) {
+		this.skipListener = Objects.requireNonNull(listener, "listener is null");
+	}
+
 	/**
 	 * Returns the budget that the connections use.
 	 * @return the budget
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/ItemRun.java
@@ -496,7 +496,8 @@
 			run.current = null;
 			LOG.info("item_answered", "job", run.job.id(), "item", run.item.id(), "upstream", this.upstream, "status",
 					this.statusCode, "end", end.label(), "stream", this.eventStream, "first_event",
-					this.resumedAfter + 1, "last_event", run.lastEvent, "server_errors", run.serverErrors);
+					this.resumedAfter + 1, "last_event", run.lastEvent, "server_errors", run.serverErrors,
+					"carried_before", carriedBefore(), "skipped", skippedResponses());
 			if (this.statusCode == OK) {
 				if (end != ResponseEnd.CONNECTION_CLOSED) {
 					this.listener.succeeded(run);
@@ -528,7 +529,7 @@
 		public void notExecuted(int refusal) {
 			ItemRun run = ItemRun.this;
 			LOG.info("item_not_run", "job", run.job.id(), "item", run.item.id(), "upstream", this.upstream, "status",
-					refusal);
+					refusal, "carried_before", carriedBefore(), "skipped", skippedResponses());
 			this.listener.refused(this.upstream);
 			run.current = null;
 			run.notBeforeNanos = this.listener.nanosAfter(INITIAL_BACKOFF);
@@ -540,7 +541,8 @@
 			ItemRun run = ItemRun.this;
 			LOG.info("item_broke_off", "job", run.job.id(), "item", run.item.id(), "upstream", this.upstream, "failure",
 					failure, "status", this.statusCode, "stream", this.eventStream, "first_event",
-					this.resumedAfter + 1, "last_event", run.lastEvent, "unnumbered", this.unnumbered.length());
+					this.resumedAfter + 1, "last_event", run.lastEvent, "unnumbered", this.unnumbered.length(),
+					"carried_before", carriedBefore(), "skipped", skippedResponses());
 			this.listener.failed(run, this.upstream, failure);
 			run.current = null;
 			if (this.exceeded) {
@@ -553,6 +555,18 @@
 			this.listener.ended(run, Optional.empty());
 		}
 
+		/**
+		 * Returns how many requests the connection of the ended run carried before.
+		 * @return the number, or 0 if the run has failed before its start was over
+		 */
+		private int carriedBefore() {
+			return (this.attempt != null) ? this.attempt.carriedBefore() : 0;
+		}
+
+		private int skippedResponses() {
+			return (this.attempt != null) ? this.attempt.skippedResponses() : 0;
+		}
+
 		private void backOff() {
 			ItemRun run = ItemRun.this;
 			int doublings = Math.min(MAX_BACKOFF_DOUBLINGS,
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/metrics/GatewayMetrics.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/metrics/GatewayMetrics.java
@@ -109,6 +109,15 @@
 		count("ragworthook.gateway.attempts.ended", "end", end, 1);
 	}
 
+	/**
+	 * Counts a response of an upstream that was not taken for the one to the request in
+	 * progress.
+	 * @param reason why it was skipped
+	 */
+	public void responseSkipped(String reason) {
+		count("ragworthook.gateway.responses.skipped", "reason", reason, 1);
+	}
+
 	/**
 	 * Counts an item of a batch job that has ended.
 	 * @param completed whether the item ran to its end, rather than being given up
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/online/OnlineExchange.java
@@ -709,7 +709,8 @@
 			OnlineExchange.this.context.metrics().attemptEnded(end);
 			LOG.info("attempt_ended", "request", OnlineExchange.this.request.id(), "upstream", ended.upstream(),
 					"version", ended.upstream().descriptor().version(), "end", end, "status", ended.status(), "stream",
-					ended.eventStream(), "resumed_from", ended.resumedFrom(), "last_event", ended.lastEventId());
+					ended.eventStream(), "resumed_from", ended.resumedFrom(), "last_event", ended.lastEventId(),
+					"carried_before", ended.carriedBefore(), "skipped", ended.skippedResponses());
 		}
 
 		/**
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
@@ -212,6 +212,7 @@
 		ByteBudget budget = budget();
 		ConnectionPool connections = ConnectionPool.of(this.loop, this.ticker, UPSTREAM_CONNECT_TIMEOUT,
 				this.platform.headers().requestId(), budget, this.peers.pauseDetector()::pauses, this::maxValueBytes);
+		connections.onSkippedResponse(this.metrics::responseSkipped);
 		this.upstreams.onRestart((earlier) -> connections.evict(earlier.address()));
 		startMetrics();
 		this.timers.schedule(STORE_CALLS_LOG_INTERVAL, this::logStoreCalls);
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/http/SecondResponseTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/http/SecondResponseTests.java
@@ -3,8 +3,10 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
@@ -149,6 +151,19 @@
 		assertThat(this.pool.loop().submit(first.connection::reusable).syncUninterruptibly().getNow()).isFalse();
 	}
 
+	/** Guards against second responses that leave no trace. */
+	@Test
+	void shouldReportSkippedResponses() {
+		List<String> reasons = new CopyOnWriteArrayList<>();
+		this.pool.onSkippedResponse(reasons::add);
+		ClientConnection kept = sendFirst();
+		this.server.reply(Second.WITHOUT_ID.bytes + FIRST + OWN);
+		assertThat(send(HttpMethod.GET, "b").outcome.join()).isEqualTo(OWN_RECEIVED);
+		assertThat(reasons).containsExactly("no_id", "other_id").inOrder();
+		assertThat(kept.requestsBefore()).isEqualTo(1);
+		assertThat(kept.skippedResponses()).isEqualTo(2);
+	}
+
 	/** Guards against new connections for each request to a sound upstream. */
 	@Test
 	void shouldKeepConnectionsToAServerThatIdentifiesItsResponses() {
