--- a/modules/gateway/src/main/java/org/ragworthook/gateway/http/ClientConnection.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/http/ClientConnection.java
@@ -4,12 +4,14 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
@@ -19,16 +21,19 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import org.ragworthook.core.log.EventLog;
 import org.ragworthook.gateway.memory.ByteBudget;
 
 /**
  * A client connection that carries one request at a time. Used on its event loop.
  * <p>
- * An upstream may send a duplicate of an earlier response late. If the duplicate were
- * taken for the response to the current request, it would be forwarded to the wrong
+ * An upstream may send a duplicate of an earlier response late, or a part of one. If it
+ * were taken for the response to the current request, it would be forwarded to the wrong
  * caller. Responses are therefore matched by the request id that they repeat: a response
- * with another id is skipped until the expected one follows, and bytes that arrive while
- * there is no request close the connection.
+ * with another id, or without one, is skipped until the expected one follows, and bytes
+ * that arrive while there is no request close the connection. Only the first response on
+ * a connection that has carried nothing else needs no id; the connection then carries no
+ * further request, since its server does not identify responses.
  * <p>
  * The HTTP decoder drops white space before a status line, and interim and skipped
  * responses may follow each other without end. All bytes up to the end of the expected
@@ -36,6 +41,8 @@
  */
 public final class ClientConnection extends ChannelInboundHandlerAdapter {
 
+	private static final EventLog LOG = EventLog.of(ClientConnection.class);
+
 	private static final long NO_LIMIT = Long.MAX_VALUE;
 
 	/**
@@ -49,6 +56,8 @@
 	/** The most bytes of all headers of a response. */
 	static final int MAX_HEADER_BYTES = 65_536;
 
+	private static final int MAX_CHUNK_BYTES = 65_536;
+
 	private static final int MAX_HEAD_BYTES = MAX_STATUS_LINE_BYTES + MAX_HEADER_BYTES;
 
 	/** The most bytes of skipped responses: the size of a stored result. */
@@ -57,9 +66,14 @@
 	/** More than the duplicates of one response. */
 	private static final int MAX_SKIPPED_RESPONSES = 8;
 
+	/** The most characters of a stated request id that are logged. */
+	private static final int MAX_LOGGED_ID_LENGTH = 80;
+
 	private final UpstreamSocketChannel channel;
 
-	private final String requestIdHeader;
+	private final ResponseHeads heads;
+
+	private final ResponseDecoder decoder;
 
 	/** The request in progress, or {@code null} if there is none. */
 	private Exchange exchange;
@@ -85,21 +99,49 @@
 
 	private final ReadingPauses pauses;
 
+	/** Receives the reason for each response that is skipped. */
+	private final Consumer<String> skipListener;
+
+	/** The number of requests that were sent on this connection. */
+	private int requests;
+
+	/** The number of responses that were skipped since the last request was sent. */
+	private int skippedResponses;
+
+	/** Whether a read is in progress, behind which more messages may be decoded. */
+	private boolean inRead;
+
+	/** Called when the read in progress is over, or {@code null} if there is nothing. */
+	private Runnable afterRead;
+
 	/** The bytes that were received before the request in progress, or up to its end. */
 	private long receivedBefore;
 
-	ClientConnection(UpstreamSocketChannel channel, String requestIdHeader, ByteBudget budget, ReadingPauses pauses) {
+	ClientConnection(UpstreamSocketChannel channel, String requestIdHeader, ByteBudget budget, ReadingPauses pauses,
+			Consumer<String> skipListener) {
 		this.channel = channel;
-		this.requestIdHeader = requestIdHeader;
+		this.skipListener = skipListener;
+		this.heads = new ResponseHeads(requestIdHeader);
+		this.decoder = new ResponseDecoder(new HttpDecoderConfig().setMaxInitialLineLength(MAX_STATUS_LINE_BYTES)
+			.setMaxHeaderSize(MAX_HEADER_BYTES)
+			.setMaxChunkSize(MAX_CHUNK_BYTES), this::answersHead);
 		this.pauses = pauses;
 		this.memory = new ConnectionMemory(budget, channel, this::closeToFreeMemory);
 	}
 
+	/**
+	 * Returns the decoder whose messages this connection reads.
+	 * @return the decoder, which comes before this handler
+	 */
+	ResponseDecoder decoder() {
+		return this.decoder;
+	}
+
 	/**
 	 * Sends a request.
 	 * @param request the request
-	 * @param expectedId the request id that the response must repeat, or empty to accept
-	 * any response
+	 * @param expectedId the request id that the response must repeat unless it is the
+	 * first one on the connection, or empty to accept any response
 	 * @param listener receives the response
 	 */
 	public void send(FullHttpRequest request, Optional<String> expectedId, ResponseListener listener) {
@@ -109,7 +151,10 @@
 			listener.failed(SendFailure.NOT_SENT);
 			return;
 		}
-		this.exchange = new Exchange(listener, request.method(), expectedId.orElse(null));
+		this.exchange = new Exchange(listener, request.method(), expectedId.orElse(null), this.requests == 0);
+		this.requests++;
+		this.skippedResponses = 0;
+		this.reusable &= !HttpMethod.HEAD.equals(request.method());
 		this.receivedBefore = this.channel.receivedBytes();
 		this.pauses.requestStarted();
 		int length = request.content().readableBytes();
@@ -195,6 +240,38 @@
 				&& (this.written == null || this.written.isDone());
 	}
 
+	/**
+	 * Returns how many requests the connection carried before the last one.
+	 * @return the number of requests
+	 */
+	public int requestsBefore() {
+		return Math.max(0, this.requests - 1);
+	}
+
+	/**
+	 * Returns how many responses were skipped since the last request was sent.
+	 * @return the number of responses that did not belong to it
+	 */
+	public int skippedResponses() {
+		return this.skippedResponses;
+	}
+
+	/**
+	 * Runs a task when the read in progress is over. The decoder may hold bytes behind
+	 * the response that has just ended. Those came before a request that is sent now, and
+	 * would count as a response to it.
+	 * @param task called now if there is no read in progress; not called if the read
+	 * fails, which closes the connection
+	 */
+	void afterRead(Runnable task) {
+		if (this.inRead) {
+			this.afterRead = task;
+		}
+		else {
+			task.run();
+		}
+	}
+
 	/**
 	 * Returns the idle timeout that the server has stated in {@code Keep-Alive}.
 	 * @return milliseconds, or empty if the server has not stated any
@@ -205,6 +282,7 @@
 
 	@Override
 	public void channelRead(ChannelHandlerContext context, Object message) {
+		this.inRead = true;
 		try {
 			read((HttpObject) message);
 		}
@@ -221,6 +299,12 @@
 		if (this.channel.receivedBytes() - this.receivedBefore > allowedBytes()) {
 			fail(SendFailure.MALFORMED);
 		}
+		this.inRead = false;
+		Runnable task = this.afterRead;
+		this.afterRead = null;
+		if (task != null) {
+			task.run();
+		}
 		context.fireChannelReadComplete();
 	}
 
@@ -236,7 +320,7 @@
 		if (this.exchange.headReceived) {
 			return Long.MAX_VALUE;
 		}
-		return MAX_HEAD_BYTES + ((this.exchange.otherResponses > 0) ? MAX_SKIPPED_BYTES : 0);
+		return MAX_HEAD_BYTES + ((this.skippedResponses > 0) ? MAX_SKIPPED_BYTES : 0);
 	}
 
 	private void read(HttpObject message) {
@@ -257,6 +341,10 @@
 			fail(SendFailure.MALFORMED);
 			return;
 		}
+		if (this.exchange != null && this.exchange.expectedId != null && this.heads.joined(head)) {
+			fail(SendFailure.MALFORMED);
+			return;
+		}
 		if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
 			this.skipping = true;
 			return;
@@ -265,11 +353,12 @@
 			fail(SendFailure.MALFORMED);
 			return;
 		}
-		String id = (this.exchange.expectedId != null) ? head.headers().get(this.requestIdHeader) : null;
-		if (id != null && !id.equals(this.exchange.expectedId)) {
-			skipOther();
+		Optional<SkipReason> skipReason = skipReason(head);
+		if (skipReason.isPresent()) {
+			skip(head, skipReason.get());
 			return;
 		}
+		this.reusable &= this.exchange.expectedId == null || !this.heads.statedIds(head).isEmpty();
 		this.exchange.headReceived = true;
 		if (this.exchange.expectedId != null) {
 			answered(this.exchange.expectedId);
@@ -283,10 +372,34 @@
 		this.exchange.listener.head(head);
 	}
 
-	private void skipOther() {
+	private Optional<SkipReason> skipReason(HttpResponse head) {
+		Exchange current = this.exchange;
+		return (current.expectedId != null) ? this.heads.skipReason(head, current.expectedId,
+				current.firstOnConnection && this.skippedResponses == 0) : Optional.empty();
+	}
+
+	private boolean answersHead(HttpResponse head) {
+		return this.exchange != null && !this.exchange.headReceived && HttpMethod.HEAD.equals(this.exchange.method)
+				&& skipReason(head).isEmpty();
+	}
+
+	/**
+	 * Skips a response that is not known to belong to the request in progress. Nothing
+	 * can be told from a body that ends with the connection.
+	 * @param head the head of the response
+	 * @param reason why the response is skipped
+	 */
+	private void skip(HttpResponse head, SkipReason reason) {
 		this.skipping = true;
-		this.exchange.otherResponses++;
-		if (this.exchange.otherResponses > MAX_SKIPPED_RESPONSES) {
+		this.skippedResponses++;
+		String stated = String.join(",", this.heads.statedIds(head));
+		LOG.info("response_skipped", "request", this.exchange.expectedId, "stated",
+				stated.substring(0, Math.min(MAX_LOGGED_ID_LENGTH, stated.length())), "reason", reason.label(),
+				"status", head.status().code(), "address", this.channel.remoteAddress(), "carried_before",
+				requestsBefore());
+		this.skipListener.accept(reason.label());
+		if (this.skippedResponses > MAX_SKIPPED_RESPONSES
+				|| ResponseEnd.statedBy(HttpMethod.GET, head) == ResponseEnd.CONNECTION_CLOSED) {
 			fail(SendFailure.MALFORMED);
 		}
 	}
@@ -326,13 +439,17 @@
 		}
 		if (last && this.exchange == current) {
 			this.exchange = null;
-			this.receivedBefore = this.channel.receivedBytes();
+			this.receivedBefore = this.channel.receivedBytes() - this.decoder.undecodedBytes();
 			current.listener.complete(current.end);
 		}
 	}
 
 	private void fail(SendFailure failure) {
 		Exchange failed = this.exchange;
+		if (failed == null && failure == SendFailure.MALFORMED && this.channel.isActive()) {
+			LOG.info("unrequested_bytes", "bytes", this.channel.receivedBytes() - this.receivedBefore, "address",
+					this.channel.remoteAddress(), "carried_before", this.requests);
+		}
 		this.exchange = null;
 		this.reusable = false;
 		this.channel.close();
@@ -360,18 +477,19 @@
 
 		private final String expectedId;
 
-		private boolean headReceived;
+		/** Whether no request was sent on the connection before. */
+		private final boolean firstOnConnection;
 
-		/** The number of responses to other requests that came first. */
-		private int otherResponses;
+		private boolean headReceived;
 
 		/** What marks the end of the response; known once its head was received. */
 		private ResponseEnd end;
 
-		Exchange(ResponseListener listener, HttpMethod method, String expectedId) {
+		Exchange(ResponseListener listener, HttpMethod method, String expectedId, boolean firstOnConnection) {
 			this.listener = listener;
 			this.method = method;
 			this.expectedId = expectedId;
+			this.firstOnConnection = firstOnConnection;
 		}
 
 	}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/http/ConnectionPool.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/http/ConnectionPool.java
@@ -21,7 +21,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioChannelOption;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import jdk.net.ExtendedSocketOptions;
 import org.ragworthook.core.fleet.Address;
 import org.ragworthook.core.time.Ticker;
@@ -55,8 +55,6 @@
 	/** Unanswered TCP keep-alive probes after which the kernel drops a connection. */
 	private static final int KEEP_ALIVE_PROBES = 2;
 
-	private static final int MAX_CHUNK_BYTES = 65_536;
-
 	/** Limit of a pool that states none: that of an object of the platform's store. */
 	private static final long DEFAULT_MAX_VALUE_BYTES = 1 << 20;
 
@@ -72,6 +70,9 @@
 
 	private final Map<Address, Deque<IdleConnection>> idle = new HashMap<>();
 
+	private Consumer<String> skipListener = (reason) -> {
+	};
+
 	private ConnectionPool(EventLoop loop, Ticker ticker, Duration connectTimeout, String requestIdHeader,
 			ByteBudget budget, IntSupplier pauses, LongSupplier maxValueBytes) {
 		this.loop = Objects.requireNonNull(loop, "loop is null");
@@ -92,11 +93,13 @@
 
 				@Override
 				protected void initChannel(UpstreamSocketChannel channel) {
+					ClientConnection connection = new ClientConnection(channel, requestIdHeader, budget,
+							new ReadingPauses(ticker, pauses),
+							(reason) -> ConnectionPool.this.skipListener.accept(reason));
 					channel.pipeline()
-						.addLast(new HttpClientCodec(ClientConnection.MAX_STATUS_LINE_BYTES,
-								ClientConnection.MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
-						.addLast(new ClientConnection(channel, requestIdHeader, budget,
-								new ReadingPauses(ticker, pauses)));
+						.addLast(new HttpRequestEncoder())
+						.addLast(connection.decoder())
+						.addLast(connection);
 				}
 
 			});
@@ -149,6 +152,15 @@
 		return new ConnectionPool(loop, ticker, connectTimeout, requestIdHeader, budget, pauses, maxValueBytes);
 	}
 
+	/**
+	 * Sets who is told of responses that are skipped, since they are not known to belong
+	 * to the request in progress. Called before the pool is used.
+	 * @param listener receives the reason for each one
+	 */
+	public void onSkippedResponse(Consumer<String> listener) {
+		this.skipListener = Objects.requireNonNull(listener, "listener is null");
+	}
+
 	/**
 	 * Returns the budget that the connections use.
 	 * @return the budget
@@ -220,11 +232,16 @@
 	}
 
 	/**
-	 * Returns a connection to the pool, or closes it if it cannot be reused.
+	 * Returns a connection to the pool, or closes it if it cannot be reused. A connection
+	 * whose response has ended in a read that is still in progress is returned after it.
 	 * @param address the server's address
 	 * @param connection the connection, without a request in progress
 	 */
 	public void release(Address address, ClientConnection connection) {
+		connection.afterRead(() -> keep(address, connection));
+	}
+
+	private void keep(Address address, ClientConnection connection) {
 		if (!connection.reusable()) {
 			connection.close();
 			return;
