Check the numbers of a stored job before its parts are read

What users would see: another writer leaves a job with 2,000,000,000 chunks, and the process that reads it calls the store for each of them, without a bound on its memory. Negative or huge tokens change how much room the limit on waiting tokens leaves for the jobs of all callers.

Cause: JobDocuments converted the numbers of a job without a check.

A job has at most 100,000 items, no more chunks than items, and tokens that its items can have; other documents are malformed, and the entry is unusable.

The run out of memory was not played.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobDocuments.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobDocuments.java
@@ -33,6 +33,9 @@
 	/** Keys, quotes and numbers of an outcome or of an item's progress, at most. */
 	private static final int RECORD_BYTES = 200;
 
+	/** Far more items than a job is accepted with. */
+	private static final int MAX_ITEMS = 100_000;
+
 	private JobDocuments() {
 	}
 
@@ -55,12 +58,32 @@
 	static Job readJob(String text) {
 		JsonNode node = require(parse(text), JsonNode::isObject);
 		Optional<String> account = Optional.ofNullable(node.path("account").textValue());
+		int itemCount = (int) count(node, "itemCount", MAX_ITEMS);
 		return new Job(text(node, "id"), account, node.path("host").asText(), node.path("path").asText(),
-				node.path("acceptedMillis").asLong(), node.path("configurationVersion").asLong(),
-				node.path("itemCount").asInt(), node.path("chunks").asInt(), node.path("tokens").asLong(),
+				node.path("acceptedMillis").asLong(), node.path("configurationVersion").asLong(), itemCount,
+				(int) count(node, "chunks", itemCount), count(node, "tokens", (long) itemCount * Integer.MAX_VALUE),
 				node.path("ended").asBoolean(), items(node.path("items")));
 	}
 
+	/**
+	 * Reads a number that is not negative. A job of another writer with billions of
+	 * chunks would take up the memory of the process that reads them, and its tokens
+	 * count against the limit on the jobs of all callers.
+	 * @param node the document
+	 * @param field the field; 0 if it is missing
+	 * @param max the greatest value
+	 * @return the number
+	 */
+	private static long count(JsonNode node, String field, long max) {
+		JsonNode value = node.path(field);
+		if (value.isMissingNode()) {
+			return 0;
+		}
+		return require(value, (stated) -> stated.isIntegralNumber() && stated.canConvertToLong()
+				&& stated.longValue() >= 0 && stated.longValue() <= max)
+			.longValue();
+	}
+
 	static String writeItems(List<JobItem> items) {
 		return text(items(items));
 	}
@@ -206,7 +229,8 @@
 
 	private static JsonNode require(JsonNode node, Predicate<JsonNode> type) {
 		if (!type.test(node)) {
-			throw malformed(new IOException("a field is missing or has another type: " + node.getNodeType()));
+			throw malformed(
+					new IOException("a field is missing, out of range or has another type: " + node.getNodeType()));
 		}
 		return node;
 	}
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/job/JobStoreTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/job/JobStoreTests.java
@@ -1,5 +1,6 @@
 package org.ragworthook.gateway.job;
 
+import java.io.UncheckedIOException;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -12,11 +13,13 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.ragworthook.core.error.ErrorCode;
 import org.ragworthook.core.store.ConditionalWriter;
+import org.ragworthook.core.store.Draft;
 import org.ragworthook.core.store.Kind;
 import org.ragworthook.core.store.Labels;
 import org.ragworthook.core.store.MemoryObjectStore;
 import org.ragworthook.core.store.ObjectKey;
 import org.ragworthook.core.store.Stamps;
+import org.ragworthook.core.store.Stored;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -42,6 +45,28 @@
 		return this.store.read("job").join().orElseThrow();
 	}
 
+	/**
+	 * Guards against a process whose memory is taken up by one job of another writer, and
+	 * against a job whose tokens leave no room for the jobs of all callers.
+	 * @param field a field of the job with a number that no job has
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "\"chunks\":2000000000", "\"chunks\":4", "\"chunks\":-1", "\"chunks\":4294967297",
+			"\"itemCount\":2000000000", "\"itemCount\":-3", "\"tokens\":-1", "\"tokens\":9223372036854775807",
+			"\"tokens\":1e300", "\"tokens\":[]" })
+	void shouldRejectJobsWithNumbersOutOfRange(String field) {
+		String text = "{\"id\":\"a\",\"itemCount\":3,\"chunks\":3,\"tokens\":30,\"items\":[]," + field + "}";
+		Stored odd = new Stored(ObjectKey.of(Kind.JOB, "ja"), 1, Draft.of(text, "s"));
+		boolean read = true;
+		try {
+			JobStore.job(odd);
+		}
+		catch (UncheckedIOException ex) {
+			read = false;
+		}
+		assertThat(read).isFalse();
+	}
+
 	@Test
 	void shouldReadTheItemsOfAllObjects() {
 		Job head = createLargeJob();
