Reject reports that no process sends

What users would see: one datagram with a host name makes the event loop resolve it; one with any address becomes a live peer, which may be taken for the owner of jobs; each further address adds a peer that all reports are sent to. A line is logged for each malformed datagram. An exception in a round would end the scheduled task, and the process would send no reports any more.

Cause: only the encoding of a report was checked.

ReportCheck rejects a report as a whole if its address is not an IP address with a port from 1 to 65535, a count is negative or above 1,000,000, or the name of its instance has more than 253 characters. At most 1,000 peers are known by their reports, report_malformed is logged once a second with the number of rejected reports, and a failed round is logged (report_round_failed).

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/peer/LoadExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/peer/LoadExchange.java
@@ -18,6 +18,7 @@
 
 import io.netty.channel.EventLoop;
 import org.ragworthook.core.fleet.Address;
+import org.ragworthook.core.log.EventLog;
 import org.ragworthook.core.time.Ticker;
 import org.ragworthook.gateway.suspect.PoisonRequestDetector;
 import org.ragworthook.gateway.upstream.PeerLoad;
@@ -40,6 +41,8 @@
  */
 public final class LoadExchange implements AutoCloseable {
 
+	private static final EventLog LOG = EventLog.of(LoadExchange.class);
+
 	/** How often a report is sent while the state of this process changes. */
 	private static final Duration REPORT_INTERVAL = Duration.ofMillis(100);
 
@@ -118,7 +121,7 @@
 			PoisonRequestDetector suspects, PeerIdentity self) {
 		LoadExchange exchange = new LoadExchange(loop, ticker, registry, suspects, self);
 		exchange.channel = ReportChannel.open(loop, self.address(), ticker, exchange::receive);
-		loop.scheduleAtFixedRate(exchange::round, REPORT_INTERVAL.toMillis(), REPORT_INTERVAL.toMillis(),
+		loop.scheduleAtFixedRate(exchange::guardedRound, REPORT_INTERVAL.toMillis(), REPORT_INTERVAL.toMillis(),
 				TimeUnit.MILLISECONDS);
 		return exchange;
 	}
@@ -251,6 +254,19 @@
 		return this.backlogs.sum(this.peers.backlogReports(), key);
 	}
 
+	/**
+	 * Runs a round. An exception would end the scheduled task, and this process would
+	 * send no reports any more.
+	 */
+	private void guardedRound() {
+		try {
+			round();
+		}
+		catch (RuntimeException ex) {
+			LOG.warning("report_round_failed", "error", ex);
+		}
+	}
+
 	private void round() {
 		this.channel.polled();
 		List<UpstreamLoad> now = loads();
@@ -359,6 +375,9 @@
 	}
 
 	private void receive(LoadReport report, long arrivedNanos) {
+		ReportCheck.problem(report).ifPresent((problem) -> {
+			throw new IllegalArgumentException(problem);
+		});
 		this.peers.accept(report, arrivedNanos).ifPresent((peer) -> accepted(peer, report));
 		this.sections.forEach((section) -> section.read(report));
 	}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/peer/PeerTable.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/peer/PeerTable.java
@@ -41,6 +41,12 @@
 	 */
 	private static final Duration SETTLE_TIMEOUT = Duration.ofMillis(1_500);
 
+	/**
+	 * The most peers that are known by their reports: several times those of the largest
+	 * fleet. Each report may state another address, and every peer is sent reports.
+	 */
+	private static final int MAX_PEERS = 1_000;
+
 	private final Ticker ticker;
 
 	private final long startedNanos;
@@ -75,10 +81,14 @@
 	 * @param report the report
 	 * @param arrivedNanos the earliest time at which the report can have arrived, a
 	 * reading of the ticker
-	 * @return the sender, or empty if the report was not accepted
+	 * @return the sender, or empty if the report was not accepted, or its sender is not
+	 * known and too many are
 	 */
 	Optional<Peer> accept(LoadReport report, long arrivedNanos) {
 		InetSocketAddress from = new InetSocketAddress(report.getHost(), report.getPort());
+		if (this.peers.size() >= MAX_PEERS && !this.peers.containsKey(from)) {
+			return Optional.empty();
+		}
 		Peer peer = this.peers.computeIfAbsent(from, Peer::new);
 		return peer.accept(report, this.ticker.nanos(), arrivedNanos) ? Optional.of(peer) : Optional.empty();
 	}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/peer/ReportChannel.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/peer/ReportChannel.java
@@ -47,6 +47,8 @@
 
 	private final Receiver receiver;
 
+	private final RejectedReports rejected;
+
 	private volatile Channel channel;
 
 	/** All datagrams that arrived before this reading of the ticker were read. */
@@ -64,6 +66,7 @@
 	private ReportChannel(Ticker ticker, Receiver receiver) {
 		this.ticker = Objects.requireNonNull(ticker, "ticker is null");
 		this.receiver = Objects.requireNonNull(receiver, "receiver is null");
+		this.rejected = new RejectedReports(ticker);
 		this.drainedNanos = ticker.nanos();
 		this.arrivedNanos = this.drainedNanos;
 		this.polledNanos = this.drainedNanos;
@@ -130,7 +133,7 @@
 	interface Receiver {
 
 		/**
-		 * Called with each report.
+		 * Called with each report. An exception rejects the report.
 		 * @param report the report
 		 * @param arrivedNanos the earliest time at which the report can have arrived; it
 		 * may have waited in the socket since then
@@ -194,8 +197,8 @@
 				ReportChannel.this.receiver.receive(LoadReport.parseFrom(ByteBufUtil.getBytes(packet.content())),
 						ReportChannel.this.arrivedNanos);
 			}
-			catch (InvalidProtocolBufferException ex) {
-				LOG.warning("report_malformed", "from", packet.sender(), "error", ex.getMessage());
+			catch (InvalidProtocolBufferException | RuntimeException ex) {
+				ReportChannel.this.rejected.add(packet.sender(), ex.toString());
 			}
 		}
 
