Follow a collection after an error in a listener, a call or a callback

What failed before: an Error of a listener (stack overflow, linkage, assertion), or anything thrown by feed.list(), feed.changes() or the coalescing delay, went into a future that nobody reads. The collection was not followed any more and no line told so.

A listener's failure of any kind is logged; the state from before it is kept for the entries concerned, other changes are delivered, and the collection is listed again after 0.5 s, up to 16 s while the failure lasts (at most 8 further listings in a minute). A call that throws counts as one that has failed. A callback that throws is logged, and the collection is listed again.

shouldFollowAfterAFailureOfTheListener now lists what its watch delivers, as the collection is listed again: its fake listed nothing at all.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/feed/FeedFollower.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/feed/FeedFollower.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -27,7 +28,11 @@
  * The response to a watch can also be lost without any sign on its connection. The watch
  * is in doubt once another call of this process got no response, or once a change that is
  * known from elsewhere is overdue. The collection is then listed while the watch stays
- * open, and whichever is answered first is used. Used on the event loop.
+ * open, and whichever is answered first is used.
+ * <p>
+ * While a listener fails, the state from before the failed call is kept for the entries
+ * concerned, other changes are delivered, and the collection is listed again at growing
+ * intervals. Used on the event loop.
  *
  * @param <T> the type of the entries
  */
@@ -41,6 +46,15 @@
 	/** Upper bound of a random delay that spreads the listings of many processes. */
 	static final Duration MAX_SPREAD = Duration.ofMillis(200);
 
+	/**
+	 * How soon the collection is listed again after a failure of the listener. Doubled
+	 * with each further failure, since an entry may make it fail every time.
+	 */
+	private static final Duration LISTENER_RETRY_DELAY = Duration.ofMillis(500);
+
+	/** Limits the delay to 16 seconds. */
+	private static final int MAX_RETRY_DOUBLINGS = 5;
+
 	private final Feed<T> feed;
 
 	private final FeedListener<T> listener;
@@ -61,6 +75,11 @@
 
 	private int failures;
 
+	/** Successive failures of the listener. */
+	private int listenerFailures;
+
+	private boolean listenerRetryPending;
+
 	private boolean stopped;
 
 	private Optional<Listing> listing = Optional.empty();
@@ -79,10 +98,8 @@
 	/** When the store last answered. */
 	private Optional<Long> confirmedNanos = Optional.empty();
 
-	/**
-	 * Ends the coalescing delay in progress and polls at once; empty while there is none.
-	 */
-	private Optional<Runnable> pendingPoll = Optional.empty();
+	/** The coalescing delay in progress; empty while there is none. */
+	private Optional<PendingPoll> pendingPoll = Optional.empty();
 
 	private FeedFollower(Builder<T> builder) {
 		this.feed = builder.feed;
@@ -159,9 +176,13 @@
 		this.listing = Optional.empty();
 		onSuccess();
 		LOG.info("feed_listed", "feed", this.feed.name(), "entries", all.changes().size(), "version", all.version());
+		this.pendingPoll.ifPresent(PendingPoll::cancel);
+		this.pendingPoll = Optional.empty();
 		this.openWatch.ifPresent(Watch::cancel);
 		received(all);
-		notifyListener(() -> this.listener.listed(all.changes()));
+		if (notifyListener(() -> this.listener.listed(all.changes()))) {
+			this.listenerFailures = 0;
+		}
 		watch(all.version());
 	}
 
@@ -195,17 +216,58 @@
 	}
 
 	/**
-	 * Runs a call of the listener. If it fails, the collection is followed all the same:
-	 * without further changes, this process would miss all later entries.
+	 * Runs a call of the listener. If it fails, with an error too, the collection is
+	 * followed all the same: without further changes, this process would miss all later
+	 * entries. It is listed again, since what has failed may succeed later.
 	 * @param call the call
+	 * @return whether the call has succeeded
 	 */
-	private void notifyListener(Runnable call) {
+	private boolean notifyListener(Runnable call) {
 		try {
 			call.run();
+			return true;
 		}
-		catch (RuntimeException ex) {
+		catch (Throwable ex) {
 			LOG.warning("feed_listener_failed", "feed", this.feed.name(), "error", ex);
+			retryListener();
+			return false;
+		}
+	}
+
+	private void retryListener() {
+		if (this.listenerRetryPending) {
+			return;
 		}
+		this.listenerRetryPending = true;
+		int doublings = Math.min(MAX_RETRY_DOUBLINGS, this.listenerFailures++);
+		this.timers.schedule(LISTENER_RETRY_DELAY.multipliedBy(1L << doublings), () -> {
+			this.listenerRetryPending = false;
+			list(Duration.ZERO);
+		});
+	}
+
+	/**
+	 * Returns a callback whose failure does not end the following of the collection. A
+	 * future would keep the failure, and nobody reads it.
+	 * @param <R> the type of the result
+	 * @param callback the callback
+	 * @return the callback to pass to a future
+	 */
+	private <R> BiConsumer<R, Throwable> guarded(BiConsumer<R, Throwable> callback) {
+		return (result, failure) -> {
+			try {
+				callback.accept(result, failure);
+			}
+			catch (Throwable ex) {
+				LOG.warning("feed_callback_failed", "feed", this.feed.name(), "error", ex);
+				this.pendingPoll.ifPresent(PendingPoll::cancel);
+				this.pendingPoll = Optional.empty();
+				this.openWatch.ifPresent(Watch::cancel);
+				this.listing = Optional.empty();
+				this.failures++;
+				list(retryDelay());
+			}
+		};
 	}
 
 	private void watchAfterDelay(Changes<T> seen) {
@@ -214,12 +276,8 @@
 			watch(seen.version());
 		}
 		else {
-			Runnable poll = () -> poll(seen.version());
-			Timers.Timer timer = this.timers.schedule(delay, poll);
-			this.pendingPoll = Optional.of(() -> {
-				timer.cancel();
-				poll.run();
-			});
+			this.pendingPoll = Optional
+				.of(new PendingPoll(this.timers.schedule(delay, () -> poll(seen.version())), seen.version()));
 		}
 	}
 
@@ -233,7 +291,10 @@
 	 * is a change that must not wait for others.
 	 */
 	public void pollNow() {
-		this.pendingPoll.ifPresent(Runnable::run);
+		this.pendingPoll.ifPresent((pending) -> {
+			pending.cancel();
+			poll(pending.version);
+		});
 	}
 
 	private void onSuccess() {
@@ -242,6 +303,21 @@
 		this.health.recordSuccess();
 	}
 
+	/**
+	 * Runs a call that may throw instead of returning a future.
+	 * @param <R> the type of the result
+	 * @param call the call
+	 * @return the future of the call, or one that has failed
+	 */
+	private static <R> CompletableFuture<R> call(Supplier<CompletableFuture<R>> call) {
+		try {
+			return call.get();
+		}
+		catch (Throwable ex) {
+			return CompletableFuture.failedFuture(ex);
+		}
+	}
+
 	private void interrupted(Throwable failure) {
 		this.failures++;
 		LOG.warning("feed_interrupted", "feed", this.feed.name(), "failures", this.failures, "error",
@@ -320,7 +396,7 @@
 			if (FeedFollower.this.stopped || !isCurrent()) {
 				return;
 			}
-			FeedFollower.this.feed.list().whenCompleteAsync((all, failure) -> {
+			call(FeedFollower.this.feed::list).whenCompleteAsync(guarded((all, failure) -> {
 				if (!isCurrent()) {
 					return;
 				}
@@ -331,7 +407,7 @@
 				FeedFollower.this.health.recordFailure();
 				interrupted(failure);
 				FeedFollower.this.timers.schedule(retryDelay(), this::start);
-			}, FeedFollower.this.loop);
+			}), FeedFollower.this.loop);
 		}
 
 		private boolean isCurrent() {
@@ -356,10 +432,9 @@
 		}
 
 		void start() {
-			CompletableFuture<Optional<Changes<T>>> changes = FeedFollower.this.feed.changes(this.version,
-					FeedFollower.this.maxWait);
+			CompletableFuture<Optional<Changes<T>>> changes = call(() -> FeedFollower.this.feed.changes(this.version, FeedFollower.this.maxWait));
 			this.call = Optional.of(changes);
-			changes.whenCompleteAsync(this::completed, FeedFollower.this.loop);
+			changes.whenCompleteAsync(guarded(this::completed), FeedFollower.this.loop);
 		}
 
 		private void completed(Optional<Changes<T>> changes, Throwable failure) {
@@ -389,6 +464,20 @@
 
 	}
 
+	/**
+	 * A coalescing delay in progress.
+	 *
+	 * @param timer polls at the end of the delay
+	 * @param version the version after which changes are polled for
+	 */
+	private record PendingPoll(Timers.Timer timer, long version) {
+
+		void cancel() {
+			this.timer.cancel();
+		}
+
+	}
+
 	/**
 	 * Builds a follower.
 	 *
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/feed/FeedFollowerTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/feed/FeedFollowerTests.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.ragworthook.core.time.ManualTime;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -34,6 +35,11 @@
 
 	private int listings;
 
+	/** The beginning of the names of the changes on which the listener fails. */
+	private String failsOn = "bad";
+
+	private Throwable failure = new IllegalStateException("bad");
+
 	private final StoreHealth health = StoreHealth.of(this.time);
 
 	/**
@@ -123,10 +129,14 @@
 
 	/**
 	 * Guards against a process that hears of no later change after its listener has
-	 * failed once, such as of no further job.
+	 * failed once, such as of no further job. An error must not end it either.
+	 * @param error whether the listener fails with an error
 	 */
-	@Test
-	void shouldFollowAfterAFailureOfTheListener() {
+	@ParameterizedTest
+	@ValueSource(booleans = { false, true })
+	void shouldFollowAfterAFailureOfTheListener(boolean error) {
+		this.failure = error ? new StackOverflowError() : new IllegalStateException("bad");
+		this.collection.listsContent = true;
 		this.collection.change("bad in the listing");
 		follow(1);
 		this.collection.change("bad");
@@ -135,6 +145,54 @@
 		assertThat(this.delivered).containsExactly("good");
 	}
 
+	/**
+	 * Guards against a change that is lost for good because the listener has failed once
+	 * while it was delivered.
+	 */
+	@Test
+	void shouldListAgainAfterAFailureOfTheListener() {
+		this.collection.listsContent = true;
+		follow(1);
+		this.collection.change("bad");
+		this.failsOn = "nothing";
+		this.time.advance(Duration.ofSeconds(2));
+		assertThat(this.delivered).containsExactly("bad");
+	}
+
+	/**
+	 * Guards against calls of the store at short intervals for as long as a listener
+	 * fails on each listing.
+	 */
+	@Test
+	void shouldListSeldomWhileTheListenerFails() {
+		this.collection.listsContent = true;
+		follow(1);
+		this.collection.change("bad");
+		this.time.advance(Duration.ofMinutes(1));
+		assertThat(this.listings).isAtMost(9);
+	}
+
+	/**
+	 * Guards against a collection that is not followed any more, since a call or a
+	 * callback has thrown and the future has kept the failure.
+	 * @param place what throws once
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "list", "changes", "delay" })
+	void shouldFollowAfterAnErrorInACall(String place) {
+		this.collection.listsContent = true;
+		this.collection.throwsIn = place;
+		follow(() -> {
+			this.collection.throwOnce("delay");
+			return Duration.ZERO;
+		});
+		this.collection.change("a");
+		this.time.advance(Duration.ofSeconds(1));
+		this.collection.change("b");
+		assertThat(this.delivered).contains("a");
+		assertThat(this.delivered).contains("b");
+	}
+
 	/**
 	 * Guards against changes that are missed for as long as a watch may wait, because its
 	 * response is lost and its connection stays open.
@@ -306,6 +364,11 @@
 			.start();
 	}
 
+	@SuppressWarnings("unchecked")
+	private static <E extends Throwable> void sneakyThrow(Throwable failure) throws E {
+		throw (E) failure;
+	}
+
 	private final class Listener implements FeedListener<String> {
 
 		@Override
@@ -316,8 +379,8 @@
 
 		@Override
 		public void changed(Change<String> change) {
-			if (change.name().startsWith("bad")) {
-				throw new IllegalStateException(change.name());
+			if (change.name().startsWith(FeedFollowerTests.this.failsOn)) {
+				sneakyThrow(FeedFollowerTests.this.failure);
 			}
 			FeedFollowerTests.this.delivered.add(change.name());
 		}
@@ -343,11 +406,33 @@
 		/** The answer to listings, instead of one at once. */
 		private Optional<CompletableFuture<Changes<String>>> listing = Optional.empty();
 
+		/** The call that throws once, or an empty string. */
+		private String throwsIn = "";
+
 		void change(String name) {
-			this.changes.put(this.changes.size() + 1L, name);
+			changeSilently(name);
 			answer();
 		}
 
+		/**
+		 * Makes a change that the watch that is waiting does not deliver.
+		 * @param name the name of the change
+		 */
+		void changeSilently(String name) {
+			this.changes.put(this.changes.size() + 1L, name);
+		}
+
+		/**
+		 * Throws an error at the first call from one place.
+		 * @param place the place of the call
+		 */
+		void throwOnce(String place) {
+			if (this.throwsIn.equals(place)) {
+				this.throwsIn = "";
+				throw new StackOverflowError();
+			}
+		}
+
 		private void answer() {
 			if (this.pendingPoll == null || this.changes.tailMap(this.pendingAfter, false).isEmpty()) {
 				return;
@@ -399,6 +484,7 @@
 		@Override
 		public CompletableFuture<Changes<String>> list() {
 			this.calls++;
+			throwOnce("list");
 			return this.listing.orElseGet(() -> CompletableFuture
 				.completedFuture(this.listsContent ? content() : new Changes<>(List.of(), 0)));
 		}
@@ -406,6 +492,7 @@
 		@Override
 		public CompletableFuture<Optional<Changes<String>>> changes(long after, Duration wait) {
 			this.calls++;
+			throwOnce("changes");
 			CompletableFuture<Optional<Changes<String>>> poll = new CompletableFuture<>();
 			this.pendingPoll = poll;
 			this.pendingAfter = after;
