Add fields for the state of collections to load reports

The age of the newest change, the number of entries as verified by a check, and whether the sender can check collections for all.

--- a/modules/wire/src/main/java/org/ragworthook/wire/load/FeedVersion.java
+++ b/modules/wire/src/main/java/org/ragworthook/wire/load/FeedVersion.java
@@ -53,6 +53,7 @@
             org.ragworthook.wire.load.FeedVersion.class, org.ragworthook.wire.load.FeedVersion.Builder.class);
   }
 
+  private int bitField0_;
   public static final int FEED_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private volatile java.lang.Object feed_ = "";
@@ -115,6 +116,48 @@
     return version_;
   }
 
+  public static final int AGE_MILLIS_FIELD_NUMBER = 3;
+  private int ageMillis_ = 0;
+  /**
+   * <pre>
+   * for how long the receiver could have had that change
+   * </pre>
+   *
+   * <code>uint32 age_millis = 3;</code>
+   * @return The ageMillis.
+   */
+  @java.lang.Override
+  public int getAgeMillis() {
+    return ageMillis_;
+  }
+
+  public static final int ENTRIES_FIELD_NUMBER = 4;
+  private int entries_ = 0;
+  /**
+   * <pre>
+   * the number of entries, if the sender has verified it a moment ago
+   * </pre>
+   *
+   * <code>optional uint32 entries = 4;</code>
+   * @return Whether the entries field is set.
+   */
+  @java.lang.Override
+  public boolean hasEntries() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * the number of entries, if the sender has verified it a moment ago
+   * </pre>
+   *
+   * <code>optional uint32 entries = 4;</code>
+   * @return The entries.
+   */
+  @java.lang.Override
+  public int getEntries() {
+    return entries_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -135,6 +178,12 @@
     if (version_ != 0L) {
       output.writeUInt64(2, version_);
     }
+    if (ageMillis_ != 0) {
+      output.writeUInt32(3, ageMillis_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeUInt32(4, entries_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -146,6 +195,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(2, version_);
     }
+    if (ageMillis_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(3, ageMillis_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(4, entries_);
+    }
     return size;
   }
   @java.lang.Override
@@ -174,6 +231,13 @@
         .equals(other.getFeed())) return false;
     if (getVersion()
         != other.getVersion()) return false;
+    if (getAgeMillis()
+        != other.getAgeMillis()) return false;
+    if (hasEntries() != other.hasEntries()) return false;
+    if (hasEntries()) {
+      if (getEntries()
+          != other.getEntries()) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -190,6 +254,12 @@
     hash = (37 * hash) + VERSION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getVersion());
+    hash = (37 * hash) + AGE_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + getAgeMillis();
+    if (hasEntries()) {
+      hash = (37 * hash) + ENTRIES_FIELD_NUMBER;
+      hash = (53 * hash) + getEntries();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -327,6 +397,8 @@
       bitField0_ = 0;
       feed_ = "";
       version_ = 0L;
+      ageMillis_ = 0;
+      entries_ = 0;
       return this;
     }
 
@@ -366,6 +438,15 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.version_ = version_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.ageMillis_ = ageMillis_;
+      }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.entries_ = entries_;
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -388,6 +469,12 @@
       if (other.getVersion() != 0L) {
         setVersion(other.getVersion());
       }
+      if (other.getAgeMillis() != 0) {
+        setAgeMillis(other.getAgeMillis());
+      }
+      if (other.hasEntries()) {
+        setEntries(other.getEntries());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -422,6 +509,16 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 16
+            case 24: {
+              ageMillis_ = input.readUInt32();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
+            case 32: {
+              entries_ = input.readUInt32();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -575,6 +672,106 @@
       return this;
     }
 
+    private int ageMillis_ ;
+    /**
+     * <pre>
+     * for how long the receiver could have had that change
+     * </pre>
+     *
+     * <code>uint32 age_millis = 3;</code>
+     * @return The ageMillis.
+     */
+    @java.lang.Override
+    public int getAgeMillis() {
+      return ageMillis_;
+    }
+    /**
+     * <pre>
+     * for how long the receiver could have had that change
+     * </pre>
+     *
+     * <code>uint32 age_millis = 3;</code>
+     * @param value The ageMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAgeMillis(int value) {
+
+      ageMillis_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * for how long the receiver could have had that change
+     * </pre>
+     *
+     * <code>uint32 age_millis = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAgeMillis() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      ageMillis_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private int entries_ ;
+    /**
+     * <pre>
+     * the number of entries, if the sender has verified it a moment ago
+     * </pre>
+     *
+     * <code>optional uint32 entries = 4;</code>
+     * @return Whether the entries field is set.
+     */
+    @java.lang.Override
+    public boolean hasEntries() {
+      return ((bitField0_ & 0x00000008) != 0);
+    }
+    /**
+     * <pre>
+     * the number of entries, if the sender has verified it a moment ago
+     * </pre>
+     *
+     * <code>optional uint32 entries = 4;</code>
+     * @return The entries.
+     */
+    @java.lang.Override
+    public int getEntries() {
+      return entries_;
+    }
+    /**
+     * <pre>
+     * the number of entries, if the sender has verified it a moment ago
+     * </pre>
+     *
+     * <code>optional uint32 entries = 4;</code>
+     * @param value The entries to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEntries(int value) {
+
+      entries_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * the number of entries, if the sender has verified it a moment ago
+     * </pre>
+     *
+     * <code>optional uint32 entries = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEntries() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      entries_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:ragworthook.FeedVersion)
   }
 
--- a/modules/wire/src/main/java/org/ragworthook/wire/load/FeedVersionOrBuilder.java
+++ b/modules/wire/src/main/java/org/ragworthook/wire/load/FeedVersionOrBuilder.java
@@ -39,4 +39,33 @@
    * @return The version.
    */
   long getVersion();
+
+  /**
+   * <pre>
+   * for how long the receiver could have had that change
+   * </pre>
+   *
+   * <code>uint32 age_millis = 3;</code>
+   * @return The ageMillis.
+   */
+  int getAgeMillis();
+
+  /**
+   * <pre>
+   * the number of entries, if the sender has verified it a moment ago
+   * </pre>
+   *
+   * <code>optional uint32 entries = 4;</code>
+   * @return Whether the entries field is set.
+   */
+  boolean hasEntries();
+  /**
+   * <pre>
+   * the number of entries, if the sender has verified it a moment ago
+   * </pre>
+   *
+   * <code>optional uint32 entries = 4;</code>
+   * @return The entries.
+   */
+  int getEntries();
 }
--- a/modules/wire/src/main/java/org/ragworthook/wire/load/Load.java
+++ b/modules/wire/src/main/java/org/ragworthook/wire/load/Load.java
@@ -115,7 +115,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\nload.proto\022\013ragworthook\"\300\010\n\nLoadReport" +
+      "\n\nload.proto\022\013ragworthook\"\326\010\n\nLoadReport" +
       "\022\020\n\010instance\030\001 \001(\t\022\026\n\016started_millis\030\002 \001" +
       "(\004\022\020\n\010sequence\030\003 \001(\004\022\014\n\004host\030\004 \001(\t\022\014\n\004po" +
       "rt\030\005 \001(\r\022\021\n\truns_jobs\030\006 \001(\010\022\017\n\007leaving\030\007" +
@@ -142,44 +142,46 @@
       "\016other_accounts\030\035 \001(\0132\030.ragworthook.Acco" +
       "untLoad\022\025\n\rbehind_millis\030\036 \001(\r\022\022\n\nsheds_" +
       "jobs\030\037 \001(\010\022/\n\rfeed_versions\030  \003(\0132\030.ragw" +
-      "orthook.FeedVersionB\017\n\r_clock_micros\",\n\013" +
-      "FeedVersion\022\014\n\004feed\030\001 \001(\t\022\017\n\007version\030\002 \001" +
-      "(\004\"N\n\013AccountLoad\022\017\n\007account\030\001 \001(\007\022\016\n\006on" +
-      "line\030\002 \001(\r\022\r\n\005batch\030\003 \001(\r\022\017\n\007waiting\030\004 \001" +
-      "(\r\"\275\001\n\013SuspectPart\022\014\n\004part\030\001 \001(\006\022\021\n\tupst" +
-      "reams\030\002 \003(\007\022\023\n\013ages_millis\030\003 \003(\r\022\037\n\022succ" +
-      "ess_age_millis\030\004 \001(\rH\000\210\001\001\022\020\n\010position\030\005 " +
-      "\001(\r\022\022\n\ncompanions\030\006 \003(\006\022\032\n\022companions_om" +
-      "itted\030\007 \001(\010B\025\n\023_success_age_millis\"U\n\021St" +
-      "reamOriginEntry\022\017\n\007request\030\001 \001(\t\022\r\n\005know" +
-      "n\030\002 \001(\010\022\017\n\007service\030\003 \001(\t\022\017\n\007version\030\004 \001(" +
-      "\t\"K\n\014Confirmation\022\020\n\010instance\030\001 \001(\007\022\026\n\016s" +
-      "tarted_millis\030\002 \001(\004\022\021\n\tat_micros\030\003 \001(\022\"<" +
-      "\n\014AccountUsage\022\017\n\007account\030\001 \001(\007\022\014\n\004sent\030" +
-      "\002 \001(\004\022\r\n\005level\030\003 \001(\021\"(\n\nChangedJob\022\013\n\003jo" +
-      "b\030\001 \001(\t\022\r\n\005ended\030\002 \001(\010\"G\n\nJobListing\022\013\n\003" +
-      "job\030\001 \001(\t\022\r\n\005items\030\002 \001(\r\022\020\n\010segments\030\003 \001" +
-      "(\r\022\013\n\003all\030\004 \001(\010\"\202\002\n\007SlotAsk\022\016\n\006number\030\001 " +
-      "\001(\004\022\017\n\007service\030\002 \001(\t\022\026\n\016failure_domain\030\003" +
-      " \001(\t\022\016\n\006except\030\004 \003(\007\022\023\n\013goal_millis\030\005 \001(" +
-      "\021\022\017\n\007request\030\006 \001(\t\022\'\n\006prompt\030\007 \003(\0132\027.rag" +
-      "worthook.SharedPart\022\024\n\007account\030\010 \001(\007H\000\210\001" +
-      "\001\022\020\n\010priority\030\t \001(\021\022\016\n\006weight\030\n \001(\r\022\033\n\023r" +
-      "etry_within_millis\030\013 \001(\rB\n\n\010_account\"*\n\n" +
-      "SharedPart\022\014\n\004hash\030\001 \001(\007\022\016\n\006tokens\030\002 \001(\r" +
-      "\"\211\001\n\nSlotAnswer\022\016\n\006number\030\001 \001(\004\022\r\n\005waits" +
-      "\030\002 \001(\010\022\020\n\010upstream\030\003 \001(\007\022\016\n\006yields\030\004 \001(\010" +
-      "\022\r\n\005grant\030\005 \001(\004\022\017\n\007refused\030\006 \001(\010\022\032\n\022retr" +
-      "y_after_millis\030\007 \001(\r\"G\n\013HeardRunner\022\020\n\010i" +
-      "nstance\030\001 \001(\t\022\022\n\nstore_lost\030\002 \001(\010\022\022\n\nshe" +
-      "ds_jobs\030\003 \001(\010\"-\n\014RouteBacklog\022\r\n\005route\030\001" +
-      " \001(\007\022\016\n\006tokens\030\002 \001(\004\"\237\001\n\014UpstreamLoad\022\020\n" +
-      "\010upstream\030\001 \001(\007\022\016\n\006online\030\002 \001(\r\022\r\n\005batch" +
-      "\030\003 \001(\r\022\022\n\ngap_micros\030\004 \001(\r\022\032\n\022first_even" +
-      "t_micros\030\005 \001(\r\022\017\n\007samples\030\006 \001(\r\022\016\n\006token" +
-      "s\030\007 \001(\004\022\r\n\005bytes\030\010 \001(\004\"5\n\016SuspectRequest" +
-      "\022\023\n\013fingerprint\030\001 \001(\006\022\016\n\006breaks\030\002 \001(\rB\035\n" +
-      "\031org.ragworthook.wire.loadP\001b\006proto3"
+      "orthook.FeedVersion\022\024\n\014checks_feeds\030! \001(" +
+      "\010B\017\n\r_clock_micros\"b\n\013FeedVersion\022\014\n\004fee" +
+      "d\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\022\022\n\nage_millis\030\003" +
+      " \001(\r\022\024\n\007entries\030\004 \001(\rH\000\210\001\001B\n\n\010_entries\"N" +
+      "\n\013AccountLoad\022\017\n\007account\030\001 \001(\007\022\016\n\006online" +
+      "\030\002 \001(\r\022\r\n\005batch\030\003 \001(\r\022\017\n\007waiting\030\004 \001(\r\"\275" +
+      "\001\n\013SuspectPart\022\014\n\004part\030\001 \001(\006\022\021\n\tupstream" +
+      "s\030\002 \003(\007\022\023\n\013ages_millis\030\003 \003(\r\022\037\n\022success_" +
+      "age_millis\030\004 \001(\rH\000\210\001\001\022\020\n\010position\030\005 \001(\r\022" +
+      "\022\n\ncompanions\030\006 \003(\006\022\032\n\022companions_omitte" +
+      "d\030\007 \001(\010B\025\n\023_success_age_millis\"U\n\021Stream" +
+      "OriginEntry\022\017\n\007request\030\001 \001(\t\022\r\n\005known\030\002 " +
+      "\001(\010\022\017\n\007service\030\003 \001(\t\022\017\n\007version\030\004 \001(\t\"K\n" +
+      "\014Confirmation\022\020\n\010instance\030\001 \001(\007\022\026\n\016start" +
+      "ed_millis\030\002 \001(\004\022\021\n\tat_micros\030\003 \001(\022\"<\n\014Ac" +
+      "countUsage\022\017\n\007account\030\001 \001(\007\022\014\n\004sent\030\002 \001(" +
+      "\004\022\r\n\005level\030\003 \001(\021\"(\n\nChangedJob\022\013\n\003job\030\001 " +
+      "\001(\t\022\r\n\005ended\030\002 \001(\010\"G\n\nJobListing\022\013\n\003job\030" +
+      "\001 \001(\t\022\r\n\005items\030\002 \001(\r\022\020\n\010segments\030\003 \001(\r\022\013" +
+      "\n\003all\030\004 \001(\010\"\202\002\n\007SlotAsk\022\016\n\006number\030\001 \001(\004\022" +
+      "\017\n\007service\030\002 \001(\t\022\026\n\016failure_domain\030\003 \001(\t" +
+      "\022\016\n\006except\030\004 \003(\007\022\023\n\013goal_millis\030\005 \001(\021\022\017\n" +
+      "\007request\030\006 \001(\t\022\'\n\006prompt\030\007 \003(\0132\027.ragwort" +
+      "hook.SharedPart\022\024\n\007account\030\010 \001(\007H\000\210\001\001\022\020\n" +
+      "\010priority\030\t \001(\021\022\016\n\006weight\030\n \001(\r\022\033\n\023retry" +
+      "_within_millis\030\013 \001(\rB\n\n\010_account\"*\n\nShar" +
+      "edPart\022\014\n\004hash\030\001 \001(\007\022\016\n\006tokens\030\002 \001(\r\"\211\001\n" +
+      "\nSlotAnswer\022\016\n\006number\030\001 \001(\004\022\r\n\005waits\030\002 \001" +
+      "(\010\022\020\n\010upstream\030\003 \001(\007\022\016\n\006yields\030\004 \001(\010\022\r\n\005" +
+      "grant\030\005 \001(\004\022\017\n\007refused\030\006 \001(\010\022\032\n\022retry_af" +
+      "ter_millis\030\007 \001(\r\"G\n\013HeardRunner\022\020\n\010insta" +
+      "nce\030\001 \001(\t\022\022\n\nstore_lost\030\002 \001(\010\022\022\n\nsheds_j" +
+      "obs\030\003 \001(\010\"-\n\014RouteBacklog\022\r\n\005route\030\001 \001(\007" +
+      "\022\016\n\006tokens\030\002 \001(\004\"\237\001\n\014UpstreamLoad\022\020\n\010ups" +
+      "tream\030\001 \001(\007\022\016\n\006online\030\002 \001(\r\022\r\n\005batch\030\003 \001" +
+      "(\r\022\022\n\ngap_micros\030\004 \001(\r\022\032\n\022first_event_mi" +
+      "cros\030\005 \001(\r\022\017\n\007samples\030\006 \001(\r\022\016\n\006tokens\030\007 " +
+      "\001(\004\022\r\n\005bytes\030\010 \001(\004\"5\n\016SuspectRequest\022\023\n\013" +
+      "fingerprint\030\001 \001(\006\022\016\n\006breaks\030\002 \001(\rB\035\n\031org" +
+      ".ragworthook.wire.loadP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -190,13 +192,13 @@
     internal_static_ragworthook_LoadReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragworthook_LoadReport_descriptor,
-        new java.lang.String[] { "Instance", "StartedMillis", "Sequence", "Host", "Port", "RunsJobs", "Leaving", "Loads", "Suspects", "StoreLost", "HeardRunners", "WantsSlots", "Backlogs", "BacklogKnown", "Asks", "Answers", "Dispatcher", "GrantsSeen", "Listings", "ChangedJobs", "AccountUsages", "ClockMicros", "ConfigurationVersion", "Confirmations", "StreamOrigins", "OriginQueries", "SuspectParts", "AccountLoads", "OtherAccounts", "BehindMillis", "ShedsJobs", "FeedVersions", });
+        new java.lang.String[] { "Instance", "StartedMillis", "Sequence", "Host", "Port", "RunsJobs", "Leaving", "Loads", "Suspects", "StoreLost", "HeardRunners", "WantsSlots", "Backlogs", "BacklogKnown", "Asks", "Answers", "Dispatcher", "GrantsSeen", "Listings", "ChangedJobs", "AccountUsages", "ClockMicros", "ConfigurationVersion", "Confirmations", "StreamOrigins", "OriginQueries", "SuspectParts", "AccountLoads", "OtherAccounts", "BehindMillis", "ShedsJobs", "FeedVersions", "ChecksFeeds", });
     internal_static_ragworthook_FeedVersion_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_ragworthook_FeedVersion_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragworthook_FeedVersion_descriptor,
-        new java.lang.String[] { "Feed", "Version", });
+        new java.lang.String[] { "Feed", "Version", "AgeMillis", "Entries", });
     internal_static_ragworthook_AccountLoad_descriptor =
       getDescriptor().getMessageType(2);
     internal_static_ragworthook_AccountLoad_fieldAccessorTable = new
--- a/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReport.java
+++ b/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReport.java
@@ -1215,7 +1215,7 @@
   private java.util.List<org.ragworthook.wire.load.FeedVersion> feedVersions_;
   /**
    * <pre>
-   * of changes that the sender has received a moment ago
+   * of the collections that the sender follows
    * </pre>
    *
    * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
@@ -1226,7 +1226,7 @@
   }
   /**
    * <pre>
-   * of changes that the sender has received a moment ago
+   * of the collections that the sender follows
    * </pre>
    *
    * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
@@ -1238,7 +1238,7 @@
   }
   /**
    * <pre>
-   * of changes that the sender has received a moment ago
+   * of the collections that the sender follows
    * </pre>
    *
    * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
@@ -1249,7 +1249,7 @@
   }
   /**
    * <pre>
-   * of changes that the sender has received a moment ago
+   * of the collections that the sender follows
    * </pre>
    *
    * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
@@ -1260,7 +1260,7 @@
   }
   /**
    * <pre>
-   * of changes that the sender has received a moment ago
+   * of the collections that the sender follows
    * </pre>
    *
    * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
@@ -1271,6 +1271,21 @@
     return feedVersions_.get(index);
   }
 
+  public static final int CHECKS_FEEDS_FIELD_NUMBER = 33;
+  private boolean checksFeeds_ = false;
+  /**
+   * <pre>
+   * can compare collections with what it has received, for all processes
+   * </pre>
+   *
+   * <code>bool checks_feeds = 33;</code>
+   * @return The checksFeeds.
+   */
+  @java.lang.Override
+  public boolean getChecksFeeds() {
+    return checksFeeds_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -1381,6 +1396,9 @@
     for (int i = 0; i < feedVersions_.size(); i++) {
       output.writeMessage(32, feedVersions_.get(i));
     }
+    if (checksFeeds_ != false) {
+      output.writeBool(33, checksFeeds_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -1586,6 +1604,14 @@
         }
     return size;
   }
+  private int computeSerializedSize_1() {
+    int size = 0;
+    if (checksFeeds_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(33, checksFeeds_);
+    }
+    return size;
+  }
   @java.lang.Override
   public int getSerializedSize() {
     int size = memoizedSize;
@@ -1593,6 +1619,7 @@
 
     size = 0;
     size += computeSerializedSize_0();
+    size += computeSerializedSize_1();
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -1678,6 +1705,8 @@
         != other.getShedsJobs()) return false;
     if (!getFeedVersionsList()
         .equals(other.getFeedVersionsList())) return false;
+    if (getChecksFeeds()
+        != other.getChecksFeeds()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -1798,6 +1827,9 @@
       hash = (37 * hash) + FEED_VERSIONS_FIELD_NUMBER;
       hash = (53 * hash) + getFeedVersionsList().hashCode();
     }
+    hash = (37 * hash) + CHECKS_FEEDS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getChecksFeeds());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1954,6 +1986,7 @@
     public Builder clear() {
       super.clear();
       bitField0_ = 0;
+      bitField1_ = 0;
       instance_ = "";
       startedMillis_ = 0L;
       sequence_ = 0L;
@@ -2075,6 +2108,7 @@
         feedVersionsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x80000000);
+      checksFeeds_ = false;
       return this;
     }
 
@@ -2103,6 +2137,7 @@
       org.ragworthook.wire.load.LoadReport result = new org.ragworthook.wire.load.LoadReport(this);
       buildPartialRepeatedFields(result);
       if (bitField0_ != 0) { buildPartial0(result); }
+      if (bitField1_ != 0) { buildPartial1(result); }
       onBuilt();
       return result;
     }
@@ -2301,6 +2336,13 @@
       result.bitField0_ |= to_bitField0_;
     }
 
+    private void buildPartial1(org.ragworthook.wire.load.LoadReport result) {
+      int from_bitField1_ = bitField1_;
+      if (((from_bitField1_ & 0x00000001) != 0)) {
+        result.checksFeeds_ = checksFeeds_;
+      }
+    }
+
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
       if (other instanceof org.ragworthook.wire.load.LoadReport) {
@@ -2744,6 +2786,9 @@
           }
         }
       }
+      if (other.getChecksFeeds() != false) {
+        setChecksFeeds(other.getChecksFeeds());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -3042,6 +3087,11 @@
               }
               break;
             } // case 258
+            case 264: {
+              checksFeeds_ = input.readBool();
+              bitField1_ |= 0x00000001;
+              break;
+            } // case 264
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3058,6 +3108,7 @@
       return this;
     }
     private int bitField0_;
+    private int bitField1_;
 
     private java.lang.Object instance_ = "";
     /**
@@ -7887,7 +7938,7 @@
 
     /**
      * <pre>
-     * of changes that the sender has received a moment ago
+     * of the collections that the sender follows
      * </pre>
      *
      * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
@@ -7901,7 +7952,7 @@
     }
     /**
      * <pre>
-     * of changes that the sender has received a moment ago
+     * of the collections that the sender follows
      * </pre>
      *
      * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
@@ -7915,7 +7966,7 @@
     }
     /**
      * <pre>
-     * of changes that the sender has received a moment ago
+     * of the collections that the sender follows
      * </pre>
      *
      * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
@@ -7929,7 +7980,7 @@
     }
     /**
      * <pre>
-     * of changes that the sender has received a moment ago
+     * of the collections that the sender follows
      * </pre>
      *
      * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
@@ -7948,7 +7999,7 @@
     }
     /**
      * <pre>
-     * of changes that the sender has received a moment ago
+     * of the collections that the sender follows
      * </pre>
      *
      * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
@@ -7966,7 +8017,7 @@
     }
     /**
      * <pre>
-     * of changes that the sender has received a moment ago
+     * of the collections that the sender follows
      * </pre>
      *
      * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
@@ -7984,7 +8035,7 @@
     }
     /**
      * <pre>
-     * of changes that the sender has received a moment ago
+     * of the collections that the sender follows
      * </pre>
      *
      * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
@@ -8003,7 +8054,7 @@
     }
     /**
      * <pre>
-     * of changes that the sender has received a moment ago
+     * of the collections that the sender follows
      * </pre>
      *
      * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
@@ -8021,7 +8072,7 @@
     }
     /**
      * <pre>
-     * of changes that the sender has received a moment ago
+     * of the collections that the sender follows
      * </pre>
      *
      * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
@@ -8039,7 +8090,7 @@
     }
     /**
      * <pre>
-     * of changes that the sender has received a moment ago
+     * of the collections that the sender follows
      * </pre>
      *
      * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
@@ -8058,7 +8109,7 @@
     }
     /**
      * <pre>
-     * of changes that the sender has received a moment ago
+     * of the collections that the sender follows
      * </pre>
      *
      * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
@@ -8075,7 +8126,7 @@
     }
     /**
      * <pre>
-     * of changes that the sender has received a moment ago
+     * of the collections that the sender follows
      * </pre>
      *
      * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
@@ -8092,7 +8143,7 @@
     }
     /**
      * <pre>
-     * of changes that the sender has received a moment ago
+     * of the collections that the sender follows
      * </pre>
      *
      * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
@@ -8103,7 +8154,7 @@
     }
     /**
      * <pre>
-     * of changes that the sender has received a moment ago
+     * of the collections that the sender follows
      * </pre>
      *
      * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
@@ -8117,7 +8168,7 @@
     }
     /**
      * <pre>
-     * of changes that the sender has received a moment ago
+     * of the collections that the sender follows
      * </pre>
      *
      * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
@@ -8132,7 +8183,7 @@
     }
     /**
      * <pre>
-     * of changes that the sender has received a moment ago
+     * of the collections that the sender follows
      * </pre>
      *
      * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
@@ -8143,7 +8194,7 @@
     }
     /**
      * <pre>
-     * of changes that the sender has received a moment ago
+     * of the collections that the sender follows
      * </pre>
      *
      * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
@@ -8155,7 +8206,7 @@
     }
     /**
      * <pre>
-     * of changes that the sender has received a moment ago
+     * of the collections that the sender follows
      * </pre>
      *
      * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
@@ -8179,6 +8230,50 @@
       return feedVersionsBuilder_;
     }
 
+    private boolean checksFeeds_ ;
+    /**
+     * <pre>
+     * can compare collections with what it has received, for all processes
+     * </pre>
+     *
+     * <code>bool checks_feeds = 33;</code>
+     * @return The checksFeeds.
+     */
+    @java.lang.Override
+    public boolean getChecksFeeds() {
+      return checksFeeds_;
+    }
+    /**
+     * <pre>
+     * can compare collections with what it has received, for all processes
+     * </pre>
+     *
+     * <code>bool checks_feeds = 33;</code>
+     * @param value The checksFeeds to set.
+     * @return This builder for chaining.
+     */
+    public Builder setChecksFeeds(boolean value) {
+
+      checksFeeds_ = value;
+      bitField1_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * can compare collections with what it has received, for all processes
+     * </pre>
+     *
+     * <code>bool checks_feeds = 33;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearChecksFeeds() {
+      bitField1_ = (bitField1_ & ~0x00000001);
+      checksFeeds_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:ragworthook.LoadReport)
   }
 
--- a/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReportOrBuilder.java
+++ b/modules/wire/src/main/java/org/ragworthook/wire/load/LoadReportOrBuilder.java
@@ -756,7 +756,7 @@
 
   /**
    * <pre>
-   * of changes that the sender has received a moment ago
+   * of the collections that the sender follows
    * </pre>
    *
    * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
@@ -765,7 +765,7 @@
       getFeedVersionsList();
   /**
    * <pre>
-   * of changes that the sender has received a moment ago
+   * of the collections that the sender follows
    * </pre>
    *
    * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
@@ -773,7 +773,7 @@
   org.ragworthook.wire.load.FeedVersion getFeedVersions(int index);
   /**
    * <pre>
-   * of changes that the sender has received a moment ago
+   * of the collections that the sender follows
    * </pre>
    *
    * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
@@ -781,7 +781,7 @@
   int getFeedVersionsCount();
   /**
    * <pre>
-   * of changes that the sender has received a moment ago
+   * of the collections that the sender follows
    * </pre>
    *
    * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
@@ -790,11 +790,21 @@
       getFeedVersionsOrBuilderList();
   /**
    * <pre>
-   * of changes that the sender has received a moment ago
+   * of the collections that the sender follows
    * </pre>
    *
    * <code>repeated .ragworthook.FeedVersion feed_versions = 32;</code>
    */
   org.ragworthook.wire.load.FeedVersionOrBuilder getFeedVersionsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * can compare collections with what it has received, for all processes
+   * </pre>
+   *
+   * <code>bool checks_feeds = 33;</code>
+   * @return The checksFeeds.
+   */
+  boolean getChecksFeeds();
 }
