State the newest change of each collection in reports all the time

What callers saw: an entry whose watch is lost went on with an old configuration if it was starting, or not heard, in the 300 ms in which its peers stated the change, or if their store had been unanswered up to 2 s before: then nothing was stated for 2 s, and the entry waits 0.5 to 0.7 s more, which is above the bound of 2 s.

- Each process states the newest change of each collection about three times a second, with the time for which its peers could have had it.
A peer waits only for the rest of the lag.
- Only for the entries of upstreams, which expire in an outage, nothing is stated for 2 s after one.
A call without an answer counts as an outage only if the store has answered no other call for 2 s.
- A watch that was answered without changes may have passed a change while the store dropped its history.
What counts as received is the change itself, or a listing from after it; before, the higher version of such an answer hid the change (shouldListAgainIfTheWatchHasPassedAReportedChange, fails before).

shouldRepeatAChangeAFewTimes bounded the repetitions to 5 in 2 s. The statement in each heartbeat is wanted now, so it bounds them to 10, with reports each 10 ms, and demands 7.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/feed/FeedFollower.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/feed/FeedFollower.java
@@ -86,12 +86,21 @@
 
 	private Optional<Watch> openWatch = Optional.empty();
 
-	/** The version up to which all changes were received. */
+	/** The version that the last answer stated. */
 	private long seenVersion;
 
+	/** The version of the last listing that was delivered. */
+	private long listedVersion;
+
 	/** The version of the newest change that was received. */
 	private long newestChange;
 
+	/**
+	 * When the newest change was received. Earlier by the delivery lag if the watch
+	 * should have delivered it before.
+	 */
+	private long newestChangeNanos;
+
 	/** The highest version of a change that a peer has received. */
 	private long expectedVersion;
 
@@ -111,6 +120,7 @@
 		this.maxWait = Objects.requireNonNull(builder.maxWait, "maxWait is null");
 		this.health = Objects.requireNonNull(builder.health, "health is null");
 		this.coalescingDelay = Objects.requireNonNull(builder.coalescingDelay, "coalescingDelay is null");
+		this.newestChangeNanos = this.ticker.nanos();
 	}
 
 	/**
@@ -147,6 +157,14 @@
 		return this.newestChange;
 	}
 
+	/**
+	 * Returns for how long peers may have had the newest change.
+	 * @return the time since it was received, longer if it was received late
+	 */
+	public Duration newestChangeAge() {
+		return Duration.ofNanos(this.ticker.nanos() - this.newestChangeNanos);
+	}
+
 	/**
 	 * Returns how long ago the state of this process was last known to be the newest one,
 	 * since the store has answered.
@@ -176,10 +194,13 @@
 		this.listing = Optional.empty();
 		onSuccess();
 		LOG.info("feed_listed", "feed", this.feed.name(), "entries", all.changes().size(), "version", all.version());
+		boolean late = this.pendingPoll.isEmpty();
 		this.pendingPoll.ifPresent(PendingPoll::cancel);
 		this.pendingPoll = Optional.empty();
 		this.openWatch.ifPresent(Watch::cancel);
 		received(all);
+		this.listedVersion = all.version();
+		recordNewestChange(all.newestChange(), late);
 		if (notifyListener(() -> this.listener.listed(all.changes()))) {
 			this.listenerFailures = 0;
 		}
@@ -188,7 +209,13 @@
 
 	private void received(Changes<T> changes) {
 		this.seenVersion = changes.version();
-		this.newestChange = Math.max(this.newestChange, changes.newestChange());
+	}
+
+	private void recordNewestChange(long version, boolean late) {
+		if (version > this.newestChange) {
+			this.newestChange = version;
+			this.newestChangeNanos = this.ticker.nanos() - (late ? MAX_DELIVERY_LAG.toNanos() : 0);
+		}
 	}
 
 	// -- watching
@@ -211,6 +238,7 @@
 		this.listing = Optional.empty();
 		onSuccess();
 		received(changes);
+		recordNewestChange(changes.newestChange(), false);
 		changes.changes().forEach((change) -> notifyListener(() -> this.listener.changed(change)));
 		watchAfterDelay(changes);
 	}
@@ -340,45 +368,65 @@
 	 * Called when a peer has received a change of the collection. Lists the collection if
 	 * the watch does not deliver the change soon.
 	 * @param version the version of the change
+	 * @param age for how long this process could have had the change
 	 */
-	public void expectVersion(long version) {
-		if (version > this.expectedVersion && version > this.seenVersion) {
+	public void expectVersion(long version, Duration age) {
+		if (version > this.expectedVersion && !hasReceived(version)) {
 			this.expectedVersion = version;
-			expectChange(() -> this.seenVersion >= version);
+			Duration left = MAX_DELIVERY_LAG.minus(age);
+			expectChange(() -> hasReceived(version), left.isNegative() ? Duration.ZERO : left);
 		}
 	}
 
+	/**
+	 * Returns whether the state that was delivered includes a change. A watch may have
+	 * stated a higher version without the change, if the store has dropped its history.
+	 * @param version the version of the change
+	 * @return whether the change, or a listing with it, was delivered
+	 */
+	private boolean hasReceived(long version) {
+		return this.newestChange >= version || this.listedVersion >= version;
+	}
+
 	/**
 	 * Called when a change of the collection is known from elsewhere. Lists the
 	 * collection if the watch does not deliver the change soon.
 	 * @param received returns whether the change has been delivered
 	 */
 	public void expectChange(BooleanSupplier received) {
+		expectChange(received, MAX_DELIVERY_LAG);
+	}
+
+	private void expectChange(BooleanSupplier received, Duration lag) {
 		if (!received.getAsBoolean()) {
-			Duration spread = Duration.ofNanos(this.random.nextLong(MAX_SPREAD.toNanos()));
-			this.timers.schedule(MAX_DELIVERY_LAG.plus(spread), () -> checkDelivery(received));
+			this.timers.schedule(lag.plus(spread()), () -> checkDelivery(received, lag));
 		}
 	}
 
-	private void checkDelivery(BooleanSupplier received) {
+	private Duration spread() {
+		return Duration.ofNanos(this.random.nextLong(MAX_SPREAD.toNanos()));
+	}
+
+	private void checkDelivery(BooleanSupplier received, Duration lag) {
 		if (this.stopped || received.getAsBoolean()) {
 			return;
 		}
-		long openedBefore = this.ticker.nanos() - MAX_DELIVERY_LAG.toNanos();
+		long openedBefore = this.ticker.nanos() - lag.toNanos();
 		if (this.listing.isPresent() || !openSince(openedBefore)) {
 			expectChange(received);
 			return;
 		}
-		LOG.warning("watch_in_doubt", "feed", this.feed.name(), "reason", "change_overdue", "version",
-				this.seenVersion);
+		listInDoubt("change_overdue");
+	}
+
+	private void listInDoubt(String reason) {
+		LOG.warning("watch_in_doubt", "feed", this.feed.name(), "reason", reason, "version", this.seenVersion);
 		list(Duration.ZERO);
 	}
 
 	private void onUnanswered(long owedSinceNanos) {
 		if (!this.stopped && this.listing.isEmpty() && openSince(owedSinceNanos)) {
-			LOG.warning("watch_in_doubt", "feed", this.feed.name(), "reason", "call_unanswered", "version",
-					this.seenVersion);
-			list(Duration.ZERO);
+			listInDoubt("call_unanswered");
 		}
 	}
 
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/feed/StoreHealth.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/feed/StoreHealth.java
@@ -94,8 +94,8 @@
 	}
 
 	/**
-	 * Called when a watch has ended without a response. An outage that has ended before
-	 * may have gone unnoticed if the store has not answered for some time.
+	 * Called when a watch has ended without a response. An outage that has
+	 * ended before may have gone unnoticed if the store has not answered for some time.
 	 */
 	public void recordInterruption() {
 		long now = this.ticker.nanos();
@@ -128,13 +128,17 @@
 	}
 
 	/**
-	 * Called when a call of any kind got no response within its time limit. The store may
-	 * have been away until now, so it counts as up from now at the earliest.
+	 * Called when a call of any kind got no response within its time limit. Unless it has
+	 * answered another call a moment ago, the store may have been away until now, so it
+	 * counts as up from now at the earliest.
 	 * @param owedSinceNanos since when the store has owed the response, by the monotonic
 	 * clock
 	 */
 	public void recordUnanswered(long owedSinceNanos) {
-		this.upSinceNanos.set(this.ticker.nanos());
+		long now = this.ticker.nanos();
+		if (mayFollowOutage(now)) {
+			this.upSinceNanos.set(now);
+		}
 		this.listeners.forEach((listener) -> listener.accept(owedSinceNanos));
 	}
 
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/peer/FeedVersionReports.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/peer/FeedVersionReports.java
@@ -4,6 +4,8 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
 
 import org.ragworthook.core.time.Ticker;
 import org.ragworthook.gateway.feed.FeedFollower;
@@ -16,8 +18,12 @@
  * platform. A peer whose watch does not deliver such a change has lost its watch and
  * lists the collection.
  * <p>
- * After an outage of the store, changes are reported only once all live entries are
- * listed again, so that no peer lists the collection before. Used on the event loop.
+ * A change is in the next reports, and the newest one of each collection in about three a
+ * second from then on: a peer may have started since, or not have been heard.
+ * <p>
+ * After an outage of the store, changes of a collection whose entries expire are reported
+ * only once all live entries are listed again, so that no peer lists the collection
+ * before. Used on the event loop.
  */
 public final class FeedVersionReports implements ReportSection {
 
@@ -30,18 +36,24 @@
 	 */
 	static final Duration MIN_INTERVAL = Duration.ofMillis(80);
 
+	/**
+	 * Interval between statements of an unchanged state: less than between two reports of
+	 * a process without changes.
+	 */
+	static final Duration STATEMENT_INTERVAL = Duration.ofMillis(350);
+
+	/** Greatest age of a change that is stated; above, it makes no difference. */
+	private static final Duration MAX_STATED_AGE = Duration.ofSeconds(1);
+
 	private final StoreHealth health;
 
 	private final Ticker ticker;
 
 	private final Map<String, FollowedFeed> feeds = new HashMap<>();
 
-	private long lastWriteNanos;
-
 	FeedVersionReports(StoreHealth health, Ticker ticker) {
 		this.health = Objects.requireNonNull(health, "health is null");
 		this.ticker = Objects.requireNonNull(ticker, "ticker is null");
-		this.lastWriteNanos = ticker.nanos() - MIN_INTERVAL.toNanos();
 	}
 
 	/**
@@ -62,12 +74,25 @@
 	 * @param follower the follower of the collection
 	 */
 	public void add(FeedFollower<?> follower) {
-		this.feeds.put(follower.name(), new FollowedFeed(follower));
+		add(follower, () -> true);
+	}
+
+	/**
+	 * Adds a collection that this process follows and whose entries expire while their
+	 * writers do not reach the platform.
+	 * @param follower the follower of the collection
+	 */
+	public void addExpiring(FeedFollower<?> follower) {
+		add(follower, () -> this.health.untilSettled().isZero());
+	}
+
+	private void add(FeedFollower<?> follower, BooleanSupplier complete) {
+		this.feeds.put(follower.name(), new FollowedFeed(follower, complete));
 	}
 
 	@Override
 	public boolean hasChanges() {
-		return this.health.untilSettled().isZero() && this.feeds.values().stream().anyMatch(FollowedFeed::isDue);
+		return this.feeds.values().stream().anyMatch(FollowedFeed::isRecent);
 	}
 
 	@Override
@@ -77,11 +102,6 @@
 
 	@Override
 	public void writeToAll(LoadReport.Builder report) {
-		long now = this.ticker.nanos();
-		if (now - this.lastWriteNanos < MIN_INTERVAL.toNanos() || !hasChanges()) {
-			return;
-		}
-		this.lastWriteNanos = now;
 		this.feeds.forEach((name, feed) -> feed.write(name, report));
 	}
 
@@ -90,7 +110,7 @@
 		for (FeedVersion received : report.getFeedVersionsList()) {
 			FollowedFeed feed = this.feeds.get(received.getFeed());
 			if (feed != null) {
-				feed.follower.expectVersion(received.getVersion());
+				feed.follower.expectVersion(received.getVersion(), Duration.ofMillis(received.getAgeMillis()));
 			}
 		}
 	}
@@ -102,28 +122,54 @@
 
 		private final FeedFollower<?> follower;
 
+		private final BooleanSupplier complete;
+
 		private long reportedVersion;
 
-		private long reportedSinceNanos;
+		/** When the state that is reported was first reported. */
+		private Optional<Long> reportedSinceNanos = Optional.empty();
 
-		FollowedFeed(FeedFollower<?> follower) {
+		private Optional<Long> lastWriteNanos = Optional.empty();
+
+		FollowedFeed(FeedFollower<?> follower, BooleanSupplier complete) {
 			this.follower = follower;
+			this.complete = complete;
+		}
+
+		private boolean isNew() {
+			return this.follower.newestChange() > this.reportedVersion;
 		}
 
-		boolean isDue() {
-			return this.follower.newestChange() > this.reportedVersion || (this.reportedVersion > 0
-					&& FeedVersionReports.this.ticker.nanos() - this.reportedSinceNanos <= REPEAT_PERIOD.toNanos());
+		/**
+		 * Returns whether the state is to be in the next report, whether or not there is
+		 * another reason to send it.
+		 * @return whether the state has changed a moment ago
+		 */
+		boolean isRecent() {
+			return this.complete.getAsBoolean() && (isNew() || within(this.reportedSinceNanos, REPEAT_PERIOD));
 		}
 
 		void write(String name, LoadReport.Builder report) {
-			if (!isDue()) {
+			Duration interval = isRecent() ? MIN_INTERVAL : STATEMENT_INTERVAL;
+			boolean known = this.follower.newestChange() > 0;
+			if (!known || !this.complete.getAsBoolean() || within(this.lastWriteNanos, interval.minusNanos(1))) {
 				return;
 			}
-			if (this.follower.newestChange() > this.reportedVersion) {
-				this.reportedVersion = this.follower.newestChange();
-				this.reportedSinceNanos = FeedVersionReports.this.ticker.nanos();
+			long now = FeedVersionReports.this.ticker.nanos();
+			if (isNew()) {
+				this.reportedSinceNanos = Optional.of(now);
 			}
-			report.addFeedVersions(FeedVersion.newBuilder().setFeed(name).setVersion(this.reportedVersion));
+			this.lastWriteNanos = Optional.of(now);
+			this.reportedVersion = this.follower.newestChange();
+			report.addFeedVersions(FeedVersion.newBuilder()
+				.setFeed(name)
+				.setVersion(this.reportedVersion)
+				.setAgeMillis((int) Math.min(MAX_STATED_AGE.toMillis(), this.follower.newestChangeAge().toMillis())));
+		}
+
+		private boolean within(Optional<Long> since, Duration period) {
+			return since.filter((start) -> FeedVersionReports.this.ticker.nanos() - start <= period.toNanos())
+				.isPresent();
 		}
 
 	}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
@@ -216,9 +216,11 @@
 		startMetrics();
 		this.timers.schedule(STORE_CALLS_LOG_INTERVAL, this::logStoreCalls);
 		this.peers.fleet().storeLost(() -> this.health.downFor().compareTo(IsolationRule.STORE_LOST_TIMEOUT) >= 0);
-		follow(this.platform.upstreams(), this.upstreamFeed, this::coalescingDelay);
+		FeedFollower<?> upstreamFollower = follow(this.platform.upstreams(), this.upstreamFeed, this::coalescingDelay);
+		this.feedVersions.addExpiring(upstreamFollower);
 		FeedFollower<?> configurationFollower = follow(this.platform.configuration(), new ConfigurationListener(),
 				NO_COALESCING);
+		this.feedVersions.add(configurationFollower);
 		this.configuration.confirmationAge(configurationFollower::confirmationAge);
 		if (this.settings.runsJobs()) {
 			runJobs(placement, speedProfiles, connections);
@@ -280,6 +282,13 @@
 			.forProcesses(this.peers.fleet().peerCounts().known() + 1);
 	}
 
+	private <T> FeedFollower<T> followComplete(Feed<T> feed, FeedListener<T> listener,
+			Supplier<Duration> coalescingDelay) {
+		FeedFollower<T> follower = follow(feed, listener, coalescingDelay);
+		this.feedVersions.add(follower);
+		return follower;
+	}
+
 	private <T> FeedFollower<T> follow(Feed<T> feed, FeedListener<T> listener, Supplier<Duration> coalescingDelay) {
 		FeedFollower<T> follower = FeedFollower.builder(feed, listener)
 			.ticker(this.ticker)
@@ -291,7 +300,6 @@
 			.coalescingDelay(coalescingDelay)
 			.start();
 		this.followers.add(follower);
-		this.feedVersions.add(follower);
 		return follower;
 	}
 
@@ -388,8 +396,8 @@
 		this.peers.results().ownResults(jobRunner::publishedResults);
 		this.peers.exchange().onReport(jobRunner::yieldSlots);
 		followJobs(jobRunner, owners);
-		follow(this.platform.retirements(), new RetirementListener(this.settings.instance(), this.peers.exchange(),
-				jobRunner, this.platform::reportRetired, this.timers, this.loop), NO_COALESCING);
+		followComplete(this.platform.retirements(), new RetirementListener(this.settings.instance(),
+				this.peers.exchange(), jobRunner, this.platform::reportRetired, this.timers, this.loop), NO_COALESCING);
 		jobRunner.start();
 	}
 
@@ -401,7 +409,7 @@
 	}
 
 	private void followJobs(JobRunner jobRunner, JobOwners owners) {
-		FeedFollower<Job> follower = follow(this.platform.jobs(), new JobListener(jobRunner),
+		FeedFollower<Job> follower = followComplete(this.platform.jobs(), new JobListener(jobRunner),
 				() -> CoalescingDelay.forJobs(this.peers.fleet().liveRunners().size()));
 		this.peers.jobChanges().onChange((jobId, ended) -> {
 			if (owners.ownedHere(jobId)) {
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/feed/FeedFollowerTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/feed/FeedFollowerTests.java
@@ -193,6 +193,35 @@
 		assertThat(this.delivered).contains("b");
 	}
 
+	/**
+	 * Guards against a process that waits as long for its watch as if the change had been
+	 * made when it was reported, although the sender has had it for long.
+	 */
+	@Test
+	void shouldListAtOnceIfThePeerHasHadTheChangeForLong() {
+		this.collection.listsContent = true;
+		FeedFollower<String> follower = follow(1);
+		loseChange("a");
+		follower.expectVersion(1, FeedFollower.MAX_DELIVERY_LAG);
+		this.time.advance(FeedFollower.MAX_SPREAD);
+		assertThat(this.delivered).containsExactly("a");
+	}
+
+	/**
+	 * Guards against a change that was made while the store dropped its history: a watch
+	 * that was open then states a higher version and never delivers the change.
+	 */
+	@Test
+	void shouldListAgainIfTheWatchHasPassedAReportedChange() {
+		this.collection.listsContent = true;
+		FeedFollower<String> follower = follow(1);
+		this.collection.changeSilently("a");
+		this.collection.endWatchWithoutChanges();
+		follower.expectVersion(1, Duration.ZERO);
+		this.time.advance(FeedFollower.MAX_DELIVERY_LAG.plus(FeedFollower.MAX_SPREAD));
+		assertThat(this.delivered).containsExactly("a");
+	}
+
 	/**
 	 * Guards against changes that are missed for as long as a watch may wait, because its
 	 * response is lost and its connection stays open.
@@ -234,7 +263,7 @@
 		this.collection.listsContent = true;
 		FeedFollower<String> follower = follow(1);
 		loseChange("a");
-		follower.expectVersion(1);
+		follower.expectVersion(1, Duration.ZERO);
 		this.time.advance(FeedFollower.MAX_DELIVERY_LAG.plus(FeedFollower.MAX_SPREAD));
 		assertThat(this.delivered).containsExactly("a");
 		assertThat(follower.newestChange()).isEqualTo(1);
@@ -264,9 +293,9 @@
 		FeedFollower<String> follower = follow(300);
 		int callsBefore = this.collection.calls;
 		for (int version = 1; version <= 20; version++) {
-			follower.expectVersion(version);
+			follower.expectVersion(version, Duration.ZERO);
 			this.collection.change("c" + version);
-			follower.expectVersion(version);
+			follower.expectVersion(version, Duration.ZERO);
 			this.time.advance(Duration.ofSeconds(2));
 		}
 		assertThat(this.delivered).hasSize(20);
@@ -422,6 +451,15 @@
 			this.changes.put(this.changes.size() + 1L, name);
 		}
 
+		/**
+		 * Ends the watch that is waiting as if there were no changes.
+		 */
+		void endWatchWithoutChanges() {
+			CompletableFuture<Optional<Changes<String>>> poll = this.pendingPoll;
+			this.pendingPoll = null;
+			poll.complete(Optional.of(new Changes<>(List.of(), this.changes.lastKey())));
+		}
+
 		/**
 		 * Throws an error at the first call from one place.
 		 * @param place the place of the call
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/feed/UpstreamFeedListenerTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/feed/UpstreamFeedListenerTests.java
@@ -145,6 +145,20 @@
 		assertThat(this.registry.ids()).containsExactly("a");
 	}
 
+	/**
+	 * Guards against an upstream that is used for longer than it may be after its entry
+	 * was removed, because one call was unanswered while the store answered others.
+	 */
+	@Test
+	void shouldDropARemovedUpstreamWhileTheStoreAnswersOtherCalls() {
+		this.time.advance(Duration.ofSeconds(10));
+		this.health.recordSuccess();
+		this.time.advance(Duration.ofMillis(1_500));
+		this.health.recordUnanswered(0);
+		this.listener.listed(List.of());
+		assertThat(serving()).isEqualTo(0);
+	}
+
 	/**
 	 * Guards against dropping live upstreams whose entries expired during an outage that
 	 * ended just before the watches were cut off.
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/peer/FeedVersionReportsTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/peer/FeedVersionReportsTests.java
@@ -66,8 +66,8 @@
 	}
 
 	/**
-	 * Guards against reports that fill the links: a change is in a few of them only,
-	 * however many are sent.
+	 * Guards against reports that fill the links: a change is in a few of them, and in
+	 * three a second from then on, however many are sent.
 	 */
 	@Test
 	void shouldRepeatAChangeAFewTimes() {
@@ -77,25 +77,61 @@
 			repeats += report(this.sender).getFeedVersionsCount();
 			this.time.advance(Duration.ofMillis(10));
 		}
-		assertThat(repeats).isAtLeast(3);
-		assertThat(repeats).isAtMost(5);
+		assertThat(repeats).isAtLeast(7);
+		assertThat(repeats).isAtMost(10);
 		assertThat(this.sender.reports.hasChanges()).isFalse();
 	}
 
+	/**
+	 * Guards against a process that never hears of a change, since it was not heard while
+	 * the change was new: it was starting, or datagrams were lost.
+	 */
+	@Test
+	void shouldListAFeedWhoseChangeWasReportedLongAgo() {
+		this.sender.feed.change(7);
+		this.receiver.feed.version = 7;
+		for (int i = 0; i < 100; i++) {
+			report(this.sender);
+			this.time.advance(Duration.ofMillis(100));
+		}
+		assertThat(this.receiver.feed.lists).isEqualTo(1);
+		this.time.advance(FeedVersionReports.STATEMENT_INTERVAL);
+		this.receiver.reports.read(report(this.sender));
+		this.time.advance(Duration.ofMillis(200));
+		assertThat(this.receiver.feed.lists).isEqualTo(2);
+	}
+
 	/**
 	 * Guards against peers that list upstreams right after an outage, before the entries
 	 * that expired in it are back.
 	 */
 	@Test
-	void shouldReportNothingUntilEntriesAreListedAgainAfterAnOutage() {
-		this.sender.health.recordUnanswered(this.time.nanos());
-		this.sender.feed.change(7);
+	void shouldReportNothingOfExpiringEntriesUntilTheyAreListedAgainAfterAnOutage() {
+		this.sender.reports.addExpiring(this.sender.follower);
+		endOutage();
 		assertThat(report(this.sender).getFeedVersionsList()).isEmpty();
 		this.time.advance(Duration.ofSeconds(2));
+		assertThat(report(this.sender).getFeedVersionsList())
+			.containsExactly(FeedVersion.newBuilder().setFeed("names").setVersion(7).setAgeMillis(1_000).build());
+	}
+
+	/**
+	 * Guards against a configuration that the peers of the only process with a sound
+	 * watch do not hear of within the 2 s in which it has to be in force.
+	 */
+	@Test
+	void shouldReportEntriesThatDoNotExpireRightAfterAnOutage() {
+		endOutage();
 		assertThat(report(this.sender).getFeedVersionsList())
 			.containsExactly(FeedVersion.newBuilder().setFeed("names").setVersion(7).build());
 	}
 
+	private void endOutage() {
+		this.time.advance(Duration.ofSeconds(10));
+		this.sender.health.recordUnanswered(this.time.nanos());
+		this.sender.feed.change(7);
+	}
+
 	/**
 	 * A process of another version may follow collections that this one does not.
 	 */
@@ -117,15 +153,18 @@
 		private final FeedVersionReports reports = new FeedVersionReports(this.health,
 				FeedVersionReportsTests.this.time);
 
+		private final FeedFollower<String> follower;
+
 		Process() {
-			this.reports.add(FeedFollower.builder(this.feed, new Ignoring())
+			this.follower = FeedFollower.builder(this.feed, new Ignoring())
 				.ticker(FeedVersionReportsTests.this.time)
 				.timers(FeedVersionReportsTests.this.time)
 				.loop(Runnable::run)
 				.random(new Random(7))
 				.maxWait(Duration.ofSeconds(16))
 				.health(this.health)
-				.start());
+				.start();
+			this.reports.add(this.follower);
 		}
 
 	}
