Check collections at one process of the fleet, for all

What callers saw: requests that were refused or sent as only an older configuration allowed, and upstreams that were used after their removal, for longer than the bound of 2 s. If the open connections to the store go silent on all machines at once, no watch delivers and nothing but its time limit shows it, after up to 17.5 s; if the store makes a change while it drops its history and cuts no watch, nothing shows it at all.

One process of the fleet, chosen by rendezvous hashing for each collection among the live ones that reach the store, lists the configuration and the entries of upstreams every 0.6 s and compares them with what it has received; without peers each process does so itself. A difference is delivered and stated as overdue, so that peers whose watch has not delivered it list within 0.2 s. A removal has no version in a listing: the listing's stands for it, and the process that checks states the number of entries. A process of the version before states nothing of this and is not chosen.

A listing rather than the short watch that was suggested: it costs as many calls, and a short watch is answered without the change if the history was dropped.

Cost: 3.3 calls of the store a second for the whole fleet (two listings each 0.6 s), whatever its size.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/feed/FeedFollower.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/feed/FeedFollower.java
@@ -1,8 +1,12 @@
 package org.ragworthook.gateway.feed;
 
 import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.function.BiConsumer;
@@ -30,6 +34,10 @@
  * known from elsewhere is overdue. The collection is then listed while the watch stays
  * open, and whichever is answered first is used.
  * <p>
+ * If all processes lose their watches at once, or the platform accepts a watch and
+ * delivers nothing on it, neither shows. One process of the fleet therefore compares the
+ * collection with what it has received at short intervals ({@link FeedChecks}).
+ * <p>
  * While a listener fails, the state from before the failed call is kept for the entries
  * concerned, other changes are delivered, and the collection is listed again at growing
  * intervals. Used on the event loop.
@@ -46,6 +54,19 @@
 	/** Upper bound of a random delay that spreads the listings of many processes. */
 	static final Duration MAX_SPREAD = Duration.ofMillis(200);
 
+	/**
+	 * How long this process may have another number of entries than the one that checks
+	 * the collection: longer than until the next check, whose result may be the newer
+	 * one.
+	 */
+	static final Duration MAX_ENTRIES_LAG = Duration.ofMillis(800);
+
+	/** Minimum interval between two listings since the numbers of entries differ. */
+	private static final Duration ENTRIES_LISTING_INTERVAL = Duration.ofSeconds(5);
+
+	/** How long the number of entries counts as verified after a check. */
+	private static final Duration VERIFICATION_LIFETIME = Duration.ofMillis(1_500);
+
 	/**
 	 * How soon the collection is listed again after a failure of the listener. Doubled
 	 * with each further failure, since an entry may make it fail every time.
@@ -73,6 +94,11 @@
 
 	private final Supplier<Duration> coalescingDelay;
 
+	private final boolean checkable;
+
+	/** The entries that were received, if the collection can be checked. */
+	private final Map<String, Change<T>> entries = new HashMap<>();
+
 	private int failures;
 
 	/** Successive failures of the listener. */
@@ -80,6 +106,10 @@
 
 	private boolean listenerRetryPending;
 
+	private boolean checking;
+
+	private boolean entriesCheckPending;
+
 	private boolean stopped;
 
 	private Optional<Listing> listing = Optional.empty();
@@ -92,6 +122,9 @@
 	/** The version of the last listing that was delivered. */
 	private long listedVersion;
 
+	/** Counts the answers with entries, to recognize an answer that is out of date. */
+	private long deliveries;
+
 	/** The version of the newest change that was received. */
 	private long newestChange;
 
@@ -107,7 +140,16 @@
 	/** When a report of that version was received. */
 	private long expectedNanos;
 
-	/** When the store last answered. */
+	/** What the peer that checks the collection has reported last. */
+	private Optional<VerifiedEntries> expectedEntries = Optional.empty();
+
+	/** When the collection was last listed since the numbers of entries differed. */
+	private Optional<Long> entriesListedNanos = Optional.empty();
+
+	/** When a check last confirmed or corrected the entries. */
+	private Optional<Long> verifiedNanos = Optional.empty();
+
+	/** When the store, or a peer that checks the collection, last confirmed the state. */
 	private Optional<Long> confirmedNanos = Optional.empty();
 
 	/** The coalescing delay in progress; empty while there is none. */
@@ -123,6 +165,7 @@
 		this.maxWait = Objects.requireNonNull(builder.maxWait, "maxWait is null");
 		this.health = Objects.requireNonNull(builder.health, "health is null");
 		this.coalescingDelay = Objects.requireNonNull(builder.coalescingDelay, "coalescingDelay is null");
+		this.checkable = builder.checkable;
 		this.newestChangeNanos = this.ticker.nanos();
 	}
 
@@ -169,8 +212,21 @@
 	}
 
 	/**
-	 * Returns how long ago the state of this process was last known to be the newest one,
-	 * since the store has answered.
+	 * Returns the number of entries if a check of this process has verified them a moment
+	 * ago.
+	 * @return the number, or empty if there was no recent check
+	 */
+	public OptionalInt verifiedEntries() {
+		boolean recent = this.verifiedNanos
+			.filter((verified) -> this.ticker.nanos() - verified <= VERIFICATION_LIFETIME.toNanos())
+			.isPresent();
+		return recent ? OptionalInt.of(this.entries.size()) : OptionalInt.empty();
+	}
+
+	/**
+	 * Returns how long ago the state of this process was last known to be the newest one:
+	 * the store has answered, or a peer that checks the collection has reported the same
+	 * state.
 	 * @return the age, or empty if there was no answer yet
 	 */
 	public Optional<Duration> confirmationAge() {
@@ -203,7 +259,12 @@
 		this.openWatch.ifPresent(Watch::cancel);
 		received(all);
 		this.listedVersion = all.version();
-		recordNewestChange(all.newestChange(), late);
+		long newest = removesEntries(all.changes()) ? all.version() : all.newestChange();
+		recordNewestChange(newest, late);
+		if (this.checkable) {
+			this.entries.clear();
+			all.changes().forEach(this::track);
+		}
 		if (notifyListener(() -> this.listener.listed(all.changes()))) {
 			this.listenerFailures = 0;
 		}
@@ -215,6 +276,7 @@
 
 	private void received(Changes<T> changes) {
 		this.seenVersion = changes.version();
+		this.deliveries++;
 	}
 
 	private void recordNewestChange(long version, boolean late) {
@@ -224,6 +286,37 @@
 		}
 	}
 
+	/**
+	 * Returns whether a listing is without entries that were received before. A listing
+	 * does not state the version of a removal, which is at most that of the listing.
+	 * @param all the listed entries
+	 * @return whether an entry was removed
+	 */
+	private boolean removesEntries(List<Change<T>> all) {
+		Map<String, Change<T>> listed = readable(all);
+		return this.entries.keySet().stream().anyMatch((name) -> !listed.containsKey(name));
+	}
+
+	private Map<String, Change<T>> readable(List<Change<T>> all) {
+		Map<String, Change<T>> readable = new HashMap<>();
+		all.stream()
+			.filter((change) -> change.value().isPresent())
+			.forEach((change) -> readable.put(change.name(), change));
+		return readable;
+	}
+
+	private void track(Change<T> change) {
+		if (!this.checkable) {
+			return;
+		}
+		if (change.value().isPresent()) {
+			this.entries.put(change.name(), change);
+		}
+		else {
+			this.entries.remove(change.name());
+		}
+	}
+
 	// -- watching
 
 	private void watch(long version) {
@@ -245,7 +338,10 @@
 		onSuccess();
 		received(changes);
 		recordNewestChange(changes.newestChange(), false);
-		changes.changes().forEach((change) -> notifyListener(() -> this.listener.changed(change)));
+		for (Change<T> change : changes.changes()) {
+			track(change);
+			notifyListener(() -> this.listener.changed(change));
+		}
 		watchAfterDelay(changes);
 	}
 
@@ -411,11 +507,96 @@
 		listInDoubt("change_overdue");
 	}
 
+	/**
+	 * Called when the peer that checks the collection has reported the number of entries.
+	 * Lists the collection if this process has another number for longer than a change
+	 * takes: a removal need not have a version of its own.
+	 * @param version the version of the newest change that the peer has received
+	 * @param count the number of entries
+	 */
+	public void expectEntries(long version, int count) {
+		this.expectedEntries = Optional.of(new VerifiedEntries(version, count));
+		if (!entriesDiffer()) {
+			if (this.newestChange >= version && this.openWatch.isPresent()) {
+				this.confirmedNanos = Optional.of(this.ticker.nanos());
+			}
+			return;
+		}
+		if (!this.entriesCheckPending) {
+			this.entriesCheckPending = true;
+			this.timers.schedule(MAX_ENTRIES_LAG.plus(spread()), this::checkEntries);
+		}
+	}
+
+	private boolean entriesDiffer() {
+		return this.checkable && this.expectedEntries
+			.filter((expected) -> this.newestChange <= expected.version && this.entries.size() != expected.count)
+			.isPresent();
+	}
+
+	private void checkEntries() {
+		this.entriesCheckPending = false;
+		long now = this.ticker.nanos();
+		boolean listedBefore = this.entriesListedNanos
+			.filter((listed) -> now - listed < ENTRIES_LISTING_INTERVAL.toNanos())
+			.isPresent();
+		if (!this.stopped && entriesDiffer() && !listedBefore && this.listing.isEmpty() && openSince(now)) {
+			this.entriesListedNanos = Optional.of(now);
+			listInDoubt("entries_differ");
+		}
+	}
+
 	private void listInDoubt(String reason) {
 		LOG.warning("watch_in_doubt", "feed", this.feed.name(), "reason", reason, "version", this.seenVersion);
 		list(Duration.ZERO);
 	}
 
+	/**
+	 * Compares the collection with what was received, and delivers the difference. Does
+	 * nothing while the collection is being listed anyway.
+	 */
+	public void check() {
+		if (this.stopped || this.checking || this.listing.isPresent() || this.listedVersion == 0) {
+			return;
+		}
+		this.checking = true;
+		long deliveriesBefore = this.deliveries;
+		long startedNanos = this.ticker.nanos();
+		listOnce().whenComplete(guarded((all, failure) -> {
+			this.checking = false;
+			if (failure != null) {
+				this.health.recordInterruption();
+			}
+			if (this.stopped || failure != null || this.listing.isPresent() || this.deliveries != deliveriesBefore) {
+				return;
+			}
+			checked(all, startedNanos);
+		}));
+	}
+
+	private void checked(Changes<T> all, long startedNanos) {
+		this.verifiedNanos = Optional.of(this.ticker.nanos());
+		if (!differs(readable(all.changes()))) {
+			onSuccess();
+			return;
+		}
+		LOG.warning("watch_in_doubt", "feed", this.feed.name(), "reason", "change_listed", "version", this.seenVersion);
+		listed(all, startedNanos);
+	}
+
+	/**
+	 * Returns whether a listing differs from what was received. An entry that was written
+	 * again without a change does not count.
+	 * @param listed the listed entries
+	 * @return whether an entry is new, changed or removed
+	 */
+	private boolean differs(Map<String, Change<T>> listed) {
+		return !listed.keySet().equals(this.entries.keySet()) || listed.values().stream().anyMatch((change) -> {
+			Change<T> before = this.entries.get(change.name());
+			return before.version() != change.version() && !before.value().equals(change.value());
+		});
+	}
+
 	/**
 	 * Lists the collection. The first listing of a process is not sent a second time: its
 	 * connections are new, and all processes may start at once.
@@ -533,6 +714,15 @@
 
 	}
 
+	/**
+	 * What a peer that checks the collection has.
+	 *
+	 * @param version the version of the newest change that it has received
+	 * @param count the number of entries
+	 */
+	private record VerifiedEntries(long version, int count) {
+	}
+
 	/**
 	 * Builds a follower.
 	 *
@@ -558,6 +748,8 @@
 
 		private Supplier<Duration> coalescingDelay = () -> Duration.ZERO;
 
+		private boolean checkable;
+
 		private Builder(Feed<T> feed, FeedListener<T> listener) {
 			this.feed = Objects.requireNonNull(feed, "feed is null");
 			this.listener = Objects.requireNonNull(listener, "listener is null");
@@ -634,6 +826,16 @@
 			return this;
 		}
 
+		/**
+		 * Keeps the entries, so that the collection can be compared with them.
+		 * @param condition whether {@link FeedFollower#check()} is used
+		 * @return this builder
+		 */
+		public Builder<T> checkable(boolean condition) {
+			this.checkable = condition;
+			return this;
+		}
+
 		/**
 		 * Starts to follow the collection.
 		 * @return the follower
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/feed/StoreHealth.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/feed/StoreHealth.java
@@ -112,7 +112,7 @@
 	}
 
 	/**
-	 * Called when a watch has ended without a response. An outage that has
+	 * Called when a watch or a check has ended without a response. An outage that has
 	 * ended before may have gone unnoticed if the store has not answered for some time.
 	 */
 	public void recordInterruption() {
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/peer/FeedVersionReports.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/peer/FeedVersionReports.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.function.BooleanSupplier;
 
 import org.ragworthook.core.time.Ticker;
@@ -19,7 +20,8 @@
  * lists the collection.
  * <p>
  * A change is in the next reports, and the newest one of each collection in about three a
- * second from then on: a peer may have started since, or not have been heard.
+ * second from then on: a peer may have started since, or not have been heard. The process
+ * that checks a collection also states the number of its entries.
  * <p>
  * After an outage of the store, changes of a collection whose entries expire are reported
  * only once all live entries are listed again, so that no peer lists the collection
@@ -111,6 +113,9 @@
 			FollowedFeed feed = this.feeds.get(received.getFeed());
 			if (feed != null) {
 				feed.follower.expectVersion(received.getVersion(), Duration.ofMillis(received.getAgeMillis()));
+				if (received.hasEntries()) {
+					feed.follower.expectEntries(received.getVersion(), received.getEntries());
+				}
 			}
 		}
 	}
@@ -126,6 +131,8 @@
 
 		private long reportedVersion;
 
+		private OptionalInt reportedEntries = OptionalInt.empty();
+
 		/** When the state that is reported was first reported. */
 		private Optional<Long> reportedSinceNanos = Optional.empty();
 
@@ -137,7 +144,9 @@
 		}
 
 		private boolean isNew() {
-			return this.follower.newestChange() > this.reportedVersion;
+			OptionalInt verified = this.follower.verifiedEntries();
+			return this.follower.newestChange() > this.reportedVersion
+					|| (verified.isPresent() && !verified.equals(this.reportedEntries));
 		}
 
 		/**
@@ -151,7 +160,7 @@
 
 		void write(String name, LoadReport.Builder report) {
 			Duration interval = isRecent() ? MIN_INTERVAL : STATEMENT_INTERVAL;
-			boolean known = this.follower.newestChange() > 0;
+			boolean known = this.follower.newestChange() > 0 || this.follower.verifiedEntries().isPresent();
 			if (!known || !this.complete.getAsBoolean() || within(this.lastWriteNanos, interval.minusNanos(1))) {
 				return;
 			}
@@ -161,10 +170,15 @@
 			}
 			this.lastWriteNanos = Optional.of(now);
 			this.reportedVersion = this.follower.newestChange();
-			report.addFeedVersions(FeedVersion.newBuilder()
+			FeedVersion.Builder statement = FeedVersion.newBuilder()
 				.setFeed(name)
 				.setVersion(this.reportedVersion)
-				.setAgeMillis((int) Math.min(MAX_STATED_AGE.toMillis(), this.follower.newestChangeAge().toMillis())));
+				.setAgeMillis((int) Math.min(MAX_STATED_AGE.toMillis(), this.follower.newestChangeAge().toMillis()));
+			this.follower.verifiedEntries().ifPresent((count) -> {
+				this.reportedEntries = OptionalInt.of(count);
+				statement.setEntries(count);
+			});
+			report.addFeedVersions(statement);
 		}
 
 		private boolean within(Optional<Long> since, Duration period) {
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/peer/FleetView.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/peer/FleetView.java
@@ -1,15 +1,18 @@
 package org.ragworthook.gateway.peer;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 import org.ragworthook.core.time.Ticker;
+import org.ragworthook.gateway.upstream.RendezvousHash;
 import org.ragworthook.gateway.upstream.SlotClaimOrder;
 import org.ragworthook.wire.load.LoadReport;
 
@@ -32,6 +35,8 @@
 
 	private BooleanSupplier shedsJobs = () -> false;
 
+	private BooleanSupplier checksFeeds = () -> false;
+
 	private boolean leaving;
 
 	private SlotClaimOrder slotClaimOrder;
@@ -107,6 +112,42 @@
 		this.shedsJobs = Objects.requireNonNull(condition, "condition is null");
 	}
 
+	/**
+	 * Sets the supplier of whether this process can check the collections of the platform
+	 * for all.
+	 * @param condition returns whether the platform answers this process
+	 */
+	public void checksFeeds(BooleanSupplier condition) {
+		this.checksFeeds = Objects.requireNonNull(condition, "condition is null");
+	}
+
+	boolean checksFeeds() {
+		return !this.leaving && this.checksFeeds.getAsBoolean();
+	}
+
+	/**
+	 * Returns whether this process checks a collection for all: one of the live processes
+	 * that can, by rendezvous hashing. A process of a version that does not check states
+	 * so by not stating that it can. A process that stops checks only if nobody else
+	 * does.
+	 * @param feed the collection's name
+	 * @return whether no live peer checks it
+	 */
+	public boolean checksHere(String feed) {
+		if (!this.checksFeeds.getAsBoolean() || !settled()) {
+			return false;
+		}
+		List<String> candidates = this.peers.liveReports()
+			.stream()
+			.filter((report) -> report.getChecksFeeds() && !report.getLeaving())
+			.map(LoadReport::getInstance)
+			.collect(Collectors.toCollection(ArrayList::new));
+		if (!this.leaving || candidates.isEmpty()) {
+			candidates.add(this.self.instance());
+		}
+		return RendezvousHash.owner(candidates, feed.hashCode()).filter(this.self.instance()::equals).isPresent();
+	}
+
 	/**
 	 * Returns how many peers are known, live and able to reach the store.
 	 * @return the counts
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/peer/LoadExchange.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/peer/LoadExchange.java
@@ -313,6 +313,7 @@
 			.setLeaving(this.fleet.leaving())
 			.setStoreLost(this.fleet.hasLostStore())
 			.setShedsJobs(this.fleet.shedsJobs())
+			.setChecksFeeds(this.fleet.checksFeeds())
 			.setWantsSlots(this.wantsSlots.getAsBoolean())
 			.addAllLoads(loads)
 			.build();
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
@@ -37,6 +37,7 @@
 import org.ragworthook.gateway.feed.Change;
 import org.ragworthook.gateway.feed.CoalescingDelay;
 import org.ragworthook.gateway.feed.Feed;
+import org.ragworthook.gateway.feed.FeedChecks;
 import org.ragworthook.gateway.feed.FeedFollower;
 import org.ragworthook.gateway.feed.FeedListener;
 import org.ragworthook.gateway.feed.StoreHealth;
@@ -151,6 +152,8 @@
 
 	private final FeedVersionReports feedVersions;
 
+	private final FeedChecks feedChecks;
+
 	private Optional<Frontend> frontend = Optional.empty();
 
 	private Optional<JobRunner> runner = Optional.empty();
@@ -183,6 +186,8 @@
 		PoisonPartReports.attach(this.peers.exchange(), this.poisonParts, this.ticker);
 		SpeedReports.attach(this.peers.exchange(), this.observed, this.ticker);
 		this.feedVersions = FeedVersionReports.attach(this.peers.exchange(), this.health, this.ticker);
+		this.peers.fleet().checksFeeds(this.health::up);
+		this.feedChecks = FeedChecks.start(this.timers, this.peers.fleet()::checksHere);
 		this.lease = settings.bounds().maxRevocationDelay().map(this::lease);
 		this.accessControl = AccessControl.of(this::accounts, this.lease);
 		this.upstreamFeed = UpstreamFeedListener.of(this.upstreams, this.health, this.timers);
@@ -216,11 +221,14 @@
 		startMetrics();
 		this.timers.schedule(STORE_CALLS_LOG_INTERVAL, this::logStoreCalls);
 		this.peers.fleet().storeLost(() -> this.health.downFor().compareTo(IsolationRule.STORE_LOST_TIMEOUT) >= 0);
-		FeedFollower<?> upstreamFollower = follow(this.platform.upstreams(), this.upstreamFeed, this::coalescingDelay);
+		FeedFollower<?> upstreamFollower = follow(this.platform.upstreams(), this.upstreamFeed, this::coalescingDelay,
+				true);
 		this.feedVersions.addExpiring(upstreamFollower);
+		this.feedChecks.add(upstreamFollower);
 		FeedFollower<?> configurationFollower = follow(this.platform.configuration(), new ConfigurationListener(),
-				NO_COALESCING);
+				NO_COALESCING, true);
 		this.feedVersions.add(configurationFollower);
+		this.feedChecks.add(configurationFollower);
 		this.configuration.confirmationAge(configurationFollower::confirmationAge);
 		if (this.settings.runsJobs()) {
 			runJobs(placement, speedProfiles, connections);
@@ -282,14 +290,15 @@
 			.forProcesses(this.peers.fleet().peerCounts().known() + 1);
 	}
 
-	private <T> FeedFollower<T> followComplete(Feed<T> feed, FeedListener<T> listener,
+	private <T> FeedFollower<T> followUnchecked(Feed<T> feed, FeedListener<T> listener,
 			Supplier<Duration> coalescingDelay) {
-		FeedFollower<T> follower = follow(feed, listener, coalescingDelay);
+		FeedFollower<T> follower = follow(feed, listener, coalescingDelay, false);
 		this.feedVersions.add(follower);
 		return follower;
 	}
 
-	private <T> FeedFollower<T> follow(Feed<T> feed, FeedListener<T> listener, Supplier<Duration> coalescingDelay) {
+	private <T> FeedFollower<T> follow(Feed<T> feed, FeedListener<T> listener, Supplier<Duration> coalescingDelay,
+			boolean checkable) {
 		FeedFollower<T> follower = FeedFollower.builder(feed, listener)
 			.ticker(this.ticker)
 			.timers(this.timers)
@@ -298,6 +307,7 @@
 			.maxWait(this.settings.bounds().watchTimeout())
 			.health(this.health)
 			.coalescingDelay(coalescingDelay)
+			.checkable(checkable)
 			.start();
 		this.followers.add(follower);
 		return follower;
@@ -396,7 +406,7 @@
 		this.peers.results().ownResults(jobRunner::publishedResults);
 		this.peers.exchange().onReport(jobRunner::yieldSlots);
 		followJobs(jobRunner, owners);
-		followComplete(this.platform.retirements(), new RetirementListener(this.settings.instance(),
+		followUnchecked(this.platform.retirements(), new RetirementListener(this.settings.instance(),
 				this.peers.exchange(), jobRunner, this.platform::reportRetired, this.timers, this.loop), NO_COALESCING);
 		jobRunner.start();
 	}
@@ -409,7 +419,7 @@
 	}
 
 	private void followJobs(JobRunner jobRunner, JobOwners owners) {
-		FeedFollower<Job> follower = followComplete(this.platform.jobs(), new JobListener(jobRunner),
+		FeedFollower<Job> follower = followUnchecked(this.platform.jobs(), new JobListener(jobRunner),
 				() -> CoalescingDelay.forJobs(this.peers.fleet().liveRunners().size()));
 		this.peers.jobChanges().onChange((jobId, ended) -> {
 			if (owners.ownedHere(jobId)) {
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/feed/FeedFollowerTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/feed/FeedFollowerTests.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Random;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
@@ -285,6 +286,96 @@
 		assertThat(this.delivered).containsExactly("a");
 	}
 
+	/**
+	 * Guards against a change that no process hears of, because all connections have gone
+	 * silent or the store has dropped its history.
+	 */
+	@Test
+	void shouldDeliverAChangeThatOnlyACheckShows() {
+		this.collection.listsContent = true;
+		this.collection.change("first");
+		FeedFollower<String> follower = follow(1);
+		this.collection.changeSilently("a");
+		follower.check();
+		assertThat(this.delivered).containsExactly("first", "first", "a").inOrder();
+		assertThat(follower.newestChange()).isEqualTo(2);
+		assertThat(follower.newestChangeAge()).isAtLeast(FeedFollower.MAX_DELIVERY_LAG);
+		assertThat(follower.verifiedEntries()).isEqualTo(OptionalInt.of(2));
+		this.collection.change("b");
+		assertThat(this.delivered).contains("b");
+	}
+
+	/**
+	 * Guards against a removal that the peers do not hear of: a listing does not state
+	 * its version.
+	 */
+	@Test
+	void shouldStateTheVersionOfAListingWithoutAnEntry() {
+		this.collection.listsContent = true;
+		this.collection.change("a");
+		FeedFollower<String> follower = follow(1);
+		this.collection.removeSilently(1, 5);
+		follower.check();
+		assertThat(follower.newestChange()).isEqualTo(5);
+		assertThat(this.listings).isEqualTo(2);
+	}
+
+	/**
+	 * Guards against additional watches and deliveries: a check is one call while all is
+	 * well.
+	 */
+	@Test
+	void shouldMakeOneCallForACheckWithoutADifference() {
+		this.collection.listsContent = true;
+		this.collection.change("a");
+		FeedFollower<String> follower = follow(1);
+		int callsBefore = this.collection.calls;
+		for (int i = 0; i < 10; i++) {
+			follower.check();
+			this.time.advance(FeedChecks.INTERVAL);
+		}
+		assertThat(this.collection.calls - callsBefore).isEqualTo(10);
+		assertThat(this.listings).isEqualTo(1);
+	}
+
+	/**
+	 * Guards against an older state that a check brings back after the watch has
+	 * delivered a newer one.
+	 */
+	@Test
+	void shouldDropACheckThatTheWatchHasOvertaken() {
+		this.collection.listsContent = true;
+		this.collection.change("first");
+		FeedFollower<String> follower = follow(1);
+		CompletableFuture<Changes<String>> late = new CompletableFuture<>();
+		this.collection.listing = Optional.of(late);
+		follower.check();
+		Changes<String> old = this.collection.content();
+		this.collection.change("a");
+		late.complete(old);
+		assertThat(this.listings).isEqualTo(1);
+		assertThat(this.delivered).containsExactly("first", "a").inOrder();
+	}
+
+	/**
+	 * Guards against two watches at a time after a check that finds changes during a
+	 * coalescing delay.
+	 */
+	@Test
+	void shouldKeepOneWatchAfterACheckDuringACoalescingDelay() {
+		this.collection.listsContent = true;
+		this.collection.change("zero");
+		FeedFollower<String> follower = follow(300);
+		this.collection.change("first");
+		this.collection.change("second");
+		follower.check();
+		assertThat(this.delivered).contains("second");
+		assertThat(follower.newestChangeAge()).isEqualTo(Duration.ZERO);
+		int callsBefore = this.collection.calls;
+		this.time.advance(DELAY.max());
+		assertThat(this.collection.calls).isEqualTo(callsBefore);
+	}
+
 	/**
 	 * Guards against changes that are missed for as long as a watch may wait, because its
 	 * response is lost and its connection stays open.
@@ -453,6 +544,7 @@
 			.maxWait(WAIT)
 			.health(this.health)
 			.coalescingDelay(coalescingDelay)
+			.checkable(true)
 			.start();
 	}
 
@@ -501,6 +593,9 @@
 		/** The call that throws once, or an empty string. */
 		private String throwsIn = "";
 
+		/** The version of the last removal. */
+		private long removedAt;
+
 		void change(String name) {
 			changeSilently(name);
 			answer();
@@ -514,6 +609,16 @@
 			this.changes.put(this.changes.size() + 1L, name);
 		}
 
+		/**
+		 * Removes an entry, which the watch that is waiting does not deliver.
+		 * @param version the version of the entry
+		 * @param removalVersion the version that the removal creates
+		 */
+		void removeSilently(long version, long removalVersion) {
+			this.changes.remove(version);
+			this.removedAt = removalVersion;
+		}
+
 		/**
 		 * Ends the watch that is waiting as if there were no changes.
 		 */
@@ -578,7 +683,7 @@
 		 * @return the content
 		 */
 		Changes<String> content() {
-			long version = this.changes.isEmpty() ? 0 : this.changes.lastKey();
+			long version = Math.max(this.removedAt, this.changes.isEmpty() ? 0 : this.changes.lastKey());
 			return new Changes<>(this.changes.entrySet().stream().map(Collection::change).toList(), version);
 		}
 
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/peer/FeedVersionReportsTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/peer/FeedVersionReportsTests.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Test;
 import org.ragworthook.core.time.ManualTime;
@@ -132,6 +133,31 @@
 		this.sender.feed.change(7);
 	}
 
+	/**
+	 * Guards against a removal that a lost watch does not deliver. It need not have a
+	 * version that a peer could report.
+	 */
+	@Test
+	void shouldListAFeedOfWhichThePeerThatChecksHasOtherEntries() {
+		this.sender.feed.entries = 1;
+		this.sender.follower.check();
+		this.receiver.feed.entries = 2;
+		this.receiver.follower.check();
+		this.receiver.feed.entries = 1;
+		int listsBefore = this.receiver.feed.lists;
+		for (int millis = 0; millis < 4_000; millis += 100) {
+			this.receiver.reports.read(report(this.sender));
+			this.time.advance(Duration.ofMillis(100));
+			if (millis % 600 == 0) {
+				this.sender.follower.check();
+			}
+			if (millis == 1_200) {
+				assertThat(this.receiver.feed.lists - listsBefore).isEqualTo(1);
+			}
+		}
+		assertThat(this.receiver.feed.lists - listsBefore).isEqualTo(1);
+	}
+
 	/**
 	 * A process of another version may follow collections that this one does not.
 	 */
@@ -163,6 +189,7 @@
 				.random(new Random(7))
 				.maxWait(Duration.ofSeconds(16))
 				.health(this.health)
+				.checkable(true)
 				.start();
 			this.reports.add(this.follower);
 		}
@@ -189,6 +216,8 @@
 
 		private int lists;
 
+		private int entries;
+
 		void change(long next) {
 			this.version = next;
 			this.watches.remove(this.watches.size() - 1)
@@ -203,7 +232,10 @@
 		@Override
 		public CompletableFuture<Changes<String>> list() {
 			this.lists++;
-			return CompletableFuture.completedFuture(new Changes<>(List.of(), this.version));
+			List<Change<String>> listed = IntStream.range(0, this.entries)
+				.mapToObj((i) -> new Change<>("z" + i, Optional.of("z"), 1))
+				.toList();
+			return CompletableFuture.completedFuture(new Changes<>(listed, this.version));
 		}
 
 		@Override
