--- a/modules/gateway/src/main/java/org/ragworthook/gateway/feed/StoreHealth.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/feed/StoreHealth.java
@@ -46,6 +46,8 @@
 
 	private final List<LongConsumer> listeners = new CopyOnWriteArrayList<>();
 
+	private final List<Runnable> overdueListeners = new CopyOnWriteArrayList<>();
+
 	/** When a watch was cut off; empty once a later call has been answered. */
 	private volatile Optional<Long> interruptedNanos = Optional.empty();
 
@@ -76,6 +78,22 @@
 		this.listeners.add(Objects.requireNonNull(listener, "listener is null"));
 	}
 
+	/**
+	 * Adds a listener for calls that are answered late. Idle connections to the store may
+	 * have gone silent.
+	 * @param listener called before the call is sent again
+	 */
+	public void onOverdue(Runnable listener) {
+		this.overdueListeners.add(Objects.requireNonNull(listener, "listener is null"));
+	}
+
+	/**
+	 * Called when a call has no answer yet and is about to be sent again.
+	 */
+	public void recordOverdue() {
+		this.overdueListeners.forEach(Runnable::run);
+	}
+
 	/**
 	 * Called when the store has answered a listing or a watch.
 	 */
@@ -94,8 +112,8 @@
 	}
 
 	/**
-	 * Called when a watch has ended without a response. An outage that has ended before
-	 * may have gone unnoticed if the store has not answered for some time.
+	 * Called when a watch or a check has ended without a response. An outage that has
+	 * ended before may have gone unnoticed if the store has not answered for some time.
 	 */
 	public void recordInterruption() {
 		long now = this.ticker.nanos();
@@ -128,13 +146,17 @@
 	}
 
 	/**
-	 * Called when a call of any kind got no response within its time limit. The store may
-	 * have been away until now, so it counts as up from now at the earliest.
+	 * Called when a call of any kind got no response within its time limit. Unless it has
+	 * answered another call a moment ago, the store may have been away until now, so it
+	 * counts as up from now at the earliest.
 	 * @param owedSinceNanos since when the store has owed the response, by the monotonic
 	 * clock
 	 */
 	public void recordUnanswered(long owedSinceNanos) {
-		this.upSinceNanos.set(this.ticker.nanos());
+		long now = this.ticker.nanos();
+		if (mayFollowOutage(now)) {
+			this.upSinceNanos.set(now);
+		}
 		this.listeners.forEach((listener) -> listener.accept(owedSinceNanos));
 	}
 
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/feed/FeedFollowerTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/feed/FeedFollowerTests.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Random;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
@@ -13,6 +14,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.ragworthook.core.time.ManualTime;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -34,6 +36,11 @@
 
 	private int listings;
 
+	/** The beginning of the names of the changes on which the listener fails. */
+	private String failsOn = "bad";
+
+	private Throwable failure = new IllegalStateException("bad");
+
 	private final StoreHealth health = StoreHealth.of(this.time);
 
 	/**
@@ -123,10 +130,14 @@
 
 	/**
 	 * Guards against a process that hears of no later change after its listener has
-	 * failed once, such as of no further job.
+	 * failed once, such as of no further job. An error must not end it either.
+	 * @param error whether the listener fails with an error
 	 */
-	@Test
-	void shouldFollowAfterAFailureOfTheListener() {
+	@ParameterizedTest
+	@ValueSource(booleans = { false, true })
+	void shouldFollowAfterAFailureOfTheListener(boolean error) {
+		this.failure = error ? new StackOverflowError() : new IllegalStateException("bad");
+		this.collection.listsContent = true;
 		this.collection.change("bad in the listing");
 		follow(1);
 		this.collection.change("bad");
@@ -135,6 +146,236 @@
 		assertThat(this.delivered).containsExactly("good");
 	}
 
+	/**
+	 * Guards against a change that is lost for good because the listener has failed once
+	 * while it was delivered.
+	 */
+	@Test
+	void shouldListAgainAfterAFailureOfTheListener() {
+		this.collection.listsContent = true;
+		follow(1);
+		this.collection.change("bad");
+		this.failsOn = "nothing";
+		this.time.advance(Duration.ofSeconds(2));
+		assertThat(this.delivered).containsExactly("bad");
+	}
+
+	/**
+	 * Guards against calls of the store at short intervals for as long as a listener
+	 * fails on each listing.
+	 */
+	@Test
+	void shouldListSeldomWhileTheListenerFails() {
+		this.collection.listsContent = true;
+		follow(1);
+		this.collection.change("bad");
+		this.time.advance(Duration.ofMinutes(1));
+		assertThat(this.listings).isAtMost(9);
+	}
+
+	/**
+	 * Guards against a collection that is not followed any more, since a call or a
+	 * callback has thrown and the future has kept the failure.
+	 * @param place what throws once
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "list", "changes", "delay" })
+	void shouldFollowAfterAnErrorInACall(String place) {
+		this.collection.listsContent = true;
+		this.collection.throwsIn = place;
+		follow(() -> {
+			this.collection.throwOnce("delay");
+			return Duration.ZERO;
+		});
+		this.collection.change("a");
+		this.time.advance(Duration.ofSeconds(1));
+		this.collection.change("b");
+		assertThat(this.delivered).contains("a");
+		assertThat(this.delivered).contains("b");
+	}
+
+	/**
+	 * Guards against a listing that takes the time limit of a response since it was sent
+	 * on a connection that has gone silent.
+	 */
+	@Test
+	void shouldListOnAnotherConnectionOnceAnAnswerIsOverdue() {
+		List<String> evicted = new ArrayList<>();
+		this.health.onOverdue(() -> {
+			evicted.add("idle connections");
+			this.collection.listing = Optional.empty();
+		});
+		startDoubtfulListing(new CompletableFuture<>());
+		this.collection.changeSilently("a");
+		this.time.advance(HedgedListing.HEDGE_DELAY);
+		assertThat(this.delivered).contains("a");
+		assertThat(evicted).hasSize(1);
+	}
+
+	private void startDoubtfulListing(CompletableFuture<Changes<String>> answer) {
+		this.collection.listsContent = true;
+		this.collection.change("first");
+		follow(1);
+		this.collection.listing = Optional.of(answer);
+		this.health.recordUnanswered(0);
+	}
+
+	/**
+	 * Guards against an older state that comes back when the answers to two calls of one
+	 * listing arrive in reverse order.
+	 */
+	@Test
+	void shouldDropTheLaterOfTwoAnswersToAListing() {
+		CompletableFuture<Changes<String>> late = new CompletableFuture<>();
+		this.health.onOverdue(() -> this.collection.listing = Optional.empty());
+		startDoubtfulListing(late);
+		Changes<String> old = this.collection.content();
+		this.collection.changeSilently("a");
+		this.time.advance(HedgedListing.HEDGE_DELAY);
+		late.complete(old);
+		assertThat(this.listings).isEqualTo(2);
+		assertThat(this.delivered).containsExactly("first", "first", "a").inOrder();
+		this.collection.change("b");
+		assertThat(this.delivered).contains("b");
+	}
+
+	/**
+	 * Guards against a change that is lost for 0.7 s more since a listing from before it
+	 * was answered after the report of the change.
+	 */
+	@Test
+	void shouldListAgainAfterAListingFromBeforeAReportedChange() {
+		this.collection.listsContent = true;
+		CompletableFuture<Changes<String>> late = new CompletableFuture<>();
+		this.collection.listing = Optional.of(late);
+		FeedFollower<String> follower = follow(1);
+		Changes<String> old = this.collection.content();
+		this.collection.changeSilently("a");
+		follower.expectVersion(1, Duration.ofSeconds(1));
+		this.collection.listing = Optional.empty();
+		late.complete(old);
+		assertThat(this.delivered).containsExactly("a");
+	}
+
+	/**
+	 * Guards against a process that waits as long for its watch as if the change had been
+	 * made when it was reported, although the sender has had it for long.
+	 */
+	@Test
+	void shouldListAtOnceIfThePeerHasHadTheChangeForLong() {
+		this.collection.listsContent = true;
+		FeedFollower<String> follower = follow(1);
+		loseChange("a");
+		follower.expectVersion(1, FeedFollower.MAX_DELIVERY_LAG);
+		this.time.advance(FeedFollower.MAX_SPREAD);
+		assertThat(this.delivered).containsExactly("a");
+	}
+
+	/**
+	 * Guards against a change that was made while the store dropped its history: a watch
+	 * that was open then states a higher version and never delivers the change.
+	 */
+	@Test
+	void shouldListAgainIfTheWatchHasPassedAReportedChange() {
+		this.collection.listsContent = true;
+		FeedFollower<String> follower = follow(1);
+		this.collection.changeSilently("a");
+		this.collection.endWatchWithoutChanges();
+		follower.expectVersion(1, Duration.ZERO);
+		this.time.advance(FeedFollower.MAX_DELIVERY_LAG.plus(FeedFollower.MAX_SPREAD));
+		assertThat(this.delivered).containsExactly("a");
+	}
+
+	/**
+	 * Guards against a change that no process hears of, because all connections have gone
+	 * silent or the store has dropped its history.
+	 */
+	@Test
+	void shouldDeliverAChangeThatOnlyACheckShows() {
+		this.collection.listsContent = true;
+		this.collection.change("first");
+		FeedFollower<String> follower = follow(1);
+		this.collection.changeSilently("a");
+		follower.check();
+		assertThat(this.delivered).containsExactly("first", "first", "a").inOrder();
+		assertThat(follower.newestChange()).isEqualTo(2);
+		assertThat(follower.newestChangeAge()).isAtLeast(FeedFollower.MAX_DELIVERY_LAG);
+		assertThat(follower.verifiedEntries()).isEqualTo(OptionalInt.of(2));
+		this.collection.change("b");
+		assertThat(this.delivered).contains("b");
+	}
+
+	/**
+	 * Guards against a removal that the peers do not hear of: a listing does not state
+	 * its version.
+	 */
+	@Test
+	void shouldStateTheVersionOfAListingWithoutAnEntry() {
+		this.collection.listsContent = true;
+		this.collection.change("a");
+		FeedFollower<String> follower = follow(1);
+		this.collection.removeSilently(1, 5);
+		follower.check();
+		assertThat(follower.newestChange()).isEqualTo(5);
+		assertThat(this.listings).isEqualTo(2);
+	}
+
+	/**
+	 * Guards against additional watches and deliveries: a check is one call while all is
+	 * well.
+	 */
+	@Test
+	void shouldMakeOneCallForACheckWithoutADifference() {
+		this.collection.listsContent = true;
+		this.collection.change("a");
+		FeedFollower<String> follower = follow(1);
+		int callsBefore = this.collection.calls;
+		for (int i = 0; i < 10; i++) {
+			follower.check();
+			this.time.advance(FeedChecks.INTERVAL);
+		}
+		assertThat(this.collection.calls - callsBefore).isEqualTo(10);
+		assertThat(this.listings).isEqualTo(1);
+	}
+
+	/**
+	 * Guards against an older state that a check brings back after the watch has
+	 * delivered a newer one.
+	 */
+	@Test
+	void shouldDropACheckThatTheWatchHasOvertaken() {
+		this.collection.listsContent = true;
+		this.collection.change("first");
+		FeedFollower<String> follower = follow(1);
+		CompletableFuture<Changes<String>> late = new CompletableFuture<>();
+		this.collection.listing = Optional.of(late);
+		follower.check();
+		Changes<String> old = this.collection.content();
+		this.collection.change("a");
+		late.complete(old);
+		assertThat(this.listings).isEqualTo(1);
+		assertThat(this.delivered).containsExactly("first", "a").inOrder();
+	}
+
+	/**
+	 * Guards against two watches at a time after a check that finds changes during a
+	 * coalescing delay.
+	 */
+	@Test
+	void shouldKeepOneWatchAfterACheckDuringACoalescingDelay() {
+		this.collection.listsContent = true;
+		this.collection.change("zero");
+		FeedFollower<String> follower = follow(300);
+		this.collection.change("first");
+		this.collection.change("second");
+		follower.check();
+		assertThat(this.delivered).contains("second");
+		assertThat(follower.newestChangeAge()).isEqualTo(Duration.ZERO);
+		int callsBefore = this.collection.calls;
+		this.time.advance(DELAY.max());
+		assertThat(this.collection.calls).isEqualTo(callsBefore);
+	}
+
 	/**
 	 * Guards against changes that are missed for as long as a watch may wait, because its
 	 * response is lost and its connection stays open.
@@ -176,7 +417,7 @@
 		this.collection.listsContent = true;
 		FeedFollower<String> follower = follow(1);
 		loseChange("a");
-		follower.expectVersion(1);
+		follower.expectVersion(1, Duration.ZERO);
 		this.time.advance(FeedFollower.MAX_DELIVERY_LAG.plus(FeedFollower.MAX_SPREAD));
 		assertThat(this.delivered).containsExactly("a");
 		assertThat(follower.newestChange()).isEqualTo(1);
@@ -206,9 +447,9 @@
 		FeedFollower<String> follower = follow(300);
 		int callsBefore = this.collection.calls;
 		for (int version = 1; version <= 20; version++) {
-			follower.expectVersion(version);
+			follower.expectVersion(version, Duration.ZERO);
 			this.collection.change("c" + version);
-			follower.expectVersion(version);
+			follower.expectVersion(version, Duration.ZERO);
 			this.time.advance(Duration.ofSeconds(2));
 		}
 		assertThat(this.delivered).hasSize(20);
@@ -303,9 +544,15 @@
 			.maxWait(WAIT)
 			.health(this.health)
 			.coalescingDelay(coalescingDelay)
+			.checkable(true)
 			.start();
 	}
 
+	@SuppressWarnings("unchecked")
+	private static <E extends Throwable> void sneakyThrow(Throwable failure) throws E {
+		throw (E) failure;
+	}
+
 	private final class Listener implements FeedListener<String> {
 
 		@Override
@@ -316,8 +563,8 @@
 
 		@Override
 		public void changed(Change<String> change) {
-			if (change.name().startsWith("bad")) {
-				throw new IllegalStateException(change.name());
+			if (change.name().startsWith(FeedFollowerTests.this.failsOn)) {
+				sneakyThrow(FeedFollowerTests.this.failure);
 			}
 			FeedFollowerTests.this.delivered.add(change.name());
 		}
@@ -343,11 +590,55 @@
 		/** The answer to listings, instead of one at once. */
 		private Optional<CompletableFuture<Changes<String>>> listing = Optional.empty();
 
+		/** The call that throws once, or an empty string. */
+		private String throwsIn = "";
+
+		/** The version of the last removal. */
+		private long removedAt;
+
 		void change(String name) {
-			this.changes.put(this.changes.size() + 1L, name);
+			changeSilently(name);
 			answer();
 		}
 
+		/**
+		 * Makes a change that the watch that is waiting does not deliver.
+		 * @param name the name of the change
+		 */
+		void changeSilently(String name) {
+			this.changes.put(this.changes.size() + 1L, name);
+		}
+
+		/**
+		 * Removes an entry, which the watch that is waiting does not deliver.
+		 * @param version the version of the entry
+		 * @param removalVersion the version that the removal creates
+		 */
+		void removeSilently(long version, long removalVersion) {
+			this.changes.remove(version);
+			this.removedAt = removalVersion;
+		}
+
+		/**
+		 * Ends the watch that is waiting as if there were no changes.
+		 */
+		void endWatchWithoutChanges() {
+			CompletableFuture<Optional<Changes<String>>> poll = this.pendingPoll;
+			this.pendingPoll = null;
+			poll.complete(Optional.of(new Changes<>(List.of(), this.changes.lastKey())));
+		}
+
+		/**
+		 * Throws an error at the first call from one place.
+		 * @param place the place of the call
+		 */
+		void throwOnce(String place) {
+			if (this.throwsIn.equals(place)) {
+				this.throwsIn = "";
+				throw new StackOverflowError();
+			}
+		}
+
 		private void answer() {
 			if (this.pendingPoll == null || this.changes.tailMap(this.pendingAfter, false).isEmpty()) {
 				return;
@@ -392,13 +683,14 @@
 		 * @return the content
 		 */
 		Changes<String> content() {
-			long version = this.changes.isEmpty() ? 0 : this.changes.lastKey();
+			long version = Math.max(this.removedAt, this.changes.isEmpty() ? 0 : this.changes.lastKey());
 			return new Changes<>(this.changes.entrySet().stream().map(Collection::change).toList(), version);
 		}
 
 		@Override
 		public CompletableFuture<Changes<String>> list() {
 			this.calls++;
+			throwOnce("list");
 			return this.listing.orElseGet(() -> CompletableFuture
 				.completedFuture(this.listsContent ? content() : new Changes<>(List.of(), 0)));
 		}
@@ -406,6 +698,7 @@
 		@Override
 		public CompletableFuture<Optional<Changes<String>>> changes(long after, Duration wait) {
 			this.calls++;
+			throwOnce("changes");
 			CompletableFuture<Optional<Changes<String>>> poll = new CompletableFuture<>();
 			this.pendingPoll = poll;
 			this.pendingAfter = after;
