Use a connection of the daemon for one call

Callers got the answers of others: where an engine answered a request twice, the second response, late, was taken for the response to the next request on the kept connection. An old version of an object was read as the newest in the same way.

Cause: responses of engines and of the object API name no request. Vert.x takes what comes next on a connection for the present response, and keeps an idle connection on which a part of a response has come.

A response can now only be that to the one request on its connection. A call that gets no connection in time ends open watches, as a call without a response did on a kept connection to a machine that has vanished; shouldEndAWatchThatWasOpenWhenACallGotNoConnection guards that.

The cost is one connection more for each call.

--- a/modules/daemon/src/main/java/org/ragworthook/daemon/engine/UpstreamClient.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/engine/UpstreamClient.java
@@ -14,18 +14,17 @@
 /**
  * Makes calls to one upstream. All calls and their listeners run on the context on which
  * the call was started.
+ * <p>
+ * Each call has a connection of its own. Responses of engines do not name the request
+ * that they belong to: if an engine answers a request twice, the second response, late on
+ * a kept connection, could not be told from the response to the next request. A request
+ * that is sent just as the upstream closes an idle connection would also be broken off
+ * without having been run, and one that may run only once could not be tried again.
  */
 public final class UpstreamClient implements AutoCloseable {
 
 	private static final int CONNECT_TIMEOUT_MILLIS = 2_000;
 
-	/**
-	 * Shorter than common servers keep an idle connection, usually five seconds. A
-	 * request sent just as the server closes its connection is broken off without having
-	 * been run, and one that may run only once could not be tried again.
-	 */
-	private static final int KEEP_ALIVE_SECONDS = 3;
-
 	private final HttpClient client;
 
 	private final URI base;
@@ -44,7 +43,7 @@
 	 */
 	public static UpstreamClient of(Vertx vertx, String url, int calls) {
 		HttpClientOptions options = new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
-			.setKeepAliveTimeout(KEEP_ALIVE_SECONDS)
+			.setKeepAlive(false)
 			.setTcpNoDelay(true)
 			.setDecompressionSupported(false);
 		PoolOptions pool = new PoolOptions().setHttp1MaxSize(calls + 1);
--- a/modules/objectapi/src/main/java/org/ragworthook/objectapi/EndpointSliceList.java
+++ b/modules/objectapi/src/main/java/org/ragworthook/objectapi/EndpointSliceList.java
@@ -25,7 +25,8 @@
 
 /**
  * The platform's list of instances, read from its endpoint slices. An endpoint that the
- * system cannot read, such as one without a port named {@code link}, is left out.
+ * system cannot read, such as one without a port named {@code link}, is left out. Each
+ * call has a connection of its own, for the reason given at {@link HttpObjectStore}.
  */
 public final class EndpointSliceList implements InstanceList, AutoCloseable {
 
@@ -49,7 +50,8 @@
 		this.settings = settings;
 		this.client = vertx.createHttpClient(new HttpClientOptions().setDefaultHost(settings.address().host())
 			.setDefaultPort(settings.address().port())
-			.setConnectTimeout((int) settings.connectTimeout().toMillis()));
+			.setConnectTimeout((int) settings.connectTimeout().toMillis())
+			.setKeepAlive(false));
 	}
 
 	/**
--- a/modules/objectapi/src/main/java/org/ragworthook/objectapi/HttpObjectStore.java
+++ b/modules/objectapi/src/main/java/org/ragworthook/objectapi/HttpObjectStore.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 
 import io.vertx.core.Future;
@@ -40,6 +41,10 @@
  * notice a job refused that runs. So a write fails with {@code STORE_UNAVAILABLE} only if
  * the platform said that it did not take it, or if no connection was there to send it on;
  * every other failure of a write is {@code STORE_OUTCOME_UNKNOWN}.
+ * <p>
+ * Each call has a connection of its own. An answer does not name the call that it belongs
+ * to: the second answer to an earlier call, late on a kept connection, would be read as
+ * that to the present call, such as an old version of an object as the newest.
  */
 public final class HttpObjectStore implements ObjectStore, AutoCloseable {
 
@@ -55,6 +60,12 @@
 
 	private final StoreCalls calls = StoreCalls.zero();
 
+	/**
+	 * The calls that have a connection. A call that waits for one of them to end has not
+	 * shown that the platform is silent.
+	 */
+	private final AtomicInteger exchanges = new AtomicInteger();
+
 	private final Set<HttpWatch> watches = ConcurrentHashMap.newKeySet();
 
 	private HttpObjectStore(Vertx vertx, PlatformSettings settings) {
@@ -64,7 +75,7 @@
 			.setDefaultPort(settings.address().port())
 			.setConnectTimeout((int) settings.connectTimeout().toMillis())
 			.setTcpKeepAlive(true)
-			.setKeepAliveTimeout(30);
+			.setKeepAlive(false);
 		this.client = vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(settings.connections()));
 		this.watchClient = vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(Kind.values().length * 4));
 	}
@@ -171,7 +182,13 @@
 		RequestOptions options = new RequestOptions().setMethod(method)
 			.setURI(path)
 			.setConnectTimeout(this.settings.connectTimeout().toMillis());
-		return this.client.request(options)
+		long askedNanos = System.nanoTime();
+		return this.client.request(options).onFailure((failure) -> {
+			if (System.nanoTime() - askedNanos >= this.settings.connectTimeout().toNanos()
+					&& this.exchanges.get() < this.settings.connections()) {
+				endWatches(askedNanos);
+			}
+		})
 			.recover((failure) -> Future.failedFuture(notSent(verb, failure)))
 			.compose((request) -> exchange(verb, request, body));
 	}
@@ -183,9 +200,11 @@
 			request.putHeader("Content-Type", "application/json");
 		}
 		long sentNanos = System.nanoTime();
+		this.exchanges.incrementAndGet();
 		return request.send(content)
 			.compose((response) -> response.body().map((received) -> Answer.of(response.statusCode(), received)))
 			.timeout(this.settings.callTimeout().toMillis(), TimeUnit.MILLISECONDS)
+			.onComplete((answer) -> this.exchanges.decrementAndGet())
 			.onSuccess((answer) -> this.calls.received(answer.body().length()))
 			.onFailure((failure) -> {
 				request.reset();
@@ -197,8 +216,8 @@
 	}
 
 	/**
-	 * Ends the watches that were open when a call was sent that got no response: events
-	 * of the same time may be lost as well.
+	 * Ends the watches that were open when a call was sent that got no response, or no
+	 * connection in time: events of the same time may be lost as well.
 	 * @param sentNanos when the call was sent
 	 */
 	private void endWatches(long sentNanos) {
--- a/modules/standin/src/test/java/org/ragworthook/standin/platform/HttpObjectStoreTests.java
+++ b/modules/standin/src/test/java/org/ragworthook/standin/platform/HttpObjectStoreTests.java
@@ -1,6 +1,14 @@
 package org.ragworthook.standin.platform;
 
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -207,6 +215,45 @@
 		}
 	}
 
+	// Guards against changes that are missed for minutes, because the platform's machine
+	// vanished and a call got no connection, while that of a watch stays open.
+	@Test
+	void shouldEndAWatchThatWasOpenWhenACallGotNoConnection() throws Exception {
+		BlockingQueue<String> ended = new LinkedBlockingQueue<>();
+		List<Socket> waiting = new ArrayList<>();
+		try (ServerSocket platform = new ServerSocket(0, 1, InetAddress.getByName(StandInServer.HOST));
+				HttpObjectStore impatient = HttpObjectStore.of(this.vertx,
+						PlatformSettings.of(new Address(StandInServer.HOST, platform.getLocalPort()))
+							.timeouts(Duration.ofMillis(300), Duration.ofSeconds(5)))) {
+			impatient.watch(Kind.JOB, Labels.empty(), 0, (event) -> ended.add("event"), () -> ended.add("ended"));
+			try (Socket watch = platform.accept()) {
+				watch.getOutputStream()
+					.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+				fillBacklog(platform, waiting);
+				assertFails(ErrorCode.STORE_UNAVAILABLE, () -> impatient.read(KEY).join());
+				assertThat(ended.poll(10, TimeUnit.SECONDS)).isEqualTo("ended");
+			}
+		}
+		finally {
+			for (Socket socket : waiting) {
+				socket.close();
+			}
+		}
+	}
+
+	private static void fillBacklog(ServerSocket server, List<Socket> waiting) throws IOException {
+		try {
+			while (waiting.size() < 10) {
+				Socket socket = new Socket();
+				waiting.add(socket);
+				socket.connect(server.getLocalSocketAddress(), 200);
+			}
+		}
+		catch (SocketTimeoutException ex) {
+			// no further connection is taken
+		}
+	}
+
 	@ParameterizedTest
 	@EnumSource(value = StoreVerb.class, names = { "READ", "CREATE", "DELETE", "LIST" })
 	void shouldCountAsThePlatformCounts(StoreVerb verb) {
