Refuse heads that are joined from two responses

Callers got the status of one response with the body of another: 200 for 500 and 500 for 200. Writes to the object API that were refused counted as done.

Cause: where a server breaks off within a head and then sends a whole response, the parser of HTTP takes the second status line for a part of the reason phrase, of a header's value or of its name.

A head with a status line in one of these places is a failure, as no legal one has it.

--- /dev/null
+++ b/modules/core/src/main/java/org/ragworthook/core/response/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Checks of responses that do not depend on a client.
+ */
+package org.ragworthook.core.response;
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/engine/UpstreamCall.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/engine/UpstreamCall.java
@@ -8,6 +8,7 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.RequestOptions;
+import org.ragworthook.core.response.JoinedHeads;
 import org.ragworthook.wire.message.Run;
 
 /**
@@ -68,6 +69,10 @@
 	}
 
 	private void receive(HttpClientResponse response) {
+		if (JoinedHeads.joined(response.statusMessage(), response.headers())) {
+			broken("the head of the answer holds that of another one");
+			return;
+		}
 		response.exceptionHandler((failure) -> broken("answer broke off: " + failure.getMessage()));
 		response.endHandler((ignored) -> responseEnded());
 		response.handler((data) -> {
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/engine/ForeignResponseTests.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/engine/ForeignResponseTests.java
@@ -182,6 +182,34 @@
 		}
 	}
 
+	/**
+	 * Guards against a status and headers of one response before the body of another, if
+	 * an engine sends both in reply to one request.
+	 */
+	@ParameterizedTest
+	@MethodSource("joinedParts")
+	void shouldNotJoinTwoHeads(Kind kind, int first, int second) throws IOException {
+		String cut = response(first, kind, Framing.LENGTH, "answer-to-a");
+		int head = cut.indexOf("\r\n\r\n") + 4;
+		int[] place = new int[1];
+		ScriptedServer.Script script = (request) -> {
+			request.send(cut.substring(0, place[0]) + response(second, kind, Framing.CHUNKED, word(request.body())));
+			return false;
+		};
+		try (ScriptedServer engine = ScriptedServer.start(script);
+				UpstreamClient client = UpstreamClient.of(vertx, engine.url(), 1)) {
+			List<String> wrong = new ArrayList<>();
+			for (int at = 1; at < head; at++) {
+				place[0] = at;
+				Answer answer = call(client, kind, "a");
+				if (!answer.failed() && !answer.isOwn(second, "answer-to-a")) {
+					wrong.add("cut after " + at + " bytes: " + answer);
+				}
+			}
+			assertThat(wrong).isEmpty();
+		}
+	}
+
 	static List<Arguments> joinedParts() {
 		List<Arguments> cases = new ArrayList<>();
 		for (Kind kind : Kind.values()) {
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/objects/ForeignAnswerTests.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/objects/ForeignAnswerTests.java
@@ -151,6 +151,29 @@
 		}
 	}
 
+	/**
+	 * Guards against a status of one answer before the body of another: a write that was
+	 * refused would count as done.
+	 */
+	@ParameterizedTest
+	@EnumSource
+	void shouldNotJoinTwoHeads(Call call) throws IOException {
+		String cut = response(200, Framing.LENGTH, call.body());
+		int head = cut.indexOf("\r\n\r\n") + 4;
+		int[] place = new int[1];
+		ScriptedServer.Script script = (request) -> {
+			request.send(cut.substring(0, place[0]) + response(500, Framing.CHUNKED, call.body()));
+			return false;
+		};
+		try (ScriptedServer server = ScriptedServer.start(script); HttpObjectStore store = client(server)) {
+			List<Integer> wrong = IntStream.range(1, head).filter((at) -> {
+				place[0] = at;
+				return failure(call.start(store)).isEmpty();
+			}).boxed().toList();
+			assertThat(wrong).isEmpty();
+		}
+	}
+
 	/** Guards against a part of an answer that is taken for a whole one. */
 	@ParameterizedTest
 	@MethodSource("cuts")
--- a/modules/objectapi/src/main/java/org/ragworthook/objectapi/EndpointSliceList.java
+++ b/modules/objectapi/src/main/java/org/ragworthook/objectapi/EndpointSliceList.java
@@ -22,6 +22,7 @@
 import org.ragworthook.core.fleet.Instance;
 import org.ragworthook.core.fleet.InstanceList;
 import org.ragworthook.core.fleet.Role;
+import org.ragworthook.core.response.JoinedHeads;
 
 /**
  * The platform's list of instances, read from its endpoint slices. An endpoint that the
@@ -78,8 +79,9 @@
 	public CompletableFuture<List<Instance>> instances() {
 		return this.client.request(HttpMethod.GET, path(this.settings.namespace()))
 			.compose((request) -> request.send()
-				.compose((response) -> (response.statusCode() == 200) ? response.body()
-						: Future.failedFuture("status " + response.statusCode()))
+				.compose((response) -> (response.statusCode() == 200
+						&& !JoinedHeads.joined(response.statusMessage(), response.headers())) ? response.body()
+								: Future.failedFuture("status " + response.statusCode()))
 				.timeout(this.settings.callTimeout().toMillis(), TimeUnit.MILLISECONDS)
 				.onFailure((failure) -> request.reset()))
 			.map((body) -> read(body.toJsonObject()))
--- a/modules/objectapi/src/main/java/org/ragworthook/objectapi/HttpObjectStore.java
+++ b/modules/objectapi/src/main/java/org/ragworthook/objectapi/HttpObjectStore.java
@@ -18,12 +18,14 @@
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.json.JsonObject;
 import org.ragworthook.core.error.ErrorCode;
 import org.ragworthook.core.error.StoreException;
+import org.ragworthook.core.response.JoinedHeads;
 import org.ragworthook.core.store.Draft;
 import org.ragworthook.core.store.Kind;
 import org.ragworthook.core.store.Labels;
@@ -202,7 +204,7 @@
 		long sentNanos = System.nanoTime();
 		this.exchanges.incrementAndGet();
 		return request.send(content)
-			.compose((response) -> response.body().map((received) -> Answer.of(response.statusCode(), received)))
+			.compose(HttpObjectStore::answer)
 			.timeout(this.settings.callTimeout().toMillis(), TimeUnit.MILLISECONDS)
 			.onComplete((answer) -> this.exchanges.decrementAndGet())
 			.onSuccess((answer) -> this.calls.received(answer.body().length()))
@@ -215,6 +217,13 @@
 			.recover((failure) -> Future.failedFuture(notAnswered(verb, failure)));
 	}
 
+	private static Future<Answer> answer(HttpClientResponse response) {
+		if (JoinedHeads.joined(response.statusMessage(), response.headers())) {
+			return Future.failedFuture("the head of the answer holds that of another one");
+		}
+		return response.body().map((received) -> Answer.of(response.statusCode(), received));
+	}
+
 	/**
 	 * Ends the watches that were open when a call was sent that got no response, or no
 	 * connection in time: events of the same time may be lost as well.
