--- a/modules/objectapi/src/main/java/org/ragworthook/objectapi/EndpointSliceList.java
+++ b/modules/objectapi/src/main/java/org/ragworthook/objectapi/EndpointSliceList.java
@@ -22,10 +22,12 @@
 import org.ragworthook.core.fleet.Instance;
 import org.ragworthook.core.fleet.InstanceList;
 import org.ragworthook.core.fleet.Role;
+import org.ragworthook.core.response.JoinedHeads;
 
 /**
  * The platform's list of instances, read from its endpoint slices. An endpoint that the
- * system cannot read, such as one without a port named {@code link}, is left out.
+ * system cannot read, such as one without a port named {@code link}, is left out. Each
+ * call has a connection of its own, for the reason given at {@link HttpObjectStore}.
  */
 public final class EndpointSliceList implements InstanceList, AutoCloseable {
 
@@ -49,7 +51,8 @@
 		this.settings = settings;
 		this.client = vertx.createHttpClient(new HttpClientOptions().setDefaultHost(settings.address().host())
 			.setDefaultPort(settings.address().port())
-			.setConnectTimeout((int) settings.connectTimeout().toMillis()));
+			.setConnectTimeout((int) settings.connectTimeout().toMillis())
+			.setKeepAlive(false));
 	}
 
 	/**
@@ -76,8 +79,9 @@
 	public CompletableFuture<List<Instance>> instances() {
 		return this.client.request(HttpMethod.GET, path(this.settings.namespace()))
 			.compose((request) -> request.send()
-				.compose((response) -> (response.statusCode() == 200) ? response.body()
-						: Future.failedFuture("status " + response.statusCode()))
+				.compose((response) -> (response.statusCode() == 200
+						&& !JoinedHeads.joined(response.statusMessage(), response.headers())) ? response.body()
+								: Future.failedFuture("status " + response.statusCode()))
 				.timeout(this.settings.callTimeout().toMillis(), TimeUnit.MILLISECONDS)
 				.onFailure((failure) -> request.reset()))
 			.map((body) -> read(body.toJsonObject()))
