List the instances beside an endpoint that cannot be read

What users would see: one endpoint without an address, with port 70000 or with a label that is no text, left by another writer, hides all instances from the product's own processes (STORE_UNAVAILABLE at each listing).

Cause: the class leaves out endpoints that it cannot read, but only those that lack a role or a port; all other faults failed the listing.

Each slice and each endpoint is read by itself and left out if that fails (instance_unusable at DEBUG, as the list is read every few seconds).

--- a/modules/objectapi/src/main/java/org/ragworthook/objectapi/EndpointSliceList.java
+++ b/modules/objectapi/src/main/java/org/ragworthook/objectapi/EndpointSliceList.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import java.util.stream.Stream;
 
 import io.vertx.core.Future;
@@ -22,6 +23,7 @@
 import org.ragworthook.core.fleet.Instance;
 import org.ragworthook.core.fleet.InstanceList;
 import org.ragworthook.core.fleet.Role;
+import org.ragworthook.core.log.EventLog;
 
 /**
  * The platform's list of instances, read from its endpoint slices. An endpoint that the
@@ -29,6 +31,8 @@
  */
 public final class EndpointSliceList implements InstanceList, AutoCloseable {
 
+	private static final EventLog LOG = EventLog.of(EndpointSliceList.class);
+
 	/** The label that names the service of a slice's endpoints. */
 	public static final String SERVICE = "kubernetes.io/service-name";
 
@@ -93,7 +97,23 @@
 	}
 
 	private static List<Instance> read(JsonObject list) {
-		return objects(list.getJsonArray("items")).flatMap(EndpointSliceList::slice).toList();
+		return objects(list.getJsonArray("items")).flatMap((slice) -> readable(() -> slice(slice))).toList();
+	}
+
+	/**
+	 * Reads a part of the list, which is left out if it cannot be read: one odd endpoint
+	 * would hide all instances.
+	 * @param reader reads the part
+	 * @return the instances of the part, none if it cannot be read
+	 */
+	private static Stream<Instance> readable(Supplier<Stream<Instance>> reader) {
+		try {
+			return reader.get().toList().stream();
+		}
+		catch (RuntimeException ex) {
+			LOG.debug("instance_unusable", "error", ex);
+			return Stream.empty();
+		}
 	}
 
 	private static Stream<Instance> slice(JsonObject slice) {
@@ -107,7 +127,7 @@
 			return Stream.empty();
 		}
 		return objects(slice.getJsonArray("endpoints"))
-			.map((endpoint) -> instance(endpoint, role.get(), labels, port.get()));
+			.flatMap((endpoint) -> readable(() -> Stream.of(instance(endpoint, role.get(), labels, port.get()))));
 	}
 
 	private static Instance instance(JsonObject endpoint, Role role, JsonObject labels, int port) {
@@ -127,7 +147,8 @@
 	}
 
 	private static Stream<JsonObject> objects(JsonArray array) {
-		return (array != null) ? array.stream().map(JsonObject.class::cast) : Stream.empty();
+		return (array != null) ? array.stream().filter(JsonObject.class::isInstance).map(JsonObject.class::cast)
+				: Stream.empty();
 	}
 
 }
--- a/modules/standin/src/test/java/org/ragworthook/standin/platform/EndpointSliceListTests.java
+++ b/modules/standin/src/test/java/org/ragworthook/standin/platform/EndpointSliceListTests.java
@@ -3,10 +3,13 @@
 import java.time.Duration;
 
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
 import io.vertx.core.json.JsonObject;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.ragworthook.core.fleet.Address;
 import org.ragworthook.core.fleet.FailureDomain;
 import org.ragworthook.core.fleet.Instance;
@@ -23,6 +26,8 @@
  */
 class EndpointSliceListTests {
 
+	private static final String SIDECARS = "{\"metadata\":{\"labels\":{\"ragworthook.org/role\":\"sidecar\"}},";
+
 	private static final Duration UNREACHED = Duration.ofHours(1);
 
 	private Vertx vertx;
@@ -84,4 +89,27 @@
 		assertThat(this.list.instances().join()).containsExactly(runner(false));
 	}
 
+	/**
+	 * Guards against one endpoint of another writer that hides all instances.
+	 * @param odd a slice, or a part of the list that is none
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "7", "null", "{\"metadata\":7}", "{\"metadata\":{\"labels\":[]}}",
+			"{\"metadata\":{\"labels\":{\"ragworthook.org/role\":7}}}",
+			SIDECARS + "\"ports\":[{\"name\":\"link\",\"port\":70000}],\"endpoints\":[{\"addresses\":[\"::1\"]}]}",
+			SIDECARS + "\"ports\":[{\"name\":\"link\",\"port\":\"x\"}],\"endpoints\":[]}",
+			SIDECARS + "\"ports\":[7,{\"name\":\"link\",\"port\":1}],\"endpoints\":[null,{},{\"addresses\":[]}]}",
+			SIDECARS + "\"ports\":{},\"endpoints\":[]}" })
+	void shouldListTheOtherInstancesBesideOddOnes(String odd) {
+		String sound = SIDECARS + "\"ports\":[{\"name\":\"link\",\"port\":7101}],\"endpoints\":"
+				+ "[{\"addresses\":[]},{\"addresses\":[\"127.0.0.1\"],\"targetRef\":{\"name\":\"runner-1\"}}]}";
+		HttpServer server = this.vertx.createHttpServer()
+			.requestHandler((request) -> request.response().end("{\"items\":[" + odd + "," + sound + "," + odd + "]}"));
+		int port = server.listen(0, StandInServer.HOST).toCompletionStage().toCompletableFuture().join().actualPort();
+		EndpointSliceList listed = EndpointSliceList.of(this.vertx,
+				PlatformSettings.of(new Address(StandInServer.HOST, port)));
+		assertThat(listed.instances().join().stream().map(Instance::id).toList()).containsExactly("runner-1");
+		listed.close();
+	}
+
 }
