Check the loads while malformed reports arrive

MalformedReportTests waited until the loads were right, which they were again 1.5 s after a report with a negative or huge load.

--- a/modules/gateway/src/test/java/org/ragworthook/gateway/peer/MalformedReportTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/peer/MalformedReportTests.java
@@ -132,11 +132,13 @@
 		LoadExchange b = exchange("b", second, this.theirs);
 		b.addPeer(this.first);
 		Loopback.await(() -> a.fleet().ownerCandidates().size() == 2);
-		for (int i = 0; i < 3; i++) {
-			send(datagram);
-		}
 		upstream(this.theirs).begin(WorkClass.ONLINE);
 		Loopback.await(() -> upstream(this.mine).load() == 1);
+		for (int i = 0; i < 30; i++) {
+			send(datagram);
+			this.loop.schedule(() -> assertThat(upstream(this.mine).load()).isEqualTo(1), 10, TimeUnit.MILLISECONDS)
+				.get();
+		}
 		upstream(this.mine).begin(WorkClass.BATCH);
 		Loopback.await(() -> upstream(this.theirs).load() == 2);
 		assertThat(a.fleet().ownerCandidates()).containsExactly("a", "b");
