Return a connection at once if its read holds nothing more

If the decoder holds no bytes when the response ends, all that came before is decoded: a read passes on one buffer. The connection is then returned at once, as before; with bytes left it is returned after the read.

The 6 cases with bytes behind the response still pass.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/http/ClientConnection.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/http/ClientConnection.java
@@ -257,14 +257,14 @@
 	}
 
 	/**
-	 * Runs a task when the read in progress is over. The decoder may hold bytes behind
-	 * the response that has just ended. Those came before a request that is sent now, and
-	 * would count as a response to it.
-	 * @param task called now if there is no read in progress; not called if the read
-	 * fails, which closes the connection
+	 * Runs a task when all bytes of the read in progress are decoded. The decoder may
+	 * hold bytes behind the response that has just ended. Those came before a request
+	 * that is sent now, and would count as a response to it.
+	 * @param task called now if the decoder holds nothing; not called if the read fails,
+	 * which closes the connection
 	 */
 	void afterRead(Runnable task) {
-		if (this.inRead) {
+		if (this.inRead && this.decoder.undecodedBytes() > 0) {
 			this.afterRead = task;
 		}
 		else {
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/http/ConnectionPool.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/http/ConnectionPool.java
@@ -233,7 +233,7 @@
 
 	/**
 	 * Returns a connection to the pool, or closes it if it cannot be reused. A connection
-	 * whose response has ended in a read that is still in progress is returned after it.
+	 * behind whose response the decoder holds more bytes is returned after they are read.
 	 * @param address the server's address
 	 * @param connection the connection, without a request in progress
 	 */
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/http/SecondResponseTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/http/SecondResponseTests.java
@@ -174,6 +174,19 @@
 		assertThat(next.connection).isSameInstanceAs(kept);
 	}
 
+	/** Guards against a new connection for each request that waits for a slot. */
+	@Test
+	void shouldSendTheNextRequestAtOnceIfTheReadHeldNothingElse() {
+		this.server.reply(FIRST);
+		this.server.reply(OWN);
+		Recorder next = new Recorder();
+		Recorder first = new Recorder();
+		first.afterRelease = () -> send(HttpMethod.GET, "b", next);
+		this.pool.loop().execute(() -> send(HttpMethod.GET, "a", first));
+		assertThat(next.outcome.join()).isEqualTo(OWN_RECEIVED);
+		assertThat(next.connection).isSameInstanceAs(first.connection);
+	}
+
 	/**
 	 * Guards against a second response of a server whose responses cannot be told apart.
 	 */
