Show a fleet without checks while the chosen process starts

The test fails: a process that has just started states that it checks collections, so its peers stop, and does not check before it is settled.

--- a/modules/gateway/src/test/java/org/ragworthook/gateway/peer/FeedCheckerTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/peer/FeedCheckerTests.java
@@ -109,6 +109,26 @@
 		assertThat(checkers()).isEmpty();
 	}
 
+	/**
+	 * Guards against a fleet without checks while the process with the highest score
+	 * starts: it states that it can check, and does not before it is settled.
+	 */
+	@Test
+	void shouldCheckAtAnotherProcessUntilAStartedOneIsSettled() {
+		exchange();
+		Process restarted = checkers().get(0);
+		this.fleet.remove(restarted);
+		this.time.advance(Duration.ofSeconds(2));
+		exchange();
+		this.fleet.add(new Process(restarted.self.address().port() - 1));
+		exchange();
+		assertThat(checkers()).hasSize(1);
+		this.time.advance(Duration.ofSeconds(2));
+		exchange();
+		exchange();
+		assertThat(checkers()).hasSize(1);
+	}
+
 	private List<Process> checkers() {
 		return this.fleet.stream().filter((process) -> process.view.checksHere(FEED)).toList();
 	}
