Show a closed response that is proven by a new start of its upstream

shouldNotTakeTheActivityAfterANewStartForAProof fails: responses are only looked at with the next loss or closed response, and one that is looked at late counts as proven by anything its upstream has sent since. shouldTakeAProofWithEachReport passes, and guards a fix against proofs that are missed.

--- a/modules/gateway/src/test/java/org/ragworthook/gateway/suspect/PoisonPartDetectorTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/suspect/PoisonPartDetectorTests.java
@@ -122,6 +122,34 @@
 		assertThat(refuses(POISON)).isTrue();
 	}
 
+	/**
+	 * Guards against a crash that counts as a complete response because its upstream has
+	 * started again before this process looks at the response the next time.
+	 */
+	@Test
+	void shouldNotTakeTheActivityAfterANewStartForAProof() {
+		this.detector.recordClosedResponse(Set.of(POISON), 100);
+		this.time.advance(PoisonPartDetector.MAX_PROOF_TIME.multipliedBy(4));
+		this.alive.add(100);
+		crashes(3, POISON);
+		assertThat(refuses(POISON)).isTrue();
+	}
+
+	/**
+	 * Guards against a proof that is lost since no request looks at the response while
+	 * its upstream can prove it.
+	 */
+	@Test
+	void shouldTakeAProofWithEachReport() {
+		this.detector.recordClosedResponse(Set.of(OTHER), 100);
+		this.time.advance(PoisonPartDetector.SETTLE_TIME);
+		this.alive.add(100);
+		this.detector.observations();
+		this.time.advance(PoisonPartDetector.MAX_PROOF_TIME.multipliedBy(4));
+		crashes(4, OTHER);
+		assertThat(refuses(OTHER)).isFalse();
+	}
+
 	/** The route has no complete response yet; its sound requests are to get one. */
 	@ParameterizedTest
 	@ValueSource(ints = { 3, 5, 12 })
