Show a process that checks for all and whose checks all fail

The test fails: checks that fail before their time limit, for instance since connections are refused, leave the store up. The process remains the one that checks, and a silent watch keeps it so until its time limit.

--- a/modules/gateway/src/test/java/org/ragworthook/gateway/feed/FeedFollowerTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/feed/FeedFollowerTests.java
@@ -357,6 +357,24 @@
 		assertThat(this.delivered).containsExactly("first", "a").inOrder();
 	}
 
+	/**
+	 * Guards against a fleet without checks: a process whose checks all fail at once goes
+	 * on to check for all while its watch is open and the store counts as up.
+	 */
+	@Test
+	void shouldCountTheStoreAsLostIfAFailedCheckIsFollowedByAFailedListing() {
+		this.collection.listsContent = true;
+		FeedFollower<String> follower = follow(1);
+		this.collection.listing = Optional.of(CompletableFuture.failedFuture(new IllegalStateException("refused")));
+		follower.check();
+		this.time.advance(FeedChecks.INTERVAL);
+		follower.check();
+		assertThat(this.health.up()).isFalse();
+		this.collection.listing = Optional.empty();
+		this.time.advance(Duration.ofSeconds(1));
+		assertThat(this.health.up()).isTrue();
+	}
+
 	/**
 	 * Guards against two watches at a time after a check that finds changes during a
 	 * coalescing delay.
