Show a reported change that is never delivered

The test fails: a watch that has passed a change ends without changes while the collection is listed because of the change. The listing is dropped, and later reports of the same version are ignored.

--- a/modules/gateway/src/test/java/org/ragworthook/gateway/feed/FeedFollowerTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/feed/FeedFollowerTests.java
@@ -375,6 +375,28 @@
 		assertThat(this.health.up()).isTrue();
 	}
 
+	/**
+	 * Guards against a reported change that is never delivered: the watch, which has
+	 * passed it, ends without changes while the collection is listed because of the
+	 * report, and later reports of the same version are ignored.
+	 */
+	@Test
+	void shouldListAgainIfAWatchWithoutAReportedChangeEndsDuringTheListing() {
+		this.collection.listsContent = true;
+		FeedFollower<String> follower = follow(1);
+		this.collection.changeSilently("a");
+		this.collection.listing = Optional.of(new CompletableFuture<>());
+		follower.expectVersion(1, Duration.ZERO);
+		this.time.advance(FeedFollower.MAX_DELIVERY_LAG.plus(FeedFollower.MAX_SPREAD));
+		this.collection.listing = Optional.empty();
+		this.collection.endWatchWithoutChanges();
+		for (int report = 0; report < 10; report++) {
+			follower.expectVersion(1, Duration.ofSeconds(1));
+			this.time.advance(Duration.ofMillis(350));
+		}
+		assertThat(this.delivered).containsExactly("a");
+	}
+
 	/**
 	 * Guards against two watches at a time after a check that finds changes during a
 	 * coalescing delay.
