Show a job of the version before that cannot be read

The test fails: the version before accepted items with negative tokens and stored their sum. Such a job is now taken for a damaged one, and its items are not run.

--- a/modules/gateway/src/test/java/org/ragworthook/gateway/job/JobStoreTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/job/JobStoreTests.java
@@ -45,6 +45,17 @@
 		return this.store.read("job").join().orElseThrow();
 	}
 
+	/**
+	 * Guards against the loss of a job that the version before has accepted: it took
+	 * negative numbers of tokens, and stored their sum.
+	 */
+	@Test
+	void shouldReadAJobWithNegativeTokens() {
+		String text = "{\"id\":\"a\",\"itemCount\":3,\"chunks\":0,\"tokens\":-3,\"items\":[]}";
+		Job job = JobStore.job(new Stored(ObjectKey.of(Kind.JOB, "ja"), 1, Draft.of(text, "s")));
+		assertThat(job.tokens()).isEqualTo(0);
+	}
+
 	/**
 	 * Guards against a process whose memory is taken up by one job of another writer, and
 	 * against a job whose tokens leave no room for the jobs of all callers.
