Show failed checks on a collection that was listed with an entry

A collection at version 0 is not checked, so the test failed for another reason than the one it names. With an entry it fails without a listing after a failed check.

--- a/modules/gateway/src/test/java/org/ragworthook/gateway/feed/FeedFollowerTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/feed/FeedFollowerTests.java
@@ -364,6 +364,7 @@
 	@Test
 	void shouldCountTheStoreAsLostIfAFailedCheckIsFollowedByAFailedListing() {
 		this.collection.listsContent = true;
+		this.collection.change("first");
 		FeedFollower<String> follower = follow(1);
 		this.collection.listing = Optional.of(CompletableFuture.failedFuture(new IllegalStateException("refused")));
 		follower.check();
