List again if a reported change is missing after a dropped listing

A watch can pass a change that the store has dropped from its history, and end while the collection is listed because a peer has reported the change. The listing was dropped, and further reports of the same version are ignored, so that an old configuration stayed in force.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/feed/FeedFollower.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/feed/FeedFollower.java
@@ -330,10 +330,12 @@
 
 	/**
 	 * Delivers changes. A listing in progress is dropped: it may be older than the
-	 * changes, and the watch is no longer in doubt.
+	 * changes, and the watch is no longer in doubt. If a reported change is still
+	 * missing, the watch has passed it, and the collection is listed anew.
 	 * @param changes the changes
 	 */
 	private void changed(Changes<T> changes) {
+		boolean dropsListing = this.listing.isPresent();
 		this.listing = Optional.empty();
 		onSuccess();
 		received(changes);
@@ -343,6 +345,9 @@
 			notifyListener(() -> this.listener.changed(change));
 		}
 		watchAfterDelay(changes);
+		if (dropsListing && !hasReceived(this.expectedVersion)) {
+			list(Duration.ZERO);
+		}
 	}
 
 	/**
