Forget silent peers if the table of peers is full

Former processes have other addresses and were never forgotten, so that the limit of 1,000 peers kept out new processes.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/peer/Peer.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/peer/Peer.java
@@ -50,6 +50,14 @@
 		return true;
 	}
 
+	/**
+	 * Returns when the newest report was received.
+	 * @return the ticker's reading, 0 if no report was accepted yet
+	 */
+	long receivedNanos() {
+		return this.receivedNanos;
+	}
+
 	/**
 	 * Returns the newest report, however old.
 	 * @return the report, or empty if none was accepted yet
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/peer/PeerTable.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/peer/PeerTable.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -86,13 +87,36 @@
 	 */
 	Optional<Peer> accept(LoadReport report, long arrivedNanos) {
 		InetSocketAddress from = new InetSocketAddress(report.getHost(), report.getPort());
-		if (this.peers.size() >= MAX_PEERS && !this.peers.containsKey(from)) {
+		if (!this.peers.containsKey(from) && !makeRoom()) {
 			return Optional.empty();
 		}
 		Peer peer = this.peers.computeIfAbsent(from, Peer::new);
 		return peer.accept(report, this.ticker.nanos(), arrivedNanos) ? Optional.of(peer) : Optional.empty();
 	}
 
+	/**
+	 * Makes room for another peer. If there are too many, one that has been silent for
+	 * long is forgotten, first of all one that has left: former processes had other
+	 * addresses, and would fill the table in time.
+	 * @return whether there is room
+	 */
+	private boolean makeRoom() {
+		if (this.peers.size() < MAX_PEERS) {
+			return true;
+		}
+		long since = this.ticker.nanos() - BACKLOG_TIMEOUT.toNanos();
+		Optional<Peer> silent = this.peers.values()
+			.stream()
+			.filter((peer) -> peer.newestReport().isPresent() && peer.reportSince(since).isEmpty())
+			.min(Comparator.comparing((Peer peer) -> !peer.newestReport().get().getLeaving())
+				.thenComparingLong(Peer::receivedNanos));
+		silent.ifPresent((peer) -> {
+			this.peers.remove(peer.address());
+			this.wasLive.remove(peer.address());
+		});
+		return silent.isPresent();
+	}
+
 	/**
 	 * Returns the live peer of a name.
 	 * @param instance the peer's name
