List a collection after a check that has failed

A check that failed before its time limit left the store up, so that a process whose calls were refused remained the one that checks. A listing follows now. If it fails as well, the store counts as lost to this process until a listing succeeds, and a peer checks.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/feed/FeedFollower.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/feed/FeedFollower.java
@@ -572,7 +572,12 @@
 			if (failure != null) {
 				this.health.recordInterruption();
 			}
-			if (this.stopped || failure != null || this.listing.isPresent() || this.deliveries != deliveriesBefore) {
+			if (this.stopped || this.listing.isPresent() || this.deliveries != deliveriesBefore) {
+				return;
+			}
+			if (failure != null) {
+				// If the listing fails too, the store counts as lost, and a peer checks.
+				listInDoubt("check_failed");
 				return;
 			}
 			checked(all, startedNanos);
