State that this process checks collections only once it does

A process that had just started stated so with its first report.

That the collections have to be listed is not tested.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/feed/FeedChecks.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/feed/FeedChecks.java
@@ -62,6 +62,16 @@
 		this.followers.add(Objects.requireNonNull(follower, "follower is null"));
 	}
 
+	/**
+	 * Returns whether this process can check: a collection that was never listed is not
+	 * checked.
+	 * @return whether all collections were listed
+	 */
+	public boolean listed() {
+		return !this.followers.isEmpty()
+				&& this.followers.stream().allMatch((follower) -> follower.confirmationAge().isPresent());
+	}
+
 	private void round() {
 		this.timers.schedule(INTERVAL, this::round);
 		for (FeedFollower<?> follower : this.followers) {
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/peer/FleetView.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/peer/FleetView.java
@@ -115,14 +115,20 @@
 	/**
 	 * Sets the supplier of whether this process can check the collections of the platform
 	 * for all.
-	 * @param condition returns whether the platform answers this process
+	 * @param condition returns whether the platform answers this process and has listed
+	 * the collections
 	 */
 	public void checksFeeds(BooleanSupplier condition) {
 		this.checksFeeds = Objects.requireNonNull(condition, "condition is null");
 	}
 
+	/**
+	 * Returns whether peers may leave the checks to this process. One that has just
+	 * started does not check until it knows its peers.
+	 * @return whether this process checks collections if it is chosen
+	 */
 	boolean checksFeeds() {
-		return !this.leaving && this.checksFeeds.getAsBoolean();
+		return !this.leaving && settled() && this.checksFeeds.getAsBoolean();
 	}
 
 	/**
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/process/GatewayProcess.java
@@ -186,8 +186,9 @@
 		PoisonPartReports.attach(this.peers.exchange(), this.poisonParts, this.ticker);
 		SpeedReports.attach(this.peers.exchange(), this.observed, this.ticker);
 		this.feedVersions = FeedVersionReports.attach(this.peers.exchange(), this.health, this.ticker);
-		this.peers.fleet().checksFeeds(this.health::up);
-		this.feedChecks = FeedChecks.start(this.timers, this.peers.fleet()::checksHere);
+		FeedChecks checks = FeedChecks.start(this.timers, this.peers.fleet()::checksHere);
+		this.feedChecks = checks;
+		this.peers.fleet().checksFeeds(() -> this.health.up() && checks.listed());
 		this.lease = settings.bounds().maxRevocationDelay().map(this::lease);
 		this.accessControl = AccessControl.of(this::accounts, this.lease);
 		this.upstreamFeed = UpstreamFeedListener.of(this.upstreams, this.health, this.timers);
