Prove closed responses only within the time for a proof

Responses were looked at with the next loss or closed response. One that was looked at later counted as proven by anything its upstream had sent since, also after a crash and a new start. They are now looked at with each report, and forgotten once the time is over.

Evidence: PoisonPartDetectorTests failed (1 of 34) before and passes; PoisonPartReportsTests passes (one run each).

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/suspect/PoisonPartDetector.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/suspect/PoisonPartDetector.java
@@ -257,13 +257,20 @@
 		}
 	}
 
+	/**
+	 * Looks for proofs of the responses that a close has ended. What an upstream has sent
+	 * later than the time for a proof may come from a new start, so a response that was
+	 * not looked at within that time is forgotten.
+	 * @param now the current time, a reading of the ticker
+	 */
 	private void settleClosedResponses(long now) {
 		this.closedResponses.removeIf((closed) -> {
-			boolean complete = alive(closed.upstreamKey(), closed.nanos());
+			boolean over = now - closed.nanos() >= MAX_PROOF_TIME.toNanos();
+			boolean complete = !over && alive(closed.upstreamKey(), closed.nanos());
 			if (complete) {
 				recordSuccess(closed.parts(), closed.nanos());
 			}
-			return complete || now - closed.nanos() >= MAX_PROOF_TIME.toNanos();
+			return complete || over;
 		});
 	}
 
@@ -317,10 +324,11 @@
 	 * @return the observations of this process and those that it has received
 	 */
 	public List<PartObservation> observations() {
+		long now = this.ticker.nanos();
+		settleClosedResponses(now);
 		if (this.suspects.isEmpty() && this.contradicted.isEmpty()) {
 			return List.of();
 		}
-		long now = this.ticker.nanos();
 		refresh(now);
 		Set<Long> parts = new HashSet<>(this.suspects.keySet());
 		parts.addAll(this.contradicted.keySet());
