Read jobs with negative tokens

Rejecting such a job at the next start loses its items, so negative tokens that a job can have count as none.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobDocuments.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/job/JobDocuments.java
@@ -61,7 +61,7 @@
 		int itemCount = (int) count(node, "itemCount", MAX_ITEMS);
 		return new Job(text(node, "id"), account, node.path("host").asText(), node.path("path").asText(),
 				node.path("acceptedMillis").asLong(), node.path("configurationVersion").asLong(), itemCount,
-				(int) count(node, "chunks", itemCount), count(node, "tokens", (long) itemCount * Integer.MAX_VALUE),
+				(int) count(node, "chunks", itemCount), tokens(node, itemCount * (Integer.MAX_VALUE + 1L)),
 				node.path("ended").asBoolean(), items(node.path("items")));
 	}
 
@@ -84,6 +84,20 @@
 			.longValue();
 	}
 
+	/**
+	 * Reads the tokens of a job. Jobs with negative ones have been accepted and have to
+	 * be run; such tokens must not make room for other jobs, so they count as none.
+	 * @param node the document
+	 * @param max the greatest value
+	 * @return the tokens
+	 */
+	private static long tokens(JsonNode node, long max) {
+		JsonNode value = node.path("tokens");
+		boolean negative = value.isIntegralNumber() && value.canConvertToLong() && value.longValue() < 0
+				&& value.longValue() >= -max;
+		return negative ? 0 : count(node, "tokens", max);
+	}
+
 	static String writeItems(List<JobItem> items) {
 		return text(items(items));
 	}
