Find joined heads in one place, and let a test follow a changed listener

The gateway recognized a second status line in a head by a pattern of its own beside core's JoinedHeads; it now uses that one.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/http/ResponseHeads.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/http/ResponseHeads.java
@@ -1,23 +1,20 @@
 package org.ragworthook.gateway.http;
 
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
+import org.ragworthook.core.response.JoinedHeads;
 
 /**
  * Decides from the head of a response to which request the response belongs.
  */
 final class ResponseHeads {
 
-	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
-
 	private static final Set<HttpVersion> VERSIONS = Set.of(HttpVersion.HTTP_1_0, HttpVersion.HTTP_1_1);
 
 	private final String requestIdHeader;
@@ -68,9 +65,8 @@
 	 * header that has one
 	 */
 	boolean joined(HttpResponse head) {
-		return !VERSIONS.contains(head.protocolVersion()) || hasStatusLine(head.status().reasonPhrase())
-				|| head.headers().entries().stream().map(Map.Entry::getValue).anyMatch(ResponseHeads::hasStatusLine)
-				|| statedIds(head).size() > 1
+		return !VERSIONS.contains(head.protocolVersion())
+				|| JoinedHeads.joined(head.status().reasonPhrase(), head.headers()) || statedIds(head).size() > 1
 				|| Set.copyOf(head.headers().getAll(HttpHeaderNames.CONTENT_TYPE)).size() > 1;
 	}
 
@@ -84,8 +80,4 @@
 		return trailers.contains(this.requestIdHeader);
 	}
 
-	private static boolean hasStatusLine(String text) {
-		return text.contains("HTTP/") && STATUS_LINE.matcher(text).find();
-	}
-
 }
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/job/SecondItemResponseTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/job/SecondItemResponseTests.java
@@ -20,6 +20,7 @@
 import org.ragworthook.gateway.dialect.HeaderNames;
 import org.ragworthook.gateway.http.ConnectionPool;
 import org.ragworthook.gateway.http.EndlessServer;
+import org.ragworthook.gateway.http.ResponseEnd;
 import org.ragworthook.gateway.http.SendFailure;
 import org.ragworthook.gateway.upstream.SoftwareVersion;
 import org.ragworthook.gateway.upstream.TrackedUpstream;
@@ -115,7 +116,7 @@
 		}
 
 		@Override
-		public void succeeded(ItemRun run) {
+		public void succeeded(ItemRun run, TrackedUpstream upstream, ResponseEnd end) {
 		}
 
 		@Override
