Show changes that are ignored after a report of an unknown version

The test fails: one report of a version that the store does not have, from a damaged sender or from before the store was restored, remains the expected one. Reports of lower versions, which are all later changes, are ignored.

--- a/modules/gateway/src/test/java/org/ragworthook/gateway/feed/FeedFollowerTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/feed/FeedFollowerTests.java
@@ -398,6 +398,29 @@
 		assertThat(this.delivered).containsExactly("a");
 	}
 
+	/**
+	 * Guards against a process that ignores the reports of all later changes after one
+	 * report of a version that the store does not have, and against listings without end
+	 * while a peer repeats such a report.
+	 */
+	@Test
+	void shouldExpectChangesAfterAReportOfAVersionThatTheStoreDoesNotHave() {
+		this.collection.listsContent = true;
+		this.collection.change("first");
+		FeedFollower<String> follower = follow(1);
+		int callsBefore = this.collection.calls;
+		for (int report = 0; report < 20; report++) {
+			follower.expectVersion(Long.MAX_VALUE, Duration.ZERO);
+			this.time.advance(Duration.ofMillis(350));
+		}
+		assertThat(this.collection.calls - callsBefore).isAtMost(2);
+		this.collection.loseWatch();
+		this.collection.changeSilently("a");
+		follower.expectVersion(2, Duration.ZERO);
+		this.time.advance(FeedFollower.MAX_DELIVERY_LAG.plus(FeedFollower.MAX_SPREAD));
+		assertThat(this.delivered).contains("a");
+	}
+
 	/**
 	 * Guards against two watches at a time after a check that finds changes during a
 	 * coalescing delay.
