Expect later changes after a report of a version that the store lacks

A listing that was made after the report shows whether the store has the version. If not, that version is not expected again, and no longer hides lower ones.

Evidence: FeedFollowerTests failed (1 of 40, with one such version) before and passes; LostWatchSimulationTests, FeedVersionReportsTests and FeedCheckerTests pass (one run).

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/feed/FeedFollower.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/feed/FeedFollower.java
@@ -2,11 +2,13 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.function.BiConsumer;
@@ -76,6 +78,12 @@
 	/** Limits the delay to 16 seconds. */
 	private static final int MAX_RETRY_DOUBLINGS = 5;
 
+	/**
+	 * Limits the listings and the memory for reports of versions that the store does not
+	 * have: one for each process of a large fleet.
+	 */
+	private static final int MAX_REFUTED_VERSIONS = 500;
+
 	private final Feed<T> feed;
 
 	private final FeedListener<T> listener;
@@ -137,7 +145,13 @@
 	/** The highest version of a change that a peer has received. */
 	private long expectedVersion;
 
-	/** When a report of that version was received. */
+	/**
+	 * Reported versions that a later listing did not have. They are not expected again,
+	 * and do not hide the lower versions of later changes.
+	 */
+	private final Set<Long> refutedVersions = new HashSet<>();
+
+	/** When a report of the expected version was received. */
 	private long expectedNanos;
 
 	/** What the peer that checks the collection has reported last. */
@@ -269,8 +283,21 @@
 			this.listenerFailures = 0;
 		}
 		watch(all.version());
-		if (!hasReceived(this.expectedVersion) && this.expectedNanos - startedNanos >= 0) {
-			list(Duration.ZERO);
+		if (!hasReceived(this.expectedVersion)) {
+			if (this.expectedNanos - startedNanos >= 0) {
+				list(Duration.ZERO);
+			}
+			else {
+				refuteExpectedVersion();
+			}
+		}
+	}
+
+	private void refuteExpectedVersion() {
+		this.refutedVersions.removeIf(this::hasReceived);
+		if (this.refutedVersions.size() < MAX_REFUTED_VERSIONS) {
+			this.refutedVersions.add(this.expectedVersion);
+			this.expectedVersion = 0;
 		}
 	}
 
@@ -463,7 +490,7 @@
 	 * @param age for how long this process could have had the change
 	 */
 	public void expectVersion(long version, Duration age) {
-		if (version > this.expectedVersion && !hasReceived(version)) {
+		if (version > this.expectedVersion && !this.refutedVersions.contains(version) && !hasReceived(version)) {
 			this.expectedVersion = version;
 			this.expectedNanos = this.ticker.nanos();
 			Duration left = MAX_DELIVERY_LAG.minus(age);
