Refuse responses whose status line is none

Callers got answers of the status 000.

Cause: nothing in the code stated what a status line is. Netty's decoder parses the status as a number of any length and sign, skips control bytes before the line and accepts any spelling of the version, and the connection asked only whether decoding had failed.

ResponseGrammar states it once: HTTP/1.0 or HTTP/1.1, three digits from 100 to 599, a phrase without control bytes. The decoder checks the bytes it has read for a head against it before it passes the head on, so that no client of a connection, online, of an item, of a rejection, of a response that is skipped or of the store, sees a head that is none. Such a response counts as malformed: the request may have run and is repeated only where that is allowed.

The stand-in server of the connection tests now sends bytes as they are, not as UTF-8.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/http/ResponseDecoder.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/http/ResponseDecoder.java
@@ -1,12 +1,20 @@
 package org.ragworthook.gateway.http;
 
+import java.util.List;
 import java.util.Objects;
 import java.util.function.Predicate;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.DecoderException;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import org.ragworthook.core.response.ResponseGrammar;
 
 /**
  * Decodes responses, of which some belong to earlier requests.
@@ -16,11 +24,19 @@
  * count: the body of a second response is then read as a response of its own, or a body
  * is awaited that does not follow. Whether a body follows is therefore decided by the
  * request that the response belongs to.
+ * <p>
+ * Netty's decoder repairs malformed heads. All heads are therefore checked against
+ * {@link ResponseGrammar}, and a message that does not comply is replaced by one whose
+ * decoder result is a failure.
  */
 final class ResponseDecoder extends HttpResponseDecoder {
 
 	private final Predicate<HttpResponse> withoutBody;
 
+	private final ResponseGrammar grammar = new ResponseGrammar();
+
+	private Part part = Part.HEAD;
+
 	/**
 	 * Creates a decoder.
 	 * @param config the limits
@@ -31,6 +47,55 @@
 		this.withoutBody = Objects.requireNonNull(withoutBody, "withoutBody is null");
 	}
 
+	/**
+	 * Decodes some bytes. Netty's decoder reads heads by whole lines, and in one call
+	 * either a head or the body behind it.
+	 */
+	@Override
+	protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) throws Exception {
+		if (this.part == Part.MALFORMED) {
+			buffer.skipBytes(buffer.readableBytes());
+			return;
+		}
+		int from = buffer.readerIndex();
+		int before = out.size();
+		super.decode(context, buffer, out);
+		List<Object> decoded = out.subList(before, out.size());
+		if (this.part == Part.HEAD && !compliant(buffer, from, buffer.readerIndex())) {
+			decoded.forEach(ReferenceCountUtil::release);
+			decoded.clear();
+			out.add(malformed());
+			this.part = Part.MALFORMED;
+			return;
+		}
+		decoded.forEach(this::follow);
+	}
+
+	private boolean compliant(ByteBuf buffer, int from, int to) {
+		for (int at = from; at < to; at++) {
+			if (!this.grammar.accepts(buffer.getByte(at))) {
+				return false;
+			}
+		}
+		return true;
+	}
+
+	private HttpMessage malformed() {
+		HttpMessage message = createInvalidMessage();
+		message.setDecoderResult(DecoderResult.failure(new DecoderException("not an HTTP/1 response")));
+		return message;
+	}
+
+	private void follow(Object message) {
+		if (message instanceof HttpResponse) {
+			this.part = Part.BODY;
+		}
+		if (message instanceof LastHttpContent) {
+			this.grammar.beginHead();
+			this.part = Part.HEAD;
+		}
+	}
+
 	@Override
 	protected boolean isContentAlwaysEmpty(HttpMessage message) {
 		return super.isContentAlwaysEmpty(message) || this.withoutBody.test((HttpResponse) message);
@@ -44,4 +109,14 @@
 		return actualReadableBytes();
 	}
 
+	/** What is read next. */
+	private enum Part {
+
+		HEAD, BODY,
+
+		/** Nothing, as the bytes before were no response. */
+		MALFORMED
+
+	}
+
 }
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/http/EndlessServer.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/http/EndlessServer.java
@@ -104,7 +104,7 @@
 			InputStream in = new BufferedInputStream(socket.getInputStream());
 			while (readRequest(in)) {
 				Reply reply = this.replies.remove();
-				socket.getOutputStream().write(reply.first.getBytes(StandardCharsets.UTF_8));
+				socket.getOutputStream().write(reply.first.getBytes(StandardCharsets.ISO_8859_1));
 				if (reply.endless != null) {
 					reply.endless.closed.complete(closedWhileSending(socket, in, reply));
 				}
@@ -120,7 +120,7 @@
 		try {
 			int part = 0;
 			for (long written = reply.first.length(); written < MAX_BYTES;) {
-				byte[] bytes = reply.repeated.apply(part++).getBytes(StandardCharsets.UTF_8);
+				byte[] bytes = reply.repeated.apply(part++).getBytes(StandardCharsets.ISO_8859_1);
 				if (bytes.length == 0) {
 					return in.read() < 0;
 				}
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/job/ItemRunTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/job/ItemRunTests.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.UnaryOperator;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
@@ -169,6 +170,33 @@
 		assertThat(this.upstream.received().get(2).header("last-event-id")).hasValue("2");
 	}
 
+	/**
+	 * Guards against an item that is completed, continued or given up by bytes that are
+	 * no response.
+	 * @param malformed turns a head into a malformed one
+	 */
+	@ParameterizedTest
+	@MethodSource("malformations")
+	void shouldTakeNothingFromAMalformedResponse(UnaryOperator<String> malformed) throws Exception {
+		String stream = malformed.apply(STREAM_HEAD);
+		this.upstream.reply(stream + ScriptedUpstream.events(1, EVENTS) + ScriptedUpstream.LAST_CHUNK);
+		assertThat(runOnce()).isEmpty();
+		this.upstream.reply(malformed.apply(ScriptedUpstream.head(422, "text/plain")) + ScriptedUpstream.LAST_CHUNK);
+		assertThat(runOnce()).isEmpty();
+		this.upstream.reply(STREAM_HEAD + ScriptedUpstream.events(1, 2));
+		assertThat(runOnce()).isEmpty();
+		this.upstream.reply(stream + ScriptedUpstream.events(3, EVENTS) + ScriptedUpstream.LAST_CHUNK);
+		assertThat(runOnce()).isEmpty();
+		this.upstream.reply(STREAM_HEAD + ScriptedUpstream.events(3, EVENTS) + ScriptedUpstream.LAST_CHUNK);
+		assertThat(runOnce()).isEqualTo(completed(text(EVENTS)));
+		assertThat(this.upstream.received().get(4).header("last-event-id")).hasValue("2");
+	}
+
+	static Stream<UnaryOperator<String>> malformations() {
+		return Stream.of((head) -> head.replaceFirst("HTTP/1.1 ...", "HTTP/1.1 000"),
+				(head) -> head.replaceFirst("HTTP/1.1 ", "HTTP/1.1 +"));
+	}
+
 	/**
 	 * A run breaks off after its last event; the resumed run has nothing left to send.
 	 */
