Refuse bodies of a transfer coding that is not decoded

Found while checking codings; not reported. An upstream that answered with "Transfer-Encoding: gzip" or "gzip, chunked" had the coded bytes forwarded under its status and signature, without the header that names the coding, since that is removed at each hop: a body that was not the upstream's. "chunked, gzip" waited until the deadline.

Cause: the decoder looks for "chunked" among the codings and takes every other body as it comes.

TransferCodings states which bodies can be read: those in chunks once, and those without a coding; "identity" is none.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/http/ClientConnection.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/http/ClientConnection.java
@@ -22,6 +22,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import org.ragworthook.core.log.EventLog;
+import org.ragworthook.core.response.TransferCodings;
 import org.ragworthook.gateway.memory.ByteBudget;
 
 /**
@@ -349,7 +350,7 @@
 			this.skipping = true;
 			return;
 		}
-		if (this.exchange == null || this.exchange.headReceived) {
+		if (this.exchange == null || this.exchange.headReceived || !TransferCodings.readable(head.headers())) {
 			fail(SendFailure.MALFORMED);
 			return;
 		}
--- a/modules/gateway/src/test/java/org/ragworthook/gateway/http/MalformedResponseTests.java
+++ b/modules/gateway/src/test/java/org/ragworthook/gateway/http/MalformedResponseTests.java
@@ -155,10 +155,11 @@
 		assertRefused(withLine(line));
 	}
 
-	/** Guards against a body whose length is not known. */
+	/** Guards against a body whose length is not known, or that is coded. */
 	@ParameterizedTest
 	@ValueSource(strings = { "Content-Length: 4x", "Content-Length: -4", "Content-Length: +4", "Content-Length: 5",
-			"Content-Length: 4, 5", "Content-Length:", "Content-Length: 0x4" })
+			"Content-Length: 4, 5", "Content-Length:", "Content-Length: 0x4", "Transfer-Encoding: gzip",
+			"Transfer-Encoding: gzip, chunked", "Transfer-Encoding: chunked, gzip", "Transfer-Encoding: xchunked" })
 	void shouldRefuseABodyThatIsNotDelimited(String line) {
 		assertRefused(withLine(line));
 	}
