Refuse joined heads from the metadata store too

A 200 that holds "HTTP/1.1 500 Failed" in its phrase or in a value was read as the present object, or confirmed a write that had failed.

The check now applies to every answer.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/http/ClientConnection.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/http/ClientConnection.java
@@ -342,7 +342,7 @@
 			fail(SendFailure.MALFORMED);
 			return;
 		}
-		if (this.exchange != null && this.exchange.expectedId != null && this.heads.joined(head)) {
+		if (this.exchange != null && this.heads.joined(head)) {
 			fail(SendFailure.MALFORMED);
 			return;
 		}
