Prove that the end of a connection is that of an early response

Cause: where nothing else delimits a response, the end of the connection does, if it was read from the upstream after the request was written. "Written" is not "received": the buffers of both systems hold megabytes. A server that closes a socket with unread bytes ends its side in order and resets the connection a moment later, so the end was read, and the reset came too late to be noticed. A reset alone was noticed before.

OrderlyEndHandler keeps such a connection for 50 ms after its end and then writes an empty line, which servers ignore: the write fails if a reset has come. It does so only for requests with a body whose response has neither length nor chunks; such a response ends 50 ms later, its bytes are passed on as before. All other ends close the connection at once.

--- a/modules/gateway/src/main/java/org/ragworthook/gateway/http/ClientConnection.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/http/ClientConnection.java
@@ -152,7 +152,7 @@
 			listener.failed(SendFailure.NOT_SENT);
 			return;
 		}
-		this.exchange = new Exchange(listener, request.method(), expectedId.orElse(null), this.requests == 0);
+		this.exchange = new Exchange(listener, request, expectedId.orElse(null), this.requests == 0);
 		this.requests++;
 		this.skippedResponses = 0;
 		this.reusable &= !HttpMethod.HEAD.equals(request.method());
@@ -416,6 +416,16 @@
 		return this.written.isSuccess() && this.channel.endedByPeer();
 	}
 
+	/**
+	 * Returns whether the end of the connection would be that of the response in
+	 * progress, and whether it could also be a break: a server that has read the request
+	 * has nothing to reset.
+	 * @return whether a request with a body has a response without a length
+	 */
+	boolean endDelimitsResponse() {
+		return this.exchange != null && this.exchange.end == ResponseEnd.CONNECTION_CLOSED && this.exchange.hasBody;
+	}
+
 	/**
 	 * Passes on a part of the body. The HTTP decoder takes every end of the connection
 	 * for the end of a response without a length, which only an end by the upstream is.
@@ -479,6 +489,8 @@
 
 		private final HttpMethod method;
 
+		private final boolean hasBody;
+
 		private final String expectedId;
 
 		/** Whether no request was sent on the connection before. */
@@ -489,9 +501,10 @@
 		/** What marks the end of the response; known once its head was received. */
 		private ResponseEnd end;
 
-		Exchange(ResponseListener listener, HttpMethod method, String expectedId, boolean firstOnConnection) {
+		Exchange(ResponseListener listener, FullHttpRequest request, String expectedId, boolean firstOnConnection) {
 			this.listener = listener;
-			this.method = method;
+			this.method = request.method();
+			this.hasBody = request.content().isReadable();
 			this.expectedId = expectedId;
 			this.firstOnConnection = firstOnConnection;
 		}
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/http/ConnectionPool.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/http/ConnectionPool.java
@@ -26,6 +26,7 @@
 import org.ragworthook.core.fleet.Address;
 import org.ragworthook.core.time.Ticker;
 import org.ragworthook.gateway.memory.ByteBudget;
+import org.ragworthook.wire.http.OrderlyEndHandler;
 
 /**
  * A pool of keep-alive connections by address. Used on its event loop only.
@@ -97,6 +98,7 @@
 							new ReadingPauses(ticker, pauses),
 							(reason) -> ConnectionPool.this.skipListener.accept(reason));
 					channel.pipeline()
+						.addLast(new OrderlyEndHandler(connection::endDelimitsResponse))
 						.addLast(new HttpRequestEncoder())
 						.addLast(connection.decoder())
 						.addLast(connection);
