Refuse malformed answers of engines and of the platform in the daemon

The daemon and the clients of the object API had the faults that the gateway had: an engine's answer of the status 000, or with a blank in the name of a field, was passed to the caller as an answer, and a write to the object API counted as done or as refused by bytes that were no answer.

Cause: the decoder of Vert.x is Netty's, and these clients see its result only. An interim response other than 100 and 103, such as 102, was even taken for the answer itself.

ResponseCheck reads the bytes of a connection before the decoder, up to the end of the head, by ResponseGrammar, drops interim responses and closes the connection at bytes that are no response. Every client is created with it (HttpClients); each of its connections carries one call, so nothing behind the first response needs a check. HeadFault names what makes a decoded head unusable: two heads in one, and now also codings that are not decoded. Chunk sizes and trailers are not checked here.

Unusual heads, sent byte by byte, stay answers.

--- a/modules/daemon/src/main/java/org/ragworthook/daemon/engine/UpstreamCall.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/engine/UpstreamCall.java
@@ -1,6 +1,7 @@
 package org.ragworthook.daemon.engine;
 
 import java.util.Objects;
+import java.util.Optional;
 
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -8,7 +9,7 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.RequestOptions;
-import org.ragworthook.core.response.JoinedHeads;
+import org.ragworthook.core.response.HeadFault;
 import org.ragworthook.wire.message.Run;
 
 /**
@@ -69,8 +70,9 @@
 	}
 
 	private void receive(HttpClientResponse response) {
-		if (JoinedHeads.joined(response.statusMessage(), response.headers())) {
-			broken("the head of the answer holds that of another one");
+		Optional<HeadFault> fault = HeadFault.of(response.statusMessage(), response.headers());
+		if (fault.isPresent()) {
+			broken(fault.get().detail());
 			return;
 		}
 		response.exceptionHandler((failure) -> broken("answer broke off: " + failure.getMessage()));
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/engine/UpstreamClient.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/engine/UpstreamClient.java
@@ -9,6 +9,7 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
+import org.ragworthook.objectapi.http.HttpClients;
 import org.ragworthook.wire.message.Run;
 
 /**
@@ -43,11 +44,10 @@
 	 */
 	public static UpstreamClient of(Vertx vertx, String url, int calls) {
 		HttpClientOptions options = new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
-			.setKeepAlive(false)
 			.setTcpNoDelay(true)
 			.setDecompressionSupported(false);
 		PoolOptions pool = new PoolOptions().setHttp1MaxSize(calls + 1);
-		return new UpstreamClient(vertx.createHttpClient(options, pool),
+		return new UpstreamClient(HttpClients.create(vertx, options, pool),
 				URI.create(Objects.requireNonNull(url, "url is null")));
 	}
 
--- /dev/null
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/engine/MalformedAnswerTests.java
@@ -0,0 +1,102 @@
+package org.ragworthook.daemon.engine;
+
+import java.io.IOException;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.ragworthook.daemon.engine.EngineCalls.Kind;
+import org.ragworthook.daemon.fake.ScriptedServer;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests that a call takes no bytes for the answer of its engine that are none.
+ */
+class MalformedAnswerTests {
+
+	private static EngineCalls calls;
+
+	@BeforeAll
+	static void start() {
+		calls = new EngineCalls();
+	}
+
+	@AfterAll
+	static void stop() {
+		calls.close();
+	}
+
+	private static String whole(Kind kind, String head) {
+		String body = kind.generates()
+				? "data: {\"choices\":[{\"text\":\"word\"}]}\n\n"
+						+ "data: {\"choices\":[{\"text\":\"\",\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n"
+				: "{\"text\":\"word\"}";
+		String type = kind.generates() ? "text/event-stream" : "application/json";
+		return head + "\r\nContent-Type: " + type + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+	}
+
+	/**
+	 * Guards against an answer whose status does not exist, or in whose head a name holds
+	 * a blank or a control byte.
+	 */
+	@ParameterizedTest
+	@MethodSource("malformedHeads")
+	void shouldNotTakeAMalformedHead(Kind kind, String head) throws IOException {
+		ScriptedServer.Script script = (request) -> {
+			request.send(whole(kind, head));
+			return true;
+		};
+		try (ScriptedServer engine = ScriptedServer.start(script)) {
+			assertThat(calls.call(engine.url(), kind, "a")).isEqualTo(new EngineCalls.Answer(CallEnd.Kind.BROKEN, ""));
+		}
+	}
+
+	static Stream<Arguments> malformedHeads() {
+		return Stream.of(Kind.values())
+			.flatMap((kind) -> Stream
+				.of("HTTP/1.1 000 OK", "HTTP/1.1 20 OK", "HTTP/1.1 +200 OK", "HTTP/1.1 0200 OK", "HTTP/1.1 600 OK",
+						"\u0000HTTP/1.1 200 OK", "http/1.1 200 OK", "HTTP/1.1 200 O\u0001K",
+						"HTTP/1.1 200 OK\r\nX-No te: 1", "HTTP/1.1 200 OK\r\nX-Note : 1",
+						"HTTP/1.1 200 OK\r\nX-No\tte: 1", "HTTP/1.1 200 OK\r\nX-No\u0000te: 1",
+						"HTTP/1.1 200 OK\r\nX-No\u0001te: 1", "HTTP/1.1 200 OK\r\n X-Note: 1",
+						"HTTP/1.1 200 OK\r\nContent-Length old: 4", "HTTP/1.1 200 OK\r\nnote",
+						"HTTP/1.1 200 OK\r\nX-Note: a\u0001b", "HTTP/1.1 000 OK\r\n\r\nHTTP/1.1 200 OK",
+						"HTTP/1.1 100 Continue\r\nX-No te: 1\r\n\r\nHTTP/1.1 200 OK",
+						"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip")
+				.map((head) -> Arguments.of(kind, head)));
+	}
+
+	/** Guards against a limit on sound answers that are unusual. */
+	@ParameterizedTest
+	@MethodSource("unusualHeads")
+	void shouldTakeAnUnusualHead(Kind kind, String head) throws IOException {
+		String response = whole(kind, head);
+		ScriptedServer.Script script = (request) -> {
+			for (int at = 0; at < response.length(); at++) {
+				request.send(response.substring(at, at + 1));
+			}
+			return true;
+		};
+		try (ScriptedServer engine = ScriptedServer.start(script)) {
+			EngineCalls.Answer answer = calls.call(engine.url(), kind, "a");
+			assertThat(answer.kind()).isEqualTo(CallEnd.Kind.ANSWERED);
+			assertThat(answer.body()).contains("word");
+		}
+	}
+
+	static Stream<Arguments> unusualHeads() {
+		return Stream.of(Kind.values())
+			.flatMap((kind) -> Stream
+				.of("HTTP/1.1 200 OK", "\r\nHTTP/1.1 200 OK", "HTTP/1.1 200 ", "HTTP/1.1 200", "HTTP/1.0 200 OK",
+						"HTTP/1.1 200 it went\twell: \u00e9", "HTTP/1.1 200 OK\r\nX-Note:",
+						"HTTP/1.1 200 OK\r\nX-Note:\ta b \t", "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~: \u00e9",
+						"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK",
+						"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 199 ?\r\nX-Note: a\r\n\r\nHTTP/1.1 200 OK")
+				.map((head) -> Arguments.of(kind, head)));
+	}
+
+}
--- a/modules/objectapi/src/main/java/org/ragworthook/objectapi/EndpointSliceList.java
+++ b/modules/objectapi/src/main/java/org/ragworthook/objectapi/EndpointSliceList.java
@@ -14,6 +14,7 @@
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import org.ragworthook.core.error.ErrorCode;
@@ -24,7 +25,8 @@
 import org.ragworthook.core.fleet.InstanceList;
 import org.ragworthook.core.fleet.Role;
 import org.ragworthook.core.log.EventLog;
-import org.ragworthook.core.response.JoinedHeads;
+import org.ragworthook.core.response.HeadFault;
+import org.ragworthook.objectapi.http.HttpClients;
 
 /**
  * The platform's list of instances, read from its endpoint slices. An endpoint that the
@@ -53,10 +55,11 @@
 
 	private EndpointSliceList(Vertx vertx, PlatformSettings settings) {
 		this.settings = settings;
-		this.client = vertx.createHttpClient(new HttpClientOptions().setDefaultHost(settings.address().host())
-			.setDefaultPort(settings.address().port())
-			.setConnectTimeout((int) settings.connectTimeout().toMillis())
-			.setKeepAlive(false));
+		this.client = HttpClients.create(vertx,
+				new HttpClientOptions().setDefaultHost(settings.address().host())
+					.setDefaultPort(settings.address().port())
+					.setConnectTimeout((int) settings.connectTimeout().toMillis()),
+				new PoolOptions());
 	}
 
 	/**
@@ -84,7 +87,7 @@
 		return this.client.request(HttpMethod.GET, path(this.settings.namespace()))
 			.compose((request) -> request.send()
 				.compose((response) -> (response.statusCode() == 200
-						&& !JoinedHeads.joined(response.statusMessage(), response.headers())) ? response.body()
+						&& HeadFault.of(response.statusMessage(), response.headers()).isEmpty()) ? response.body()
 								: Future.failedFuture("status " + response.statusCode()))
 				.timeout(this.settings.callTimeout().toMillis(), TimeUnit.MILLISECONDS)
 				.onFailure((failure) -> request.reset()))
--- a/modules/objectapi/src/main/java/org/ragworthook/objectapi/HttpObjectStore.java
+++ b/modules/objectapi/src/main/java/org/ragworthook/objectapi/HttpObjectStore.java
@@ -25,7 +25,7 @@
 import io.vertx.core.json.JsonObject;
 import org.ragworthook.core.error.ErrorCode;
 import org.ragworthook.core.error.StoreException;
-import org.ragworthook.core.response.JoinedHeads;
+import org.ragworthook.core.response.HeadFault;
 import org.ragworthook.core.store.Draft;
 import org.ragworthook.core.store.Kind;
 import org.ragworthook.core.store.Labels;
@@ -34,6 +34,7 @@
 import org.ragworthook.core.store.ObjectStore;
 import org.ragworthook.core.store.Stored;
 import org.ragworthook.core.store.WatchEvent;
+import org.ragworthook.objectapi.http.HttpClients;
 
 /**
  * The object API over HTTP.
@@ -76,10 +77,10 @@
 		HttpClientOptions options = new HttpClientOptions().setDefaultHost(settings.address().host())
 			.setDefaultPort(settings.address().port())
 			.setConnectTimeout((int) settings.connectTimeout().toMillis())
-			.setTcpKeepAlive(true)
-			.setKeepAlive(false);
-		this.client = vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(settings.connections()));
-		this.watchClient = vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(Kind.values().length * 4));
+			.setTcpKeepAlive(true);
+		this.client = HttpClients.create(vertx, options, new PoolOptions().setHttp1MaxSize(settings.connections()));
+		this.watchClient = HttpClients.create(vertx, options,
+				new PoolOptions().setHttp1MaxSize(Kind.values().length * 4));
 	}
 
 	/**
@@ -218,8 +219,9 @@
 	}
 
 	private static Future<Answer> answer(HttpClientResponse response) {
-		if (JoinedHeads.joined(response.statusMessage(), response.headers())) {
-			return Future.failedFuture("the head of the answer holds that of another one");
+		Optional<HeadFault> fault = HeadFault.of(response.statusMessage(), response.headers());
+		if (fault.isPresent()) {
+			return Future.failedFuture(fault.get().detail());
 		}
 		return response.body().map((received) -> Answer.of(response.statusCode(), received));
 	}
--- a/modules/objectapi/src/main/java/org/ragworthook/objectapi/HttpWatch.java
+++ b/modules/objectapi/src/main/java/org/ragworthook/objectapi/HttpWatch.java
@@ -15,7 +15,7 @@
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.json.JsonObject;
 import io.vertx.core.parsetools.RecordParser;
-import org.ragworthook.core.response.JoinedHeads;
+import org.ragworthook.core.response.HeadFault;
 import org.ragworthook.core.store.Kind;
 import org.ragworthook.core.store.ObjectStore;
 import org.ragworthook.core.store.WatchEvent;
@@ -87,7 +87,7 @@
 	}
 
 	private void follow(HttpClientResponse response) {
-		if (response.statusCode() != 200 || JoinedHeads.joined(response.statusMessage(), response.headers())) {
+		if (response.statusCode() != 200 || HeadFault.of(response.statusMessage(), response.headers()).isPresent()) {
 			end();
 			return;
 		}
