Prove the end of early answers of engines in the daemon

An engine that answered a long request at once, without a length, and reset the connection or closed it with unread bytes had the part that came before passed to the caller as a whole answer, as in the gateway.

Cause: Vert.x ends such a response with its connection, also where a failed write has closed it, and the call did not ask whether the request was written.

The connections of the daemon's clients have the OrderlyEndHandler too, which waits only behind heads without length and chunks, and a call whose request is not written when such a body ends is broken.

--- a/modules/daemon/src/main/java/org/ragworthook/daemon/engine/UpstreamCall.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/engine/UpstreamCall.java
@@ -3,6 +3,7 @@
 import java.util.Objects;
 import java.util.Optional;
 
+import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientRequest;
@@ -23,6 +24,10 @@
 
 	private HttpClientRequest request;
 
+	private Future<Void> written;
+
+	private boolean endStated;
+
 	private boolean sent;
 
 	private boolean ended;
@@ -59,7 +64,7 @@
 		if (!this.run.getIdempotencyKey().isEmpty()) {
 			connected.putHeader("Idempotency-Key", this.run.getIdempotencyKey());
 		}
-		connected.send(Buffer.buffer(body())).onComplete((response) -> {
+		connected.response().onComplete((response) -> {
 			if (response.failed()) {
 				end(CallEnd.Kind.BROKEN, "no answer: " + response.cause().getMessage());
 			}
@@ -67,6 +72,7 @@
 				receive(response.result());
 			}
 		});
+		this.written = connected.end(Buffer.buffer(body()));
 	}
 
 	private void receive(HttpClientResponse response) {
@@ -75,8 +81,10 @@
 			broken(fault.get().detail());
 			return;
 		}
+		this.endStated = response.headers().contains(HttpHeaders.CONTENT_LENGTH)
+				|| response.headers().contains(HttpHeaders.TRANSFER_ENCODING);
 		response.exceptionHandler((failure) -> broken("answer broke off: " + failure.getMessage()));
-		response.endHandler((ignored) -> responseEnded());
+		response.endHandler((ignored) -> bodyEnded());
 		response.handler((data) -> {
 			if (!this.ended) {
 				data(data);
@@ -85,6 +93,19 @@
 		head(response.statusCode(), String.valueOf(response.getHeader(HttpHeaders.CONTENT_TYPE)));
 	}
 
+	/**
+	 * Called when the body has ended. A body whose end is not stated ends with its
+	 * connection; a connection that ends before the request is written has failed.
+	 */
+	private void bodyEnded() {
+		if (this.endStated || this.written.succeeded()) {
+			responseEnded();
+		}
+		else {
+			broken("the connection ended before the request was written");
+		}
+	}
+
 	/**
 	 * Cancels the call. The connection to the upstream is closed, which frees its slot.
 	 */
--- a/modules/objectapi/src/main/java/org/ragworthook/objectapi/http/HttpClients.java
+++ b/modules/objectapi/src/main/java/org/ragworthook/objectapi/http/HttpClients.java
@@ -8,6 +8,7 @@
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.impl.HttpClientConnectionInternal;
+import org.ragworthook.wire.http.OrderlyEndHandler;
 
 /**
  * Creates HTTP clients whose connections take only well-formed answers.
@@ -34,14 +35,16 @@
 	}
 
 	/**
-	 * Adds the check before the decoder. Vert.x offers the bytes of a connection only
+	 * Adds the checks before the decoder. Vert.x offers the bytes of a connection only
 	 * through this internal type.
 	 * @param connection a new connection
 	 */
 	private static void check(HttpConnection connection) {
 		ChannelPipeline pipeline = ((HttpClientConnectionInternal) connection).channelHandlerContext().pipeline();
+		ResponseCheck check = new ResponseCheck();
 		String codec = pipeline.context(HttpClientCodec.class).name();
-		pipeline.addBefore(codec, "response-check", new ResponseCheck());
+		pipeline.addBefore(codec, "orderly-end", new OrderlyEndHandler(check::endDelimitsResponse));
+		pipeline.addBefore(codec, "response-check", check);
 	}
 
 }
--- a/modules/objectapi/src/main/java/org/ragworthook/objectapi/http/ResponseCheck.java
+++ b/modules/objectapi/src/main/java/org/ragworthook/objectapi/http/ResponseCheck.java
@@ -1,6 +1,9 @@
 package org.ragworthook.objectapi.http;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -20,6 +23,9 @@
 
 	private static final int FIRST_FINAL_STATUS = 200;
 
+	/** The lines of a head that state where its body ends. */
+	private static final List<String> END_STATED = List.of("\ncontent-length:", "\ntransfer-encoding:");
+
 	private final ResponseGrammar grammar = new ResponseGrammar();
 
 	/** The head that is being received. */
@@ -29,12 +35,14 @@
 
 	private boolean refused;
 
+	private boolean endDelimitsResponse;
+
 	/**
-	 * Returns whether the head of the response was received.
-	 * @return whether the end of the connection may be that of the response
+	 * Returns whether the end of the connection would be that of the response.
+	 * @return whether the head was received and states neither a length nor chunks
 	 */
-	boolean headReceived() {
-		return this.grammar.complete();
+	boolean endDelimitsResponse() {
+		return this.endDelimitsResponse;
 	}
 
 	@Override
@@ -45,7 +53,9 @@
 				refuse(context);
 				return;
 			}
-			if (headReceived()) {
+			if (this.grammar.complete()) {
+				String received = this.head.toString(StandardCharsets.ISO_8859_1).toLowerCase(Locale.ROOT);
+				this.endDelimitsResponse = END_STATED.stream().noneMatch(received::contains);
 				this.head.writeBytes(bytes);
 				context.fireChannelRead(this.head.retainedSlice());
 				context.pipeline().remove(this);
@@ -62,14 +72,14 @@
 	 * @return whether they are those of heads
 	 */
 	private boolean compliant(ByteBuf bytes) {
-		while (bytes.isReadable() && !headReceived()) {
+		while (bytes.isReadable() && !this.grammar.complete()) {
 			byte next = bytes.readByte();
 			this.head.writeByte(next);
 			this.headBytes++;
 			if (this.headBytes > MAX_HEAD_BYTES || !this.grammar.accepts(next)) {
 				return false;
 			}
-			if (headReceived() && this.grammar.status() < FIRST_FINAL_STATUS) {
+			if (this.grammar.complete() && this.grammar.status() < FIRST_FINAL_STATUS) {
 				this.head.clear();
 				this.grammar.beginHead();
 			}
