Limit what the daemon keeps of an answer

A faulty engine that sends bytes without end in a body took up the memory of the machine that had called it, until the process ended with the requests of other callers.

Cause: the sidecar gathers plain answers, failures of generations and lines of events, and the clients of the platform gather answers and events of watches, all up to their end. Probes read and dropped a body without end, and a metrics page or list of models was read whole.

An event, and what stands between two events with text, is limited to 1 MiB as in the gateway, an answer of the platform to 64 MiB, an event of a watch to 16 MiB, pages and lists to 8 MiB. A longer one ends the call as broken and closes its connection. A probe reads no body.

--- a/modules/daemon/src/main/java/org/ragworthook/daemon/control/SidecarOrders.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/control/SidecarOrders.java
@@ -18,6 +18,7 @@
 import org.ragworthook.core.log.EventLog;
 import org.ragworthook.core.order.OrderFence;
 import org.ragworthook.daemon.engine.UpstreamClient;
+import org.ragworthook.objectapi.http.HttpClients;
 import org.ragworthook.wire.link.Link;
 import org.ragworthook.wire.message.Frame;
 import org.ragworthook.wire.message.Order;
@@ -34,6 +35,9 @@
 
 	private static final int LAST_SUCCESS = 299;
 
+	/** Many times the list of the models of an engine. */
+	private static final int MAX_ANSWER_BYTES = 8 << 20;
+
 	private final Context context;
 
 	private final UpstreamClient upstream;
@@ -126,7 +130,7 @@
 		return this.upstream.http()
 			.request(this.upstream.options(method, path))
 			.compose((request) -> request.putHeader("Content-Type", "application/json").send(body.toBuffer()))
-			.compose((response) -> response.body().compose((answer) -> {
+			.compose((response) -> HttpClients.body(response, MAX_ANSWER_BYTES).compose((answer) -> {
 				if (response.statusCode() > LAST_SUCCESS) {
 					return Future.failedFuture(new OrderException(ErrorCode.ORDER_FAILED,
 							"the upstream answered " + response.statusCode() + " " + answer));
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/engine/GenerationCall.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/engine/GenerationCall.java
@@ -15,6 +15,9 @@
 
 	private static final int INTERNAL_ERROR = 500;
 
+	/** The most bytes of an event, and of what may stand between two events with text. */
+	private static final int MAX_EVENT_BYTES = 1 << 20;
+
 	private static final String DATA = "data:";
 
 	private static final String EVENT_STREAM = "text/event-stream";
@@ -29,14 +32,19 @@
 
 	private final Buffer refusal = Buffer.buffer();
 
+	/** The bytes that were received since the last event that has text. */
+	private long bytesWithoutText;
+
 	private int status;
 
 	private String contentType = "";
 
-	GenerationCall(Generation generation, CallListener listener) {
-		super(generation.run(), listener);
+	GenerationCall(Generation generation, CallListener listener, AnswerMemory.Held held) {
+		super(generation.run(), listener, held);
 		this.generation = generation;
 		this.events = new GenerationEvents(generation);
+		this.lines.maxRecordSize(MAX_EVENT_BYTES);
+		this.lines.exceptionHandler((failure) -> broken("an event is too long"));
 		this.lines.handler(this::line);
 	}
 
@@ -54,9 +62,13 @@
 	@Override
 	void data(Buffer data) {
 		if (this.status == OK) {
+			this.bytesWithoutText += data.length();
 			this.lines.handle(data);
+			if (this.bytesWithoutText > MAX_EVENT_BYTES) {
+				broken("the answer goes on without text");
+			}
 		}
-		else {
+		else if (hold(data.length())) {
 			this.refusal.appendBuffer(data);
 		}
 	}
@@ -68,7 +80,10 @@
 		}
 		try {
 			GenerationEvents.Piece piece = this.events.take(text.substring(DATA.length()).strip());
-			if (!piece.empty()) {
+			if (!piece.text().isEmpty()) {
+				this.bytesWithoutText = 0;
+			}
+			if (!piece.empty() && hold(piece.text().length())) {
 				output(new CallOutput(OK, run().getStream() ? EVENT_STREAM : JSON, piece.body(), piece.text(),
 						piece.tokens()));
 			}
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/engine/PlainCall.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/engine/PlainCall.java
@@ -28,8 +28,8 @@
 
 	private String tail = "";
 
-	PlainCall(Run run, CallListener listener) {
-		super(run, listener);
+	PlainCall(Run run, CallListener listener, AnswerMemory.Held held) {
+		super(run, listener, held);
 	}
 
 	@Override
@@ -43,8 +43,15 @@
 		this.contentType = newContentType;
 	}
 
+	/**
+	 * Takes a part of the body. Whoever receives a stream holds one that is no success up
+	 * to its end.
+	 */
 	@Override
 	void data(Buffer data) {
+		if ((!run().getStream() || this.status != OK) && !hold(data.length())) {
+			return;
+		}
 		if (run().getStream()) {
 			piece(data);
 		}
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/engine/UpstreamCall.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/engine/UpstreamCall.java
@@ -22,6 +22,8 @@
 
 	private final CallListener listener;
 
+	private final AnswerMemory.Held held;
+
 	private HttpClientRequest request;
 
 	private Future<Void> written;
@@ -32,7 +34,8 @@
 
 	private boolean ended;
 
-	UpstreamCall(Run run, CallListener listener) {
+	UpstreamCall(Run run, CallListener listener, AnswerMemory.Held held) {
+		this.held = Objects.requireNonNull(held, "held is null");
 		this.run = Objects.requireNonNull(run, "run is null");
 		this.listener = Objects.requireNonNull(listener, "listener is null");
 	}
@@ -106,6 +109,20 @@
 		}
 	}
 
+	/**
+	 * Counts bytes of the answer that are held until it is complete, and ends the call if
+	 * they are too many.
+	 * @param bytes the number of further bytes
+	 * @return whether they can be held
+	 */
+	final boolean hold(int bytes) {
+		if (this.held.add(bytes)) {
+			return true;
+		}
+		end(CallEnd.Kind.BROKEN, "the answer takes up too much memory");
+		return false;
+	}
+
 	/**
 	 * Cancels the call. The connection to the upstream is closed, which frees its slot.
 	 */
@@ -152,6 +169,7 @@
 			return;
 		}
 		this.ended = true;
+		this.held.close();
 		if (kind != CallEnd.Kind.ANSWERED && this.request != null) {
 			this.request.reset();
 		}
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/engine/UpstreamClient.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/engine/UpstreamClient.java
@@ -30,6 +30,8 @@
 
 	private final URI base;
 
+	private final AnswerMemory memory = AnswerMemory.ofHeap();
+
 	private UpstreamClient(HttpClient client, URI base) {
 		this.client = client;
 		this.base = base;
@@ -59,8 +61,8 @@
 	 */
 	public UpstreamCall start(Run run, CallListener listener) {
 		UpstreamCall call = Generation.of(run)
-			.<UpstreamCall>map((generation) -> new GenerationCall(generation, listener))
-			.orElseGet(() -> new PlainCall(run, listener));
+			.<UpstreamCall>map((generation) -> new GenerationCall(generation, listener, this.memory.open()))
+			.orElseGet(() -> new PlainCall(run, listener, this.memory.open()));
 		call.start(this.client, options(HttpMethod.valueOf(run.getMethod()), run.getPath()));
 		return call;
 	}
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/QueueReports.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/QueueReports.java
@@ -8,6 +8,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpMethod;
 import org.ragworthook.daemon.engine.UpstreamClient;
+import org.ragworthook.objectapi.http.HttpClients;
 
 /**
  * Reads from an engine's Prometheus page how many requests wait in its own queue. The
@@ -24,6 +25,9 @@
 
 	private static final int NOT_FOUND = 404;
 
+	/** Many times the page of an engine. */
+	private static final int MAX_PAGE_BYTES = 8 << 20;
+
 	private static final Pattern WAITING = Pattern.compile("(?m)^vllm:num_requests_waiting(?:\\{[^}]*})? ([0-9.]+)");
 
 	private final Vertx vertx;
@@ -56,7 +60,7 @@
 		this.upstream.http()
 			.request(this.upstream.options(HttpMethod.GET, "/metrics").setIdleTimeout(PATIENCE_MILLIS))
 			.compose((request) -> request.send())
-			.compose((response) -> response.body()
+			.compose((response) -> HttpClients.body(response, MAX_PAGE_BYTES)
 				.map((body) -> response.statusCode() != NOT_FOUND && take(body.toString(), response.statusCode())))
 			.onComplete((page) -> {
 				// An engine that is away for a while has a page again when it is back.
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/UpstreamHealth.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/UpstreamHealth.java
@@ -42,7 +42,8 @@
 	}
 
 	/**
-	 * Asks the upstream whether it is there. Any answer counts, whatever its status.
+	 * Asks the upstream whether it is there. Any answer counts, whatever its status. Its
+	 * body, which may have no end, is not read.
 	 * @return fails if there was no answer in half a second
 	 */
 	Future<?> probe() {
@@ -50,7 +51,7 @@
 			.request(this.upstream.options(HttpMethod.GET, PROBE_PATH)
 				.setConnectTimeout(PROBE_MILLIS)
 				.setIdleTimeout(PROBE_MILLIS))
-			.compose((request) -> request.send());
+			.compose((request) -> request.send().onSuccess((response) -> request.reset()));
 	}
 
 	/**
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/objects/MalformedStoreAnswerTests.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/objects/MalformedStoreAnswerTests.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Stream;
 
 import io.vertx.core.Vertx;
@@ -12,6 +14,7 @@
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.ragworthook.core.error.ErrorCode;
 import org.ragworthook.core.error.Failures;
@@ -38,6 +41,11 @@
 
 	private static final ObjectKey KEY = ObjectKey.of(Kind.JOB, "programme-1");
 
+	/** Far above all limits of a call together with the buffers of a connection. */
+	private static final long ENDLESS_BYTES = 256L * 1024 * 1024;
+
+	private static final int WRITE_BYTES = 65_536;
+
 	private static final Duration CALL_TIMEOUT = Duration.ofSeconds(20);
 
 	private static Vertx vertx;
@@ -108,6 +116,49 @@
 				.map((head) -> Arguments.of(call, head)));
 	}
 
+	/**
+	 * Guards against an answer without end that is kept until the process runs out of
+	 * memory.
+	 */
+	@ParameterizedTest
+	@EnumSource
+	void shouldEndAnAnswerWithoutEnd(Call call) throws IOException {
+		AtomicLong sent = new AtomicLong();
+		try (ScriptedServer server = ScriptedServer.start(endless("", sent))) {
+			assertThat(failure(call.start(server))).hasValue(call.codeOfNoAnswer());
+			assertThat(sent.get()).isLessThan(ENDLESS_BYTES);
+		}
+	}
+
+	/**
+	 * Guards against an event without end that is kept until the process runs out of
+	 * memory.
+	 */
+	@ParameterizedTest
+	@EnumSource(names = "LIST")
+	void shouldEndAWatchWhoseEventHasNoEnd(Call call) throws Exception {
+		AtomicLong sent = new AtomicLong();
+		CompletableFuture<Void> ended = new CompletableFuture<>();
+		try (ScriptedServer server = ScriptedServer.start(endless(call.body(), sent));
+				HttpObjectStore store = HttpObjectStore.of(vertx, settings(server))) {
+			store.watch(Kind.JOB, Labels.empty(), 1, (event) -> {
+			}, () -> ended.complete(null));
+			ended.get(CALL_TIMEOUT.toSeconds(), TimeUnit.SECONDS);
+			assertThat(sent.get()).isLessThan(ENDLESS_BYTES);
+		}
+	}
+
+	private static ScriptedServer.Script endless(String first, AtomicLong sent) {
+		return (request) -> {
+			request.send("HTTP/1.1 200 OK\r\n\r\n" + first);
+			while (sent.get() < ENDLESS_BYTES) {
+				request.send("x".repeat(WRITE_BYTES));
+				sent.addAndGet(WRITE_BYTES);
+			}
+			return false;
+		};
+	}
+
 	/** The calls to the platform. */
 	enum Call {
 
--- a/modules/objectapi/src/main/java/org/ragworthook/objectapi/EndpointSliceList.java
+++ b/modules/objectapi/src/main/java/org/ragworthook/objectapi/EndpointSliceList.java
@@ -25,7 +25,6 @@
 import org.ragworthook.core.fleet.InstanceList;
 import org.ragworthook.core.fleet.Role;
 import org.ragworthook.core.log.EventLog;
-import org.ragworthook.core.response.HeadFault;
 import org.ragworthook.objectapi.http.HttpClients;
 
 /**
@@ -86,9 +85,9 @@
 	public CompletableFuture<List<Instance>> instances() {
 		return this.client.request(HttpMethod.GET, path(this.settings.namespace()))
 			.compose((request) -> request.send()
-				.compose((response) -> (response.statusCode() == 200
-						&& HeadFault.of(response.statusMessage(), response.headers()).isEmpty()) ? response.body()
-								: Future.failedFuture("status " + response.statusCode()))
+				.compose((response) -> (response.statusCode() == 200)
+						? HttpClients.body(response, HttpObjectStore.MAX_ANSWER_BYTES)
+						: Future.failedFuture("status " + response.statusCode()))
 				.timeout(this.settings.callTimeout().toMillis(), TimeUnit.MILLISECONDS)
 				.onFailure((failure) -> request.reset()))
 			.map((body) -> read(body.toJsonObject()))
--- a/modules/objectapi/src/main/java/org/ragworthook/objectapi/HttpObjectStore.java
+++ b/modules/objectapi/src/main/java/org/ragworthook/objectapi/HttpObjectStore.java
@@ -25,7 +25,6 @@
 import io.vertx.core.json.JsonObject;
 import org.ragworthook.core.error.ErrorCode;
 import org.ragworthook.core.error.StoreException;
-import org.ragworthook.core.response.HeadFault;
 import org.ragworthook.core.store.Draft;
 import org.ragworthook.core.store.Kind;
 import org.ragworthook.core.store.Labels;
@@ -53,6 +52,9 @@
 
 	private static final Set<Integer> NOT_FOUND_OR_GONE = Set.of(404, 410);
 
+	/** The most bytes of an answer, far above those of a listing of all jobs. */
+	static final int MAX_ANSWER_BYTES = 64 << 20;
+
 	private final Vertx vertx;
 
 	private final PlatformSettings settings;
@@ -219,11 +221,8 @@
 	}
 
 	private static Future<Answer> answer(HttpClientResponse response) {
-		Optional<HeadFault> fault = HeadFault.of(response.statusMessage(), response.headers());
-		if (fault.isPresent()) {
-			return Future.failedFuture(fault.get().detail());
-		}
-		return response.body().map((received) -> Answer.of(response.statusCode(), received));
+		return HttpClients.body(response, MAX_ANSWER_BYTES)
+			.map((received) -> Answer.of(response.statusCode(), received));
 	}
 
 	/**
--- a/modules/objectapi/src/main/java/org/ragworthook/objectapi/HttpWatch.java
+++ b/modules/objectapi/src/main/java/org/ragworthook/objectapi/HttpWatch.java
@@ -32,6 +32,9 @@
 
 	private static final Duration GRACE = Duration.ofSeconds(10);
 
+	/** The most bytes of an event, several times those of an object. */
+	private static final int MAX_EVENT_BYTES = 16 << 20;
+
 	private final Vertx vertx;
 
 	private final Kind kind;
@@ -91,7 +94,7 @@
 			end();
 			return;
 		}
-		RecordParser lines = RecordParser.newDelimited("\n", response);
+		RecordParser lines = RecordParser.newDelimited("\n", response).maxRecordSize(MAX_EVENT_BYTES);
 		lines.exceptionHandler((failure) -> end());
 		lines.endHandler((nothing) -> end());
 		lines.handler(this::line);
--- a/modules/objectapi/src/main/java/org/ragworthook/objectapi/http/HttpClients.java
+++ b/modules/objectapi/src/main/java/org/ragworthook/objectapi/http/HttpClients.java
@@ -1,17 +1,25 @@
 package org.ragworthook.objectapi.http;
 
+import java.io.IOException;
+
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.HttpClientCodec;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.impl.HttpClientConnectionInternal;
+import org.ragworthook.core.response.HeadFault;
 import org.ragworthook.wire.http.OrderlyEndHandler;
 
 /**
- * Creates HTTP clients whose connections take only well-formed answers.
+ * Creates HTTP clients whose connections take only well-formed answers, and reads bodies
+ * of limited size.
  */
 public final class HttpClients {
 
@@ -47,4 +55,36 @@
 		pipeline.addBefore(codec, "response-check", check);
 	}
 
+	/**
+	 * Reads the body of a response. One that is too long is broken off.
+	 * @param response the response, whose head has just been received
+	 * @param maxBytes the most bytes of a body
+	 * @return the body; fails if the head is unusable, or if the body is too long or
+	 * breaks off
+	 */
+	public static Future<Buffer> body(HttpClientResponse response, int maxBytes) {
+		Promise<Buffer> whole = Promise.promise();
+		Buffer body = Buffer.buffer();
+		HeadFault.of(response.statusMessage(), response.headers())
+			.ifPresent((fault) -> breakOff(response, whole, fault.detail()));
+		response.exceptionHandler(whole::tryFail);
+		response.endHandler((end) -> whole.tryComplete(body));
+		response.handler((data) -> {
+			if (whole.future().isComplete()) {
+				return;
+			}
+			if (data.length() > maxBytes - body.length()) {
+				breakOff(response, whole, "the body has more than " + maxBytes + " bytes");
+				return;
+			}
+			body.appendBuffer(data);
+		});
+		return whole.future();
+	}
+
+	private static void breakOff(HttpClientResponse response, Promise<Buffer> whole, String detail) {
+		whole.tryFail(new IOException(detail));
+		response.request().reset();
+	}
+
 }
