Answer what is open at the end of a planned stop of the daemon's entry

In a planned stop, requests that had been taken, among them some that may not be repeated, were cut off without an answer when the drain time was over.

Cause: EntryProcess.close waited for its servers, its requests and its jobs in turn, each with the whole drain time, and then closed everything. Nothing was refused as not run, and requests on open connections were taken until the end.

When balancers have had their time to notice, new requests now get 503 REQUEST_NOT_RUN_STOPPING. 300 ms before the drain time ends, what is open is answered: 503 if no upstream has it, else 502, of unknown outcome where it may not be repeated; responses that have begun are broken off visibly. The waiting for servers and requests shares one drain time.

New code in the error list, read by nobody before.

--- a/modules/core/src/main/java/org/ragworthook/core/error/ErrorCode.java
+++ b/modules/core/src/main/java/org/ragworthook/core/error/ErrorCode.java
@@ -89,6 +89,9 @@
 	/** The deadline passed before the request was run. */
 	REQUEST_NOT_RUN_DEADLINE(2015, 504, "allow more time with the deadline header"),
 
+	/** The entry is stopping; the request was not run. */
+	REQUEST_NOT_RUN_STOPPING(2016, 503, "send the request again; another entry takes it"),
+
 	/**
 	 * A non-repeatable request was forwarded to an upstream and its outcome is unknown.
 	 */
--- a/modules/core/src/main/java/org/ragworthook/core/retry/RetryPolicy.java
+++ b/modules/core/src/main/java/org/ragworthook/core/retry/RetryPolicy.java
@@ -90,6 +90,15 @@
 		return new RetryDecision.GiveUp(deadlinePassed(state));
 	}
 
+	/**
+	 * Returns the error for a request that is open when the process stops.
+	 * @param state the state of the request
+	 * @return the decision to give up, with the error code
+	 */
+	public RetryDecision.GiveUp stopped(RequestState state) {
+		return new RetryDecision.GiveUp(giveUp(state, ErrorCode.REQUEST_NOT_RUN_STOPPING));
+	}
+
 	private static boolean mayRetry(RequestState state) {
 		if (state.outputSent()) {
 			return state.idempotent() && state.resumable();
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/EntryProcess.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/EntryProcess.java
@@ -61,6 +61,9 @@
 	/** Time within which a load balancer notices that an entry is no longer ready. */
 	private static final long READINESS_PROPAGATION_MILLIS = 1_000;
 
+	/** Time within which answers to the last requests are written. */
+	private static final long ANSWER_MILLIS = 300;
+
 	private final Closer closer = Closer.empty();
 
 	private final DaemonSettings settings;
@@ -174,8 +177,10 @@
 
 	/**
 	 * Shuts down gracefully: reports that the entry is not ready, keeps serving until the
-	 * load balancer has noticed, and stops when the requests in progress have ended or
-	 * the drain time has passed.
+	 * load balancer has noticed, refuses further requests, and stops when the requests in
+	 * progress have ended. Those that have not when the drain time has nearly passed are
+	 * answered; a connection that is just closed would not tell its caller whether the
+	 * request may have run.
 	 */
 	@Override
 	public void close() {
@@ -185,11 +190,16 @@
 		try {
 			CompletableFuture<Void> handedOver = this.batch.leave();
 			Thread.sleep(Math.min(READINESS_PROPAGATION_MILLIS, drainMillis));
+			long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(drainMillis);
+			this.online.refuseRequests();
 			List<Future<Void>> shutdowns = this.servers.stream()
 				.map((server) -> server.shutdown(drainMillis, TimeUnit.MILLISECONDS))
 				.toList();
-			Future.join(shutdowns).toCompletionStage().toCompletableFuture().get(drainMillis, TimeUnit.MILLISECONDS);
-			this.online.drain().get(drainMillis, TimeUnit.MILLISECONDS);
+			endRequests(drainMillis - Math.min(ANSWER_MILLIS, drainMillis / 2));
+			Future.join(shutdowns)
+				.toCompletionStage()
+				.toCompletableFuture()
+				.get(endNanos - System.nanoTime(), TimeUnit.NANOSECONDS);
 			handedOver.get(drainMillis, TimeUnit.MILLISECONDS);
 		}
 		catch (TimeoutException ex) {
@@ -205,6 +215,16 @@
 		LOG.info("entry_stopped", "instance", this.instance);
 	}
 
+	private void endRequests(long patienceMillis) throws ExecutionException, InterruptedException {
+		try {
+			this.online.drain().get(patienceMillis, TimeUnit.MILLISECONDS);
+		}
+		catch (TimeoutException ex) {
+			LOG.warning("drain_ends_requests", "requests", this.online.inProgress());
+			this.online.endRequests();
+		}
+	}
+
 	/**
 	 * An HTTP server on one event loop.
 	 */
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/OnlineExchange.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/OnlineExchange.java
@@ -38,6 +38,8 @@
 
 	private static final String ANSWERED = "answered";
 
+	private static final String STOPPING = "the entry is stopping";
+
 	private static final String DISCONNECTED = "caller disconnected";
 
 	private static final Set<String> EXPECTED_ENDS = Set.of(ANSWERED, DISCONNECTED);
@@ -94,7 +96,7 @@
 			this.resources.errors().write(this.routing, refusal.get().error(), refusal.get().retryAfter());
 			return;
 		}
-		this.resources.requestStarted();
+		this.resources.requestStarted(this);
 		this.deadlineTimer = this.context.owner()
 			.setTimer(Math.max(1, this.request.timeout().toMillis()), (ignored) -> deadlinePassed());
 		this.routing.response().closeHandler((ignored) -> callerDisconnected());
@@ -110,6 +112,9 @@
 	}
 
 	private Optional<Refusal> refusal() {
+		if (this.resources.refusing()) {
+			return Optional.of(new Refusal(ErrorCode.REQUEST_NOT_RUN_STOPPING, STOPPING, DEFAULT_RETRY_AFTER));
+		}
 		Optional<Duration> quarantined = this.resources.quarantine().remaining(this.request.run().getFingerprint());
 		if (quarantined.isPresent()) {
 			return Optional.of(new Refusal(ErrorCode.REQUEST_QUARANTINED,
@@ -316,13 +321,26 @@
 		if (this.ended) {
 			return;
 		}
-		// The outcome of a running attempt is unknown, so it counts as passed on.
-		RequestState stateAtDeadline = this.current.isPresent()
-				? this.state.after(AttemptOutcome.CANCELLED, this.response.sent()) : this.state;
-		fail(this.service.policy().deadlineExceeded(stateAtDeadline).code(),
+		fail(this.service.policy().deadlineExceeded(stateIfCancelled()).code(),
 				"the deadline passed after " + this.request.timeout().toMillis() + " ms");
 	}
 
+	/**
+	 * Returns the state if no more is heard of the current attempt. Its outcome is
+	 * unknown, so it counts as passed on.
+	 * @return the state
+	 */
+	private RequestState stateIfCancelled() {
+		return this.current.isPresent() ? this.state.after(AttemptOutcome.CANCELLED, this.response.sent()) : this.state;
+	}
+
+	/**
+	 * Ends the request because the process stops. May be called on any thread.
+	 */
+	void stop() {
+		onContext(() -> fail(this.service.policy().stopped(stateIfCancelled()).code(), STOPPING));
+	}
+
 	/**
 	 * Called when the caller has closed its connection. Without this, the request would
 	 * occupy its slot until the upstream has generated the whole answer.
@@ -369,7 +387,7 @@
 		this.current.ifPresent(OnlineAttempt::abandon);
 		this.accountGate.release(this.response.tokens());
 		completion.run();
-		this.resources.requestEnded();
+		this.resources.requestEnded(this);
 	}
 
 	private record Refusal(RequestException error, Duration retryAfter) {
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/OnlinePart.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/OnlinePart.java
@@ -96,6 +96,21 @@
 		this.resources.claims(claims);
 	}
 
+	/**
+	 * Has new requests refused as not run. Those in progress go on.
+	 */
+	public void refuseRequests() {
+		this.resources.refuseRequests();
+	}
+
+	/**
+	 * Answers the requests in progress: those that cannot have run as not run, others as
+	 * failed or of unknown outcome. Responses that have begun are broken off.
+	 */
+	public void endRequests() {
+		this.resources.endRequests();
+	}
+
 	/**
 	 * Waits until no request is in progress.
 	 * @return a future that completes when the last request in progress has ended
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/entry/OnlineResources.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/entry/OnlineResources.java
@@ -3,9 +3,9 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 
 import org.ragworthook.core.admission.AccountGate;
@@ -39,7 +39,9 @@
 
 	private final Map<String, ServiceResources> services = new ConcurrentHashMap<>();
 
-	private final AtomicInteger inProgress = new AtomicInteger();
+	private final Set<OnlineExchange> inProgress = ConcurrentHashMap.newKeySet();
+
+	private volatile boolean refusing;
 
 	private volatile RequestClaims claims = RequestClaims.refusing();
 
@@ -103,17 +105,41 @@
 
 	// -- requests in progress
 
-	void requestStarted() {
-		this.inProgress.incrementAndGet();
+	void requestStarted(OnlineExchange exchange) {
+		this.inProgress.add(exchange);
 	}
 
-	void requestEnded() {
+	void requestEnded(OnlineExchange exchange) {
+		this.inProgress.remove(exchange);
 		CompletableFuture<Void> future = this.drained;
-		if (this.inProgress.decrementAndGet() == 0 && future != null) {
+		if (future != null && this.inProgress.isEmpty()) {
 			future.complete(null);
 		}
 	}
 
+	/**
+	 * Has new requests refused.
+	 */
+	void refuseRequests() {
+		this.refusing = true;
+	}
+
+	/**
+	 * Returns whether new requests are refused.
+	 * @return whether the entry is about to stop
+	 */
+	boolean refusing() {
+		return this.refusing;
+	}
+
+	/**
+	 * Answers all requests in progress, as far as their responses have not begun.
+	 */
+	void endRequests() {
+		refuseRequests();
+		this.inProgress.forEach(OnlineExchange::stop);
+	}
+
 	/**
 	 * Waits until no request is in progress.
 	 * @return a future that completes when the last request in progress has ended
@@ -121,14 +147,14 @@
 	CompletableFuture<Void> drain() {
 		CompletableFuture<Void> future = new CompletableFuture<>();
 		this.drained = future;
-		if (this.inProgress.get() == 0) {
+		if (this.inProgress.isEmpty()) {
 			future.complete(null);
 		}
 		return future;
 	}
 
 	int inProgress() {
-		return this.inProgress.get();
+		return this.inProgress.size();
 	}
 
 	ErrorResponses errors() {
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/whole/WholeFleet.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/whole/WholeFleet.java
@@ -9,7 +9,9 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.function.BooleanSupplier;
 
 import io.vertx.core.Future;
@@ -24,6 +26,7 @@
 import org.ragworthook.core.store.Stamps;
 import org.ragworthook.daemon.TestPorts;
 import org.ragworthook.daemon.entry.EntryProcess;
+import org.ragworthook.daemon.fake.FakeUpstream;
 import org.ragworthook.daemon.settings.SettingsReader;
 import org.ragworthook.daemon.sidecar.SidecarProcess;
 import org.ragworthook.objectapi.HttpObjectStore;
@@ -60,6 +63,8 @@
 
 	private final List<URI> entries = new ArrayList<>();
 
+	private final Map<URI, EntryProcess> processes = new HashMap<>();
+
 	private int count;
 
 	WholeFleet(String text) {
@@ -106,14 +111,28 @@
 					.slots(slots)
 					.tokenTime(Duration.ofMillis(1), Duration.ZERO)
 					.build());
-		int port = deploy(engine);
+		sidecar("http://127.0.0.1:" + deploy(engine), slots);
+	}
+
+	/**
+	 * Starts an engine whose answers the test gives, and a sidecar beside it.
+	 * @param slots how many requests the sidecar sends to it at once
+	 * @return the engine
+	 */
+	FakeUpstream fakeUpstream(int slots) {
+		FakeUpstream engine = this.closer.add(FakeUpstream.start(this.vertx));
+		sidecar(engine.url(), slots);
+		return engine;
+	}
+
+	private void sidecar(String engine, int slots) {
 		String id = "sidecar-" + this.count++;
 		SidecarProcess sidecar = this.closer.add(SidecarProcess.start(SettingsReader.parse(id, """
 				{"role": "sidecar", "instance": "%s", "region": "region", "failureDomain": "domain",
 				 "http": "127.0.0.1:0", "link": "127.0.0.1:0", %s,
-				 "upstream": {"url": "http://127.0.0.1:%d", "service": "desk", "maxLimit": %d},
+				 "upstream": {"url": "%s", "service": "desk", "initialLimit": %d, "maxLimit": %d},
 				 "limits": {"drainMillis": 100}}
-				""".formatted(id, platform(), port, slots))));
+				""".formatted(id, platform(), engine, slots, slots))));
 		list(id, "sidecar", "desk", sidecar.linkAddress().toString());
 	}
 
@@ -132,20 +151,40 @@
 	 * @return its base URL
 	 */
 	URI entry(String scheme, String more) {
+		return entry(scheme, more, Duration.ofMillis(100));
+	}
+
+	/**
+	 * Starts an entry.
+	 * @param scheme http or https
+	 * @param more further keys of the settings, each with a comma before it
+	 * @param drain how long its stop waits for requests in progress
+	 * @return its base URL
+	 */
+	URI entry(String scheme, String more, Duration drain) {
 		String id = "entry-" + this.count++;
 		int port = TestPorts.next();
 		int link = TestPorts.next();
-		this.closer.add(EntryProcess.start(SettingsReader.parse(id, """
+		EntryProcess process = this.closer.add(EntryProcess.start(SettingsReader.parse(id, """
 				{"role": "entry", "instance": "%s", "region": "region", "failureDomain": "domain",
 				 "http": "127.0.0.1:%d", "link": "127.0.0.1:%d", %s,
-				 "limits": {"drainMillis": 100, "shards": 2, "leaseMillis": 600, "requestBytes": 65536}%s}
-				""".formatted(id, port, link, platform(), more))));
+				 "limits": {"drainMillis": %d, "shards": 2, "leaseMillis": 600, "requestBytes": 65536}%s}
+				""".formatted(id, port, link, platform(), drain.toMillis(), more))));
 		list(id, "entry", "", "127.0.0.1:" + link);
 		URI url = URI.create(scheme + "://127.0.0.1:" + port);
 		this.entries.add(url);
+		this.processes.put(url, process);
 		return url;
 	}
 
+	/**
+	 * Stops an entry as planned.
+	 * @param entry its base URL
+	 */
+	void stop(URI entry) {
+		this.processes.get(entry).close();
+	}
+
 	private String platform() {
 		return "\"platform\": {\"objects\": \"127.0.0.1:%d\", \"instances\": \"127.0.0.1:%d\"}".formatted(this.objects,
 				this.instances);
