Let engines reason at length before a text

Now 31 MiB are allowed, as for a whole answer, and what the entry holds of such events counts as held; an event may have 4 MiB.

Evidence: a new test with 10 MB of such events, streamed and gathered, passes; all 14 answers without end are still ended.

--- a/modules/core/src/main/java/org/ragworthook/core/response/ResponseGrammar.java
+++ b/modules/core/src/main/java/org/ragworthook/core/response/ResponseGrammar.java
@@ -113,8 +113,8 @@
 			case STATUS_END -> (octet == ' ') ? State.TEXT : only(CR, octet, State.LINE_LF);
 			case TEXT -> text(octet);
 			case LINE_LF -> only(LF, octet, State.LINE);
-			case LINE -> (octet == CR) ? State.LAST_LF : nameBytes(octet, State.NAME);
-			case NAME -> (octet == ':') ? State.TEXT : nameBytes(octet, State.NAME);
+			case LINE -> (octet == CR) ? State.LAST_LF : name(octet);
+			case NAME -> (octet == ':') ? State.TEXT : name(octet);
 			case LAST_LF -> only(LF, octet, State.COMPLETE);
 			case CHUNK_SIZE_START -> chunkDigit(octet);
 			case CHUNK_SIZE -> (Character.digit(octet, HEXADECIMAL) >= 0) ? chunkDigit(octet) : afterChunkSize(octet);
@@ -164,10 +164,10 @@
 		return octet == '\t' || (octet >= ' ' && octet != 0x7f);
 	}
 
-	private static State nameBytes(int octet, State next) {
+	private static State name(int octet) {
 		boolean letter = (octet >= 'a' && octet <= 'z') || (octet >= 'A' && octet <= 'Z');
 		boolean allowed = letter || (octet >= '0' && octet <= '9') || NAME_SYMBOLS.indexOf(octet) >= 0;
-		return allowed ? next : State.MALFORMED;
+		return allowed ? State.NAME : State.MALFORMED;
 	}
 
 	private State beginChunkSize() {
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/engine/GenerationCall.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/engine/GenerationCall.java
@@ -15,8 +15,8 @@
 
 	private static final int INTERNAL_ERROR = 500;
 
-	/** The most bytes of an event, and of what may stand between two events with text. */
-	private static final int MAX_EVENT_BYTES = 1 << 20;
+	/** The most bytes of an event. */
+	private static final int MAX_EVENT_BYTES = 4 << 20;
 
 	private static final String DATA = "data:";
 
@@ -64,7 +64,7 @@
 		if (this.status == OK) {
 			this.bytesWithoutText += data.length();
 			this.lines.handle(data);
-			if (this.bytesWithoutText > MAX_EVENT_BYTES) {
+			if (this.bytesWithoutText > AnswerMemory.MAX_ANSWER_BYTES) {
 				broken("the answer goes on without text");
 			}
 		}
@@ -83,7 +83,7 @@
 			if (!piece.text().isEmpty()) {
 				this.bytesWithoutText = 0;
 			}
-			if (!piece.empty() && hold(piece.text().length())) {
+			if (!piece.empty() && hold(heldBytes(piece))) {
 				output(new CallOutput(OK, run().getStream() ? EVENT_STREAM : JSON, piece.body(), piece.text(),
 						piece.tokens()));
 			}
@@ -93,6 +93,16 @@
 		}
 	}
 
+	/**
+	 * Returns what is held of an event: its text, for a resumed run, or all of it if it
+	 * has no text, since the entry passes such events on with the next text only.
+	 * @param piece what the event adds to the answer
+	 * @return the number of bytes, about
+	 */
+	private static int heldBytes(GenerationEvents.Piece piece) {
+		return piece.text().isEmpty() ? piece.body().length : piece.text().length();
+	}
+
 	/**
 	 * An event that is not what it should be ends the call. The engine's own error,
 	 * before any text, is its answer; anything else counts as an answer broken off.
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/engine/EndlessAnswerTests.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/engine/EndlessAnswerTests.java
@@ -24,6 +24,8 @@
 
 	private static final int WRITE_BYTES = 65_536;
 
+	private static final int EVENTS_WITHOUT_TEXT = 10_000;
+
 	private static final String CHUNKED = "Transfer-Encoding: chunked\r\n\r\n";
 
 	private static EngineCalls calls;
@@ -74,6 +76,26 @@
 		}
 	}
 
+	/**
+	 * Guards against a limit that engines exceed which reason at length before a text.
+	 */
+	@ParameterizedTest
+	@EnumSource(names = { "GENERATION", "GATHERED" })
+	void shouldTakeALongAnswerWhoseTextComesLate(Kind kind) throws IOException {
+		String event = "data: {\"choices\":[{\"text\":\"\",\"reasoning\":\"" + "x".repeat(1_000) + "\"}]}\n\n";
+		ScriptedServer.Script script = (request) -> {
+			request.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n");
+			for (int i = 0; i < EVENTS_WITHOUT_TEXT; i++) {
+				request.send(event);
+			}
+			request.send("data: {\"choices\":[{\"text\":\"word\",\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n");
+			return false;
+		};
+		try (ScriptedServer engine = ScriptedServer.start(script)) {
+			assertThat(calls.call(engine.url(), kind, "a").kind()).isEqualTo(CallEnd.Kind.ANSWERED);
+		}
+	}
+
 	/** Where the bytes without end are. */
 	enum Endless {
 
