Send bytes without end from one place in the daemon's tests

Four tests wrote the same loop and its two limits. ScriptedServer sends them now (Request.sendWithoutEnd); the sizes, the limits and the assertions stay.

--- a/modules/daemon/src/test/java/org/ragworthook/daemon/control/ModelListTests.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/control/ModelListTests.java
@@ -26,11 +26,6 @@
 
 	private static final String LIST = "{\"data\":[{\"id\":\"m\",\"version\":\"2\"}]}";
 
-	/** Far above all limits of a call together with the buffers of a connection. */
-	private static final long ENDLESS_BYTES = 256L * 1024 * 1024;
-
-	private static final int WRITE_BYTES = 65_536;
-
 	private static final int WAIT_SECONDS = 20;
 
 	private Vertx vertx;
@@ -88,14 +83,11 @@
 		AtomicLong sent = new AtomicLong();
 		try (ScriptedServer engine = ScriptedServer.start((request) -> {
 			request.send("HTTP/1.1 200 OK\r\n\r\n");
-			while (sent.get() < ENDLESS_BYTES) {
-				request.send("x".repeat(WRITE_BYTES));
-				sent.addAndGet(WRITE_BYTES);
-			}
+			request.sendWithoutEnd("x", sent);
 			return false;
 		}); UpstreamClient client = UpstreamClient.of(this.vertx, engine.url(), 1)) {
 			assertThat(failure(models(client))).isNotNull();
-			assertThat(sent.get()).isLessThan(ENDLESS_BYTES);
+			assertThat(sent.get()).isLessThan(ScriptedServer.ENDLESS_BYTES);
 		}
 	}
 
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/engine/EndlessAnswerTests.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/engine/EndlessAnswerTests.java
@@ -19,11 +19,6 @@
  */
 class EndlessAnswerTests {
 
-	/** Far above all limits of a call together with the buffers of a connection. */
-	private static final long ENDLESS_BYTES = 256L * 1024 * 1024;
-
-	private static final int WRITE_BYTES = 65_536;
-
 	private static final int EVENTS_WITHOUT_TEXT = 10_000;
 
 	private static final String CHUNKED = "Transfer-Encoding: chunked\r\n\r\n";
@@ -50,16 +45,12 @@
 		AtomicLong sent = new AtomicLong();
 		ScriptedServer.Script script = (request) -> {
 			request.send(endless.first);
-			String repeated = endless.repeated.repeat(WRITE_BYTES / endless.repeated.length());
-			while (sent.get() < ENDLESS_BYTES) {
-				request.send(repeated);
-				sent.addAndGet(repeated.length());
-			}
+			request.sendWithoutEnd(endless.repeated, sent);
 			return false;
 		};
 		try (ScriptedServer engine = ScriptedServer.start(script)) {
 			assertThat(calls.call(engine.url(), endless.kind, "a").kind()).isEqualTo(CallEnd.Kind.BROKEN);
-			assertThat(sent.get()).isLessThan(ENDLESS_BYTES);
+			assertThat(sent.get()).isLessThan(ScriptedServer.ENDLESS_BYTES);
 		}
 	}
 
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/fake/ScriptedServer.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/fake/ScriptedServer.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 
 /**
@@ -19,6 +20,11 @@
  */
 public final class ScriptedServer implements AutoCloseable {
 
+	/** Far above all limits of a client together with the buffers of a connection. */
+	public static final long ENDLESS_BYTES = 256L * 1024 * 1024;
+
+	private static final int WRITE_BYTES = 65_536;
+
 	private static final int BACKLOG = 64;
 
 	private static final long BEFORE_RESET_NANOS = 1_000_000;
@@ -158,6 +164,20 @@
 			this.socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
 		}
 
+		/**
+		 * Sends bytes again and again, {@link #ENDLESS_BYTES} at most.
+		 * @param repeated the bytes
+		 * @param sent counts what was sent
+		 * @throws IOException if the client has closed the connection
+		 */
+		public void sendWithoutEnd(String repeated, AtomicLong sent) throws IOException {
+			String bytes = repeated.repeat(WRITE_BYTES / repeated.length());
+			while (sent.get() < ENDLESS_BYTES) {
+				send(bytes);
+				sent.addAndGet(bytes.length());
+			}
+		}
+
 		/**
 		 * Makes the end of the connection a reset, once what was sent has probably been
 		 * read.
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/objects/MalformedStoreAnswerTests.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/objects/MalformedStoreAnswerTests.java
@@ -41,11 +41,6 @@
 
 	private static final ObjectKey KEY = ObjectKey.of(Kind.JOB, "programme-1");
 
-	/** Far above all limits of a call together with the buffers of a connection. */
-	private static final long ENDLESS_BYTES = 256L * 1024 * 1024;
-
-	private static final int WRITE_BYTES = 65_536;
-
 	private static final Duration CALL_TIMEOUT = Duration.ofSeconds(20);
 
 	private static Vertx vertx;
@@ -126,7 +121,7 @@
 		AtomicLong sent = new AtomicLong();
 		try (ScriptedServer server = ScriptedServer.start(endless("", sent))) {
 			assertThat(failure(call.start(server))).hasValue(call.codeOfNoAnswer());
-			assertThat(sent.get()).isLessThan(ENDLESS_BYTES);
+			assertThat(sent.get()).isLessThan(ScriptedServer.ENDLESS_BYTES);
 		}
 	}
 
@@ -144,17 +139,14 @@
 			store.watch(Kind.JOB, Labels.empty(), 1, (event) -> {
 			}, () -> ended.complete(null));
 			ended.get(CALL_TIMEOUT.toSeconds(), TimeUnit.SECONDS);
-			assertThat(sent.get()).isLessThan(ENDLESS_BYTES);
+			assertThat(sent.get()).isLessThan(ScriptedServer.ENDLESS_BYTES);
 		}
 	}
 
 	private static ScriptedServer.Script endless(String first, AtomicLong sent) {
 		return (request) -> {
 			request.send("HTTP/1.1 200 OK\r\n\r\n" + first);
-			while (sent.get() < ENDLESS_BYTES) {
-				request.send("x".repeat(WRITE_BYTES));
-				sent.addAndGet(WRITE_BYTES);
-			}
+			request.sendWithoutEnd("x", sent);
 			return false;
 		};
 	}
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/sidecar/EngineReportTests.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/sidecar/EngineReportTests.java
@@ -23,11 +23,6 @@
 
 	private static final String PAGE = "vllm:num_requests_waiting 7\n";
 
-	/** Far above all limits of a call together with the buffers of a connection. */
-	private static final long ENDLESS_BYTES = 256L * 1024 * 1024;
-
-	private static final int WRITE_BYTES = 65_536;
-
 	private static final int WAIT_SECONDS = 20;
 
 	private final AtomicLong sent = new AtomicLong();
@@ -62,10 +57,7 @@
 	private boolean sendWithoutEnd(ScriptedServer.Request request) {
 		try {
 			request.send("HTTP/1.1 200 OK\r\n\r\n");
-			while (this.sent.get() < ENDLESS_BYTES) {
-				request.send("x".repeat(WRITE_BYTES));
-				this.sent.addAndGet(WRITE_BYTES);
-			}
+			request.sendWithoutEnd("x", this.sent);
 		}
 		catch (IOException ex) {
 			this.closed.complete(null);
@@ -106,7 +98,7 @@
 			});
 			health.probe().toCompletionStage().toCompletableFuture().get(WAIT_SECONDS, TimeUnit.SECONDS);
 			this.closed.get(WAIT_SECONDS, TimeUnit.SECONDS);
-			assertThat(this.sent.get()).isLessThan(ENDLESS_BYTES);
+			assertThat(this.sent.get()).isLessThan(ScriptedServer.ENDLESS_BYTES);
 		}
 	}
 
@@ -129,7 +121,7 @@
 			this.vertx.getOrCreateContext()
 				.runOnContext((ignored) -> QueueReports.follow(this.vertx, client, waiting::complete));
 			assertThat(waiting.get(WAIT_SECONDS, TimeUnit.SECONDS)).isEqualTo(7);
-			assertThat(this.sent.get()).isLessThan(ENDLESS_BYTES);
+			assertThat(this.sent.get()).isLessThan(ScriptedServer.ENDLESS_BYTES);
 		}
 	}
 
