Refuse malformed chunks from engines and the platform as well

The daemon took an answer in chunks as whole when bytes beside its chunks were none of an answer: a size such as "4 HTTP/1.1 200 OK", a control byte in an extension, bytes between data and its line end, trailers without a colon. Callers got what was left after the decoder's repairs; calls to the platform counted as done.

Cause: ResponseCheck applied ResponseGrammar to the head alone and took itself off the connection. What the gateway checks since went by it.

The loop that applies the grammar to received bytes has moved from the gateway's decoder into ResponseGrammar, so both use the same one.

Of six sound but unusual forms, for each kind of call, all are taken, from engines also byte by byte. A generation whose last event has come stays whole whatever follows, as is meant.

--- a/modules/core/src/main/java/org/ragworthook/core/response/ResponseGrammar.java
+++ b/modules/core/src/main/java/org/ragworthook/core/response/ResponseGrammar.java
@@ -1,5 +1,7 @@
 package org.ragworthook.core.response;
 
+import java.nio.ByteBuffer;
+
 /**
  * States which bytes are an HTTP/1 response: the grammar of RFC 9112, without what that
  * lets lenient recipients repair.
@@ -53,6 +55,26 @@
 		return this.state != State.MALFORMED;
 	}
 
+	/**
+	 * Checks bytes as {@link #accepts(byte)} does, up to the end of a head or trailers,
+	 * and skips those of chunks.
+	 * @param bytes the bytes, of which those that were checked or skipped are consumed
+	 * @return whether the bytes so far begin a response
+	 */
+	public boolean accepts(ByteBuffer bytes) {
+		while (bytes.hasRemaining() && !complete()) {
+			int data = (int) Math.min(unchecked(), bytes.remaining());
+			if (data > 0) {
+				skip(data);
+				bytes.position(bytes.position() + data);
+			}
+			else if (!accepts(bytes.get())) {
+				return false;
+			}
+		}
+		return true;
+	}
+
 	/**
 	 * Returns whether the empty line that ends a head or trailers was accepted.
 	 * @return false before {@link #beginHead} or {@link #beginChunks} and that line
@@ -87,15 +109,11 @@
 	 * Returns how many bytes of a chunk follow, which are not to be checked.
 	 * @return the count of bytes, 0 if the next byte is to be checked
 	 */
-	public long unchecked() {
+	private long unchecked() {
 		return (this.state == State.CHUNK_DATA) ? this.chunkBytes : 0;
 	}
 
-	/**
-	 * Skips bytes of a chunk.
-	 * @param bytes the count, at most {@link #unchecked()}
-	 */
-	public void skip(long bytes) {
+	private void skip(long bytes) {
 		this.chunkBytes -= bytes;
 		if (this.chunkBytes == 0) {
 			this.state = State.CHUNK_DATA_CR;
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/engine/MalformedAnswerTests.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/engine/MalformedAnswerTests.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.ragworthook.daemon.engine.EngineCalls.Kind;
+import org.ragworthook.daemon.fake.ChunkedBodies;
 import org.ragworthook.daemon.fake.ScriptedServer;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -30,13 +31,42 @@
 		calls.close();
 	}
 
-	private static String whole(Kind kind, String head) {
-		String body = kind.generates()
+	private static String body(Kind kind) {
+		return kind.generates()
 				? "data: {\"choices\":[{\"text\":\"word\"}]}\n\n"
 						+ "data: {\"choices\":[{\"text\":\"\",\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n"
 				: "{\"text\":\"word\"}";
+	}
+
+	private static String typed(Kind kind, String head) {
 		String type = kind.generates() ? "text/event-stream" : "application/json";
-		return head + "\r\nContent-Type: " + type + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+		return head + "\r\nContent-Type: " + type + "\r\n";
+	}
+
+	private static String whole(Kind kind, String head) {
+		String body = body(kind);
+		return typed(kind, head) + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+	}
+
+	private static String chunked(Kind kind, String format) {
+		return typed(kind, "HTTP/1.1 200 OK") + ChunkedBodies.of(format, body(kind));
+	}
+
+	private static ScriptedServer.Script byteByByte(String response) {
+		return (request) -> {
+			for (int at = 0; at < response.length(); at++) {
+				request.send(response.substring(at, at + 1));
+			}
+			return true;
+		};
+	}
+
+	private static void assertTaken(Kind kind, String response) throws IOException {
+		try (ScriptedServer engine = ScriptedServer.start(byteByByte(response))) {
+			EngineCalls.Answer answer = calls.call(engine.url(), kind, "a");
+			assertThat(answer.kind()).isEqualTo(CallEnd.Kind.ANSWERED);
+			assertThat(answer.body()).contains("word");
+		}
 	}
 
 	/**
@@ -74,18 +104,7 @@
 	@ParameterizedTest
 	@MethodSource("unusualHeads")
 	void shouldTakeAnUnusualHead(Kind kind, String head) throws IOException {
-		String response = whole(kind, head);
-		ScriptedServer.Script script = (request) -> {
-			for (int at = 0; at < response.length(); at++) {
-				request.send(response.substring(at, at + 1));
-			}
-			return true;
-		};
-		try (ScriptedServer engine = ScriptedServer.start(script)) {
-			EngineCalls.Answer answer = calls.call(engine.url(), kind, "a");
-			assertThat(answer.kind()).isEqualTo(CallEnd.Kind.ANSWERED);
-			assertThat(answer.body()).contains("word");
-		}
+		assertTaken(kind, whole(kind, head));
 	}
 
 	static Stream<Arguments> unusualHeads() {
@@ -99,4 +118,46 @@
 				.map((head) -> Arguments.of(kind, head)));
 	}
 
+	/**
+	 * Guards against bytes between or behind chunks that belong to none, in an answer
+	 * that counts as whole. What was received before them may have been passed on.
+	 */
+	@ParameterizedTest
+	@MethodSource("malformedChunks")
+	void shouldNotTakeMalformedChunks(Kind kind, String format, boolean inOnePiece) throws IOException {
+		String response = chunked(kind, format);
+		ScriptedServer.Script whole = (request) -> {
+			request.send(response);
+			return true;
+		};
+		try (ScriptedServer engine = ScriptedServer.start(inOnePiece ? whole : byteByByte(response))) {
+			assertThat(calls.call(engine.url(), kind, "a").kind()).isEqualTo(CallEnd.Kind.BROKEN);
+		}
+	}
+
+	/**
+	 * Returns malformed chunks. A generation whose last event has come is whole, whatever
+	 * comes behind it.
+	 * @return the kinds of requests, the formats, and whether one write sends all
+	 */
+	static Stream<Arguments> malformedChunks() {
+		return Stream.of(Kind.values())
+			.flatMap((kind) -> Stream
+				.concat(ChunkedBodies.MALFORMED_BEFORE_DATA.stream(),
+						ChunkedBodies.MALFORMED_BEHIND_DATA.stream().filter((format) -> !kind.generates()))
+				.flatMap((format) -> Stream.of(Arguments.of(kind, format, true), Arguments.of(kind, format, false))));
+	}
+
+	/** Guards against a limit on sound chunks that are unusual. */
+	@ParameterizedTest
+	@MethodSource("unusualChunks")
+	void shouldTakeUnusualChunks(Kind kind, String format) throws IOException {
+		assertTaken(kind, chunked(kind, format));
+	}
+
+	static Stream<Arguments> unusualChunks() {
+		return Stream.of(Kind.values())
+			.flatMap((kind) -> ChunkedBodies.UNUSUAL.stream().map((format) -> Arguments.of(kind, format)));
+	}
+
 }
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/objects/MalformedStoreAnswerTests.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/objects/MalformedStoreAnswerTests.java
@@ -26,6 +26,7 @@
 import org.ragworthook.core.store.Listing;
 import org.ragworthook.core.store.ObjectKey;
 import org.ragworthook.core.store.Stored;
+import org.ragworthook.daemon.fake.ChunkedBodies;
 import org.ragworthook.daemon.fake.ScriptedServer;
 import org.ragworthook.objectapi.EndpointSliceList;
 import org.ragworthook.objectapi.HttpObjectStore;
@@ -111,6 +112,43 @@
 				.map((head) -> Arguments.of(call, head)));
 	}
 
+	/** Guards against a call that counts as done though a part of its answer is none. */
+	@ParameterizedTest
+	@MethodSource("malformedChunks")
+	void shouldNotTakeMalformedChunks(Call call, String format) throws IOException {
+		try (ScriptedServer server = ScriptedServer.start(chunked(call, format))) {
+			assertThat(failure(call.start(server))).hasValue(call.codeOfNoAnswer());
+		}
+	}
+
+	static Stream<Arguments> malformedChunks() {
+		return Stream.of(Call.values())
+			.flatMap((call) -> Stream
+				.concat(ChunkedBodies.MALFORMED_BEFORE_DATA.stream(), ChunkedBodies.MALFORMED_BEHIND_DATA.stream())
+				.map((format) -> Arguments.of(call, format)));
+	}
+
+	/** Guards against a limit on sound chunks that are unusual. */
+	@ParameterizedTest
+	@MethodSource("unusualChunks")
+	void shouldTakeUnusualChunks(Call call, String format) throws IOException {
+		try (ScriptedServer server = ScriptedServer.start(chunked(call, format))) {
+			assertThat(failure(call.start(server))).isEmpty();
+		}
+	}
+
+	static Stream<Arguments> unusualChunks() {
+		return Stream.of(Call.values())
+			.flatMap((call) -> ChunkedBodies.UNUSUAL.stream().map((format) -> Arguments.of(call, format)));
+	}
+
+	private static ScriptedServer.Script chunked(Call call, String format) {
+		return (request) -> {
+			request.send("HTTP/1.1 200 OK\r\n" + ChunkedBodies.of(format, call.body()));
+			return true;
+		};
+	}
+
 	/**
 	 * Guards against an answer without end that is kept until the process runs out of
 	 * memory.
--- a/modules/gateway/src/main/java/org/ragworthook/gateway/http/ResponseDecoder.java
+++ b/modules/gateway/src/main/java/org/ragworthook/gateway/http/ResponseDecoder.java
@@ -1,5 +1,6 @@
 package org.ragworthook.gateway.http;
 
+import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.Objects;
 import java.util.function.Predicate;
@@ -62,7 +63,7 @@
 		int before = out.size();
 		super.decode(context, buffer, out);
 		List<Object> decoded = out.subList(before, out.size());
-		if (this.part == Part.CHECKED && !compliant(buffer, from, buffer.readerIndex())) {
+		if (this.part == Part.CHECKED && !compliant(buffer.nioBuffer(from, buffer.readerIndex() - from))) {
 			decoded.forEach(ReferenceCountUtil::release);
 			decoded.clear();
 			out.add(malformed());
@@ -72,19 +73,8 @@
 		decoded.forEach(this::follow);
 	}
 
-	private boolean compliant(ByteBuf buffer, int from, int to) {
-		int at = from;
-		while (at < to) {
-			int body = (int) Math.min(this.grammar.unchecked(), to - at);
-			if (body > 0) {
-				this.grammar.skip(body);
-				at += body;
-			}
-			else if (!this.grammar.accepts(buffer.getByte(at++))) {
-				return false;
-			}
-		}
-		return true;
+	private boolean compliant(ByteBuffer bytes) {
+		return this.grammar.accepts(bytes) && !bytes.hasRemaining();
 	}
 
 	private HttpMessage malformed() {
