Read an engine's answer no faster than its link takes it

A faulty engine that streams without end, behind a sidecar whose entry or network is slow, filled the sidecar's memory: every piece became a frame that waited in the link's buffer, which has no limit, until the link was found silent, 6 s, or for as long as the entry went on reading slowly. When the process ran out of memory, the requests of all its entries ended with it.

Cause: nobody looked at Link.writable(); the call went on reading.

The sidecar now stops to read an answer while its link has no room, and goes on when LinkListener.writable() is called or the link is lost. Entries read their links whatever their callers do, so a slow caller still holds no slot.

--- a/modules/daemon/src/main/java/org/ragworthook/daemon/engine/UpstreamCall.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/engine/UpstreamCall.java
@@ -26,6 +26,9 @@
 
 	private HttpClientRequest request;
 
+	/** The response, or {@code null} before its head has come. */
+	private HttpClientResponse response;
+
 	private Future<Void> written;
 
 	private boolean endStated;
@@ -78,22 +81,23 @@
 		this.written = connected.end(Buffer.buffer(body()));
 	}
 
-	private void receive(HttpClientResponse response) {
-		Optional<HeadFault> fault = HeadFault.of(response.statusMessage(), response.headers());
+	private void receive(HttpClientResponse received) {
+		this.response = received;
+		Optional<HeadFault> fault = HeadFault.of(received.statusMessage(), received.headers());
 		if (fault.isPresent()) {
 			broken(fault.get().detail());
 			return;
 		}
-		this.endStated = response.headers().contains(HttpHeaders.CONTENT_LENGTH)
-				|| response.headers().contains(HttpHeaders.TRANSFER_ENCODING);
-		response.exceptionHandler((failure) -> broken("answer broke off: " + failure.getMessage()));
-		response.endHandler((ignored) -> bodyEnded());
-		response.handler((data) -> {
+		this.endStated = received.headers().contains(HttpHeaders.CONTENT_LENGTH)
+				|| received.headers().contains(HttpHeaders.TRANSFER_ENCODING);
+		received.exceptionHandler((failure) -> broken("answer broke off: " + failure.getMessage()));
+		received.endHandler((ignored) -> bodyEnded());
+		received.handler((data) -> {
 			if (!this.ended) {
 				data(data);
 			}
 		});
-		head(response.statusCode(), String.valueOf(response.getHeader(HttpHeaders.CONTENT_TYPE)));
+		head(received.statusCode(), String.valueOf(received.getHeader(HttpHeaders.CONTENT_TYPE)));
 	}
 
 	/**
@@ -130,6 +134,25 @@
 		end(CallEnd.Kind.CANCELLED, "cancelled");
 	}
 
+	/**
+	 * Stops to read the answer until {@link #resume()}. What has been read may still come
+	 * as output.
+	 */
+	public final void pause() {
+		if (this.response != null) {
+			this.response.pause();
+		}
+	}
+
+	/**
+	 * Goes on to read the answer.
+	 */
+	public final void resume() {
+		if (this.response != null) {
+			this.response.resume();
+		}
+	}
+
 	/**
 	 * Tells whether any of the request was handed to the connection.
 	 * @return whether the upstream may have got it
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/ActiveRun.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/ActiveRun.java
@@ -105,6 +105,25 @@
 		this.call = newCall;
 	}
 
+	/**
+	 * Stops to read the answer while the link has no room, so that this process does not
+	 * keep what an engine sends faster than the link takes it.
+	 */
+	private void pauseUntilWritable() {
+		if (this.link.open() && !this.link.writable()) {
+			this.call.pause();
+		}
+	}
+
+	/**
+	 * Goes on to read the answer: the link has room again, or is lost.
+	 */
+	void resume() {
+		if (this.call != null) {
+			this.call.resume();
+		}
+	}
+
 	void cancel() {
 		if (this.call != null) {
 			this.call.cancel();
@@ -138,6 +157,7 @@
 		}
 		this.offset++;
 		this.link.send(Frame.newBuilder().setOutput(output).build());
+		pauseUntilWritable();
 	}
 
 	/**
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/LaneListeners.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/LaneListeners.java
@@ -35,6 +35,11 @@
 		of(link).received(link, frame);
 	}
 
+	@Override
+	public void writable(Link link) {
+		of(link).writable(link);
+	}
+
 	@Override
 	public void closed(Link link) {
 		of(link).closed(link);
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/SidecarRuns.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/sidecar/SidecarRuns.java
@@ -156,6 +156,15 @@
 		}
 	}
 
+	@Override
+	public void writable(Link link) {
+		this.context.runOnContext((ignored) -> resume(link));
+	}
+
+	private void resume(Link link) {
+		this.active.values().stream().filter((run) -> run.link() == link).forEach(ActiveRun::resume);
+	}
+
 	/**
 	 * The entry that sent the requests of a lost link cannot take their answers any more;
 	 * it knows that and sends them again where it may. Running on would take slots from
@@ -164,8 +173,10 @@
 	@Override
 	public void closed(Link link) {
 		this.links.remove(link);
-		this.context.runOnContext(
-				(ignored) -> giveUp((run) -> run.link() == link && (!run.started() || run.run().getRepeatable())));
+		this.context.runOnContext((ignored) -> {
+			giveUp((run) -> run.link() == link && (!run.started() || run.run().getRepeatable()));
+			resume(link);
+		});
 	}
 
 	// -- requests
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/fake/ScriptedServer.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/fake/ScriptedServer.java
@@ -171,10 +171,22 @@
 		 * @throws IOException if the client has closed the connection
 		 */
 		public void sendWithoutEnd(String repeated, AtomicLong sent) throws IOException {
+			sendRepeatedly(repeated, ENDLESS_BYTES, sent);
+		}
+
+		/**
+		 * Sends bytes again and again.
+		 * @param repeated the bytes
+		 * @param limit how many bytes to send at most
+		 * @param sent counts what was sent
+		 * @throws IOException if the client has closed the connection
+		 */
+		public void sendRepeatedly(String repeated, long limit, AtomicLong sent) throws IOException {
 			String bytes = repeated.repeat(WRITE_BYTES / repeated.length());
-			while (sent.get() < ENDLESS_BYTES) {
-				send(bytes);
-				sent.addAndGet(bytes.length());
+			while (sent.get() < limit) {
+				String part = bytes.substring(0, (int) Math.min(bytes.length(), limit - sent.get()));
+				send(part);
+				sent.addAndGet(part.length());
 			}
 		}
 
--- a/modules/wire/src/main/java/org/ragworthook/wire/link/LinkClient.java
+++ b/modules/wire/src/main/java/org/ragworthook/wire/link/LinkClient.java
@@ -140,6 +140,11 @@
 			LinkClient.this.listener.received(link, frame);
 		}
 
+		@Override
+		public void writable(Link link) {
+			LinkClient.this.listener.writable(link);
+		}
+
 		@Override
 		public void closed(Link link) {
 			LinkClient.this.listener.closed(link);
--- a/modules/wire/src/main/java/org/ragworthook/wire/link/LinkHandler.java
+++ b/modules/wire/src/main/java/org/ragworthook/wire/link/LinkHandler.java
@@ -119,6 +119,13 @@
 		super.userEventTriggered(context, event);
 	}
 
+	@Override
+	public void channelWritabilityChanged(ChannelHandlerContext context) {
+		if (this.link != null && this.link.writable()) {
+			this.listener.writable(this.link);
+		}
+	}
+
 	@Override
 	public void channelInactive(ChannelHandlerContext context) {
 		if (this.link != null) {
--- a/modules/wire/src/main/java/org/ragworthook/wire/link/LinkListener.java
+++ b/modules/wire/src/main/java/org/ragworthook/wire/link/LinkListener.java
@@ -21,6 +21,14 @@
 	 */
 	void received(Link link, Frame frame);
 
+	/**
+	 * Called when an opened link has room for more frames again, see
+	 * {@link Link#writable()}. Does nothing by default.
+	 * @param link the link
+	 */
+	default void writable(Link link) {
+	}
+
 	/**
 	 * Called once for each opened link, when the link has been closed or lost.
 	 * @param link the closed link
