Close the connection of an engine that sends on behind its answer

An engine that reported an error within a stream, or whose generation was complete, and then sent on without end was read on for ever: its answer had gone to the caller and its slot counted as free, while the sidecar read and dropped what came and the connection stayed open.

Cause: only calls that were not answered reset their request.

A call now resets its request unless the end of the body was read.

--- a/modules/daemon/src/main/java/org/ragworthook/daemon/engine/UpstreamCall.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/engine/UpstreamCall.java
@@ -33,6 +33,8 @@
 
 	private boolean endStated;
 
+	private boolean bodyEnded;
+
 	private boolean sent;
 
 	private boolean ended;
@@ -105,6 +107,7 @@
 	 * connection; a connection that ends before the request is written has failed.
 	 */
 	private void bodyEnded() {
+		this.bodyEnded = true;
 		if (this.endStated || this.written.succeeded()) {
 			responseEnded();
 		}
@@ -187,13 +190,18 @@
 		}
 	}
 
+	/**
+	 * Ends the call. What the upstream may send behind an answer is not read.
+	 * @param kind how the call ends
+	 * @param detail why
+	 */
 	final void end(CallEnd.Kind kind, String detail) {
 		if (this.ended) {
 			return;
 		}
 		this.ended = true;
 		this.held.close();
-		if (kind != CallEnd.Kind.ANSWERED && this.request != null) {
+		if ((kind != CallEnd.Kind.ANSWERED || !this.bodyEnded) && this.request != null) {
 			this.request.reset();
 		}
 		this.listener.ended(new CallEnd(kind, detail, text(), tokens()));
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/sidecar/SlowEntryTests.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/sidecar/SlowEntryTests.java
@@ -147,4 +147,20 @@
 		}
 	}
 
+	/** Guards against bytes that are read on and dropped behind a complete answer. */
+	@ParameterizedTest
+	@ValueSource(strings = { "data: {\"error\":{\"message\":\"failed\"}}\n\n",
+			"data: {\"choices\":[{\"text\":\"word\",\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n" })
+	void shouldNotReadOnBehindTheEndOfAGeneration(String events) throws Exception {
+		try (ScriptedServer engine = ScriptedServer
+			.start((request) -> send(request, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + events,
+					": comment\n\n", ScriptedServer.ENDLESS_BYTES));
+				SidecarProcess sidecar = sidecar(engine);
+				RawEntry entry = RawEntry.connect(sidecar.linkAddress())) {
+			entry.send(run("/v1/completions", true));
+			assertThat(readToEnd(entry, new AtomicLong()).getOutcome()).isEqualTo(Outcome.OUTCOME_ANSWERED);
+			assertThat(this.sentAll.get(WAIT_SECONDS, TimeUnit.SECONDS)).isFalse();
+		}
+	}
+
 }
