Lose nothing of an answer whose reading was paused

Cause: a call paused the response of Vert.x. Vert.x then reads on until eight messages wait behind its queue. If the engine, which has sent all, closes the connection while fewer wait, Vert.x reports the end of the connection at once and drops them.

A call now stops the reads of the connection itself. What was read is delivered, and the end of the connection is read after what comes before it.

--- a/modules/daemon/src/main/java/org/ragworthook/daemon/engine/UpstreamCall.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/engine/UpstreamCall.java
@@ -11,6 +11,7 @@
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.RequestOptions;
 import org.ragworthook.core.response.HeadFault;
+import org.ragworthook.objectapi.http.HttpClients;
 import org.ragworthook.wire.message.Run;
 
 /**
@@ -29,6 +30,8 @@
 	/** The response, or {@code null} before its head has come. */
 	private HttpClientResponse response;
 
+	private boolean paused;
+
 	private Future<Void> written;
 
 	private boolean endStated;
@@ -142,17 +145,20 @@
 	 * as output.
 	 */
 	public final void pause() {
-		if (this.response != null) {
-			this.response.pause();
-		}
+		setPaused(true);
 	}
 
 	/**
 	 * Goes on to read the answer.
 	 */
 	public final void resume() {
-		if (this.response != null) {
-			this.response.resume();
+		setPaused(false);
+	}
+
+	private void setPaused(boolean newPaused) {
+		if (this.response != null && this.paused != newPaused) {
+			this.paused = newPaused;
+			HttpClients.setReading(this.response, !newPaused);
 		}
 	}
 
--- a/modules/objectapi/src/main/java/org/ragworthook/objectapi/http/HttpClients.java
+++ b/modules/objectapi/src/main/java/org/ragworthook/objectapi/http/HttpClients.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.vertx.core.Future;
@@ -43,18 +44,37 @@
 	}
 
 	/**
-	 * Adds the checks before the decoder. Vert.x offers the bytes of a connection only
-	 * through this internal type.
+	 * Adds the checks before the decoder.
 	 * @param connection a new connection
 	 */
 	private static void check(HttpConnection connection) {
-		ChannelPipeline pipeline = ((HttpClientConnectionInternal) connection).channelHandlerContext().pipeline();
+		ChannelPipeline pipeline = channel(connection).pipeline();
 		ResponseCheck check = new ResponseCheck();
 		String codec = pipeline.context(HttpClientCodec.class).name();
 		pipeline.addBefore(codec, "orderly-end", new OrderlyEndHandler(check::endDelimitsResponse));
 		pipeline.addBefore(codec, "response-check", check);
 	}
 
+	/**
+	 * Returns the channel, which Vert.x offers only through this internal type.
+	 * @param connection a connection
+	 * @return its channel
+	 */
+	private static Channel channel(HttpConnection connection) {
+		return ((HttpClientConnectionInternal) connection).channelHandlerContext().channel();
+	}
+
+	/**
+	 * Sets whether to read from the connection of a response. Pausing the response would
+	 * not do: Vert.x reads on for a while, and if the server closes the connection then,
+	 * it drops what was received and not delivered.
+	 * @param response the response
+	 * @param reading whether to read; what was read before is delivered in any case
+	 */
+	public static void setReading(HttpClientResponse response, boolean reading) {
+		channel(response.request().connection()).config().setAutoRead(reading);
+	}
+
 	/**
 	 * Reads the body of a response. One that is too long is broken off.
 	 * @param response the response, whose head has just been received
