Let the command line take only well-formed answers of entries

"ragworthook results" wrote a file and ended with OK for an answer of the status 000 or +200, with a field "X-No te" or "Content-Length old", and for chunks or trailers that are none; it took 102 Processing for the answer itself. An entry doesn't send that, but what stands before it may.

Cause: EntryClient made its HTTP client itself, without the checks of HttpClients.

It now uses HttpClients, so the module depends on modules/objectapi.

--- a/modules/cli/src/main/java/org/ragworthook/cli/entry/EntryClient.java
+++ b/modules/cli/src/main/java/org/ragworthook/cli/entry/EntryClient.java
@@ -20,8 +20,10 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import org.ragworthook.cli.output.ExitCode;
+import org.ragworthook.objectapi.http.HttpClients;
 
 /**
  * Calls an entry over HTTP and waits for its answer. An entry that cannot be connected to
@@ -35,6 +37,9 @@
 
 	private static final int NO_CONTENT = 204;
 
+	/** The most bytes that a buffer holds. */
+	private static final int MAX_ANSWER_BYTES = Integer.MAX_VALUE;
+
 	private final CliSettings settings;
 
 	private final Vertx vertx = Vertx
@@ -47,10 +52,9 @@
 	 */
 	private final Context context = this.vertx.getOrCreateContext();
 
-	private final HttpClient client = this.vertx
-		.createHttpClient(new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
-			.setIdleTimeout(IDLE_TIMEOUT_SECONDS)
-			.setKeepAlive(false));
+	private final HttpClient client = HttpClients.create(this.vertx,
+			new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS).setIdleTimeout(IDLE_TIMEOUT_SECONDS),
+			new PoolOptions());
 
 	private EntryClient(CliSettings settings) {
 		this.settings = Objects.requireNonNull(settings, "settings is null");
@@ -149,7 +153,7 @@
 			response.request().reset();
 			return Future.failedFuture("the answer does not state where it ends");
 		}
-		return response.body().map((body) -> new Answer(response.statusCode(), body));
+		return HttpClients.body(response, MAX_ANSWER_BYTES).map((body) -> new Answer(response.statusCode(), body));
 	}
 
 	@Override
--- a/modules/cli/src/test/java/org/ragworthook/cli/RagworthookCliTests.java
+++ b/modules/cli/src/test/java/org/ragworthook/cli/RagworthookCliTests.java
@@ -58,20 +58,59 @@
 	@ParameterizedTest
 	@ValueSource(strings = { "Content-Length: 100", "Transfer-Encoding: chunked", "Connection: close" })
 	void shouldNotWriteAPartOfTheResults(String framing) throws IOException {
+		String response = "HTTP/1.1 200 OK\r\n" + framing + "\r\n\r\n" + (framing.contains("chunked") ? "b\r\n" : "")
+				+ "{\"half\": 1}" + (framing.contains("chunked") ? "\r\n" : "");
 		Path file = this.folder.resolve("results.jsonl");
+		assertThat(results(response, file)).isEqualTo(ExitCode.UNAVAILABLE);
+		assertThat(Files.exists(file)).isFalse();
+	}
+
+	/** Guards against results that are written though the entry's answer is none. */
+	@ParameterizedTest
+	@ValueSource(strings = { "HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\nbody",
+			"HTTP/1.1 +200 OK\r\nContent-Length: 4\r\n\r\nbody",
+			"HTTP/1.1 200 OK\r\nX-No te: 1\r\nContent-Length: 4\r\n\r\nbody",
+			"HTTP/1.1 200 OK\r\nContent-Length old: 2\r\nContent-Length: 4\r\n\r\nbody",
+			"HTTP/1.1 200 OK\r\nX-No\u0001te: 1\r\nContent-Length: 4\r\n\r\nbody",
+			"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\nContent-Length: 4\r\n\r\nbody",
+			"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4 4\r\nbody\r\n0\r\n\r\n",
+			"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nno field\r\n\r\n" })
+	void shouldNotWriteResultsOfAMalformedAnswer(String response) throws IOException {
+		Path file = this.folder.resolve("results.jsonl");
+		assertThat(results(response, file)).isEqualTo(ExitCode.UNAVAILABLE);
+		assertThat(Files.exists(file)).isFalse();
+	}
+
+	/** Guards against a limit on sound answers that are unusual. */
+	@ParameterizedTest
+	@ValueSource(strings = { "HTTP/1.1 200 \r\nX-Note:\r\nContent-Length: 4\r\n\r\nbody",
+			"\r\nHTTP/1.1 200 it went well\r\nContent-Length:4\r\n\r\nbody",
+			"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+			"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;a=b\r\nbody\r\n0\r\nX-Sum: 1\r\n\r\n" })
+	void shouldWriteResultsOfAnUnusualAnswer(String response) throws IOException {
+		Path file = this.folder.resolve("results.jsonl");
+		assertThat(results(response, file)).isEqualTo(ExitCode.OK);
+		assertThat(Files.readString(file)).isEqualTo("body");
+	}
+
+	/**
+	 * Fetches the results of a job from an entry on a plain socket.
+	 * @param response the entry's answer with the results, byte by byte
+	 * @param file where to write them
+	 * @return how the command ended
+	 */
+	private ExitCode results(String response, Path file) throws IOException {
 		String job = "{\"status\":\"completed\",\"output_file_id\":\"file-1\"}";
-		String head = "HTTP/1.1 200 OK\r\n";
 		try (ServerSocket server = new ServerSocket(0)) {
 			this.environment.put("RAGWORTHOOK_ENTRY", "http://127.0.0.1:" + server.getLocalPort());
 			CompletableFuture<Void> answered = CompletableFuture.runAsync(() -> {
-				answer(server, head + "Content-Length: " + job.length() + "\r\n\r\n" + job);
-				answer(server, head + framing + "\r\n\r\n" + (framing.contains("chunked") ? "b\r\n" : "")
-						+ "{\"half\": 1}" + (framing.contains("chunked") ? "\r\n" : ""));
+				answer(server, "HTTP/1.1 200 OK\r\nContent-Length: " + job.length() + "\r\n\r\n" + job);
+				answer(server, response);
 			});
-			assertThat(run("results", "batch_1", "--to", file.toString())).isEqualTo(ExitCode.UNAVAILABLE);
+			ExitCode code = run("results", "batch_1", "--to", file.toString());
 			answered.join();
+			return code;
 		}
-		assertThat(Files.exists(file)).isFalse();
 	}
 
 	private static void answer(ServerSocket server, String response) {
