Send heartbeats from the raw entry of the daemon's tests

A sidecar closes a link on which it receives nothing for 6 s. SlowEntryTests take a good second, on a busy machine more, and would then fail for that.

--- a/modules/daemon/src/test/java/org/ragworthook/daemon/fake/RawEntry.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/fake/RawEntry.java
@@ -10,6 +10,7 @@
 import org.ragworthook.wire.message.Frame;
 import org.ragworthook.wire.message.Hello;
 import org.ragworthook.wire.message.Lane;
+import org.ragworthook.wire.message.Ping;
 import org.ragworthook.wire.message.Run;
 
 /**
@@ -20,12 +21,16 @@
 
 	private static final int READ_TIMEOUT_MILLIS = 20_000;
 
+	private static final long HEARTBEAT_NANOS = 500_000_000;
+
 	private final Socket socket;
 
 	private final DataInputStream in;
 
 	private final DataOutputStream out;
 
+	private long sentNanos;
+
 	private RawEntry(Socket socket) throws IOException {
 		this.socket = socket;
 		this.in = new DataInputStream(new BufferedInputStream(socket.getInputStream()));
@@ -61,6 +66,17 @@
 		byte[] bytes = frame.toByteArray();
 		this.out.writeInt(bytes.length);
 		this.out.write(bytes);
+		this.sentNanos = System.nanoTime();
+	}
+
+	/**
+	 * Keeps the link from being found silent. Called at least every few seconds.
+	 * @throws IOException if the link is closed
+	 */
+	public void heartbeat() throws IOException {
+		if (System.nanoTime() - this.sentNanos >= HEARTBEAT_NANOS) {
+			send(Frame.newBuilder().setPing(Ping.getDefaultInstance()).build());
+		}
 	}
 
 	/**
@@ -69,6 +85,7 @@
 	 * @throws IOException if the link is closed or nothing is received for 20 s
 	 */
 	public Frame next() throws IOException {
+		heartbeat();
 		byte[] bytes = new byte[this.in.readInt()];
 		this.in.readFully(bytes);
 		return Frame.parseFrom(bytes);
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/sidecar/SlowEntryTests.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/sidecar/SlowEntryTests.java
@@ -77,9 +77,10 @@
 			.build();
 	}
 
-	private void awaitSteady() throws InterruptedException {
+	private void awaitSteady(RawEntry entry) throws IOException, InterruptedException {
 		long before;
 		do {
+			entry.heartbeat();
 			before = this.sent.get();
 			TimeUnit.MILLISECONDS.sleep(STEADY_MILLIS);
 		}
@@ -108,7 +109,7 @@
 				SidecarProcess sidecar = sidecar(engine);
 				RawEntry entry = RawEntry.connect(sidecar.linkAddress())) {
 			entry.send(run("/letters", true));
-			awaitSteady();
+			awaitSteady(entry);
 			assertThat(this.sent.get()).isLessThan(ScriptedServer.ENDLESS_BYTES);
 		}
 	}
@@ -122,7 +123,7 @@
 				SidecarProcess sidecar = sidecar(engine);
 				RawEntry entry = RawEntry.connect(sidecar.linkAddress())) {
 			entry.send(run("/letters", true));
-			awaitSteady();
+			awaitSteady(entry);
 			assertThat(this.sent.get()).isLessThan(LONG_BYTES);
 			AtomicLong received = new AtomicLong();
 			assertThat(readToEnd(entry, received).getOutcome()).isEqualTo(Outcome.OUTCOME_ANSWERED);
@@ -141,7 +142,7 @@
 				SidecarProcess sidecar = sidecar(engine)) {
 			try (RawEntry entry = RawEntry.connect(sidecar.linkAddress())) {
 				entry.send(run("/letters", repeatable));
-				awaitSteady();
+				awaitSteady(entry);
 			}
 			assertThat(this.sentAll.get(WAIT_SECONDS, TimeUnit.SECONDS)).isEqualTo(!repeatable);
 		}
