Ask one place whether an answer states its end

UpstreamCall and the command line's EntryClient each looked for a length or a transfer coding. Both use HttpClients now, which has the question: endStated().

--- a/modules/cli/src/main/java/org/ragworthook/cli/entry/EntryClient.java
+++ b/modules/cli/src/main/java/org/ragworthook/cli/entry/EntryClient.java
@@ -18,7 +18,6 @@
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
-import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
@@ -147,9 +146,7 @@
 	 * @return the answer, or a failure if it is not whole
 	 */
 	private static Future<Answer> whole(HttpClientResponse response) {
-		boolean endStated = response.headers().contains(HttpHeaders.CONTENT_LENGTH)
-				|| response.headers().contains(HttpHeaders.TRANSFER_ENCODING);
-		if (!endStated && response.statusCode() != NO_CONTENT) {
+		if (!HttpClients.endStated(response) && response.statusCode() != NO_CONTENT) {
 			response.request().reset();
 			return Future.failedFuture("the answer does not state where it ends");
 		}
--- a/modules/daemon/src/main/java/org/ragworthook/daemon/engine/UpstreamCall.java
+++ b/modules/daemon/src/main/java/org/ragworthook/daemon/engine/UpstreamCall.java
@@ -93,8 +93,7 @@
 			broken(fault.get().detail());
 			return;
 		}
-		this.endStated = received.headers().contains(HttpHeaders.CONTENT_LENGTH)
-				|| received.headers().contains(HttpHeaders.TRANSFER_ENCODING);
+		this.endStated = HttpClients.endStated(received);
 		received.exceptionHandler((failure) -> broken("answer broke off: " + failure.getMessage()));
 		received.endHandler((ignored) -> bodyEnded());
 		received.handler((data) -> {
--- a/modules/objectapi/src/main/java/org/ragworthook/objectapi/http/HttpClients.java
+++ b/modules/objectapi/src/main/java/org/ragworthook/objectapi/http/HttpClients.java
@@ -13,6 +13,7 @@
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.impl.HttpClientConnectionInternal;
 import org.ragworthook.core.response.HeadFault;
@@ -75,6 +76,17 @@
 		channel(response.request().connection()).config().setAutoRead(reading);
 	}
 
+	/**
+	 * Returns whether a response states where its body ends. Else it ends with its
+	 * connection.
+	 * @param response the response
+	 * @return whether the head states a length or chunks
+	 */
+	public static boolean endStated(HttpClientResponse response) {
+		return response.headers().contains(HttpHeaders.CONTENT_LENGTH)
+				|| response.headers().contains(HttpHeaders.TRANSFER_ENCODING);
+	}
+
 	/**
 	 * Reads the body of a response. One that is too long is broken off.
 	 * @param response the response, whose head has just been received
