Share the calls of the object API between its tests

MalformedStoreAnswerTests had copied the calls, their bodies, the client's settings and the reading of failures from ForeignAnswerTests. StoreCall has them for both. The two tests of the command line that expect no file share their assertions.

--- a/modules/cli/src/test/java/org/ragworthook/cli/RagworthookCliTests.java
+++ b/modules/cli/src/test/java/org/ragworthook/cli/RagworthookCliTests.java
@@ -60,6 +60,10 @@
 	void shouldNotWriteAPartOfTheResults(String framing) throws IOException {
 		String response = "HTTP/1.1 200 OK\r\n" + framing + "\r\n\r\n" + (framing.contains("chunked") ? "b\r\n" : "")
 				+ "{\"half\": 1}" + (framing.contains("chunked") ? "\r\n" : "");
+		assertNotWritten(response);
+	}
+
+	private void assertNotWritten(String response) throws IOException {
 		Path file = this.folder.resolve("results.jsonl");
 		assertThat(results(response, file)).isEqualTo(ExitCode.UNAVAILABLE);
 		assertThat(Files.exists(file)).isFalse();
@@ -76,9 +80,7 @@
 			"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4 4\r\nbody\r\n0\r\n\r\n",
 			"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nno field\r\n\r\n" })
 	void shouldNotWriteResultsOfAMalformedAnswer(String response) throws IOException {
-		Path file = this.folder.resolve("results.jsonl");
-		assertThat(results(response, file)).isEqualTo(ExitCode.UNAVAILABLE);
-		assertThat(Files.exists(file)).isFalse();
+		assertNotWritten(response);
 	}
 
 	/** Guards against a limit on sound answers that are unusual. */
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/objects/ForeignAnswerTests.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/objects/ForeignAnswerTests.java
@@ -19,19 +19,9 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.ragworthook.core.error.ErrorCode;
-import org.ragworthook.core.error.Failures;
-import org.ragworthook.core.error.StoreException;
-import org.ragworthook.core.fleet.Address;
-import org.ragworthook.core.store.Draft;
-import org.ragworthook.core.store.Kind;
-import org.ragworthook.core.store.Labels;
-import org.ragworthook.core.store.Listing;
-import org.ragworthook.core.store.ObjectKey;
 import org.ragworthook.core.store.Stored;
 import org.ragworthook.daemon.fake.ScriptedServer;
 import org.ragworthook.objectapi.HttpObjectStore;
-import org.ragworthook.objectapi.ObjectDocuments;
-import org.ragworthook.objectapi.PlatformSettings;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -41,7 +31,7 @@
  */
 class ForeignAnswerTests {
 
-	private static final ObjectKey KEY = ObjectKey.of(Kind.JOB, "programme-1");
+	private static final Duration CALL_TIMEOUT = Duration.ofSeconds(5);
 
 	private static final long PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(30);
 
@@ -59,26 +49,14 @@
 		vertx.close().toCompletionStage().toCompletableFuture().join();
 	}
 
-	/** Returns a client with one connection at a time. */
 	private static HttpObjectStore client(ScriptedServer server) {
-		PlatformSettings defaults = PlatformSettings.of(new Address("127.0.0.1", server.port()));
-		return HttpObjectStore.of(vertx, new PlatformSettings(defaults.address(), defaults.namespace(),
-				Duration.ofSeconds(5), Duration.ofSeconds(5), defaults.watchTimeout(), 1));
-	}
-
-	private static String document(long version) {
-		return ObjectDocuments.document(new Stored(KEY, version, Draft.of("1", "a#1"))).encode();
+		return HttpObjectStore.of(vertx, StoreCall.settings(server, CALL_TIMEOUT));
 	}
 
 	private static String response(int status, Framing framing, String body) {
 		return "HTTP/1.1 " + status + " Scripted\r\nContent-Type: application/json\r\n" + framing.rest(body);
 	}
 
-	private static Optional<ErrorCode> failure(CompletableFuture<?> call) {
-		Throwable failure = call.handle((result, thrown) -> thrown).join();
-		return Optional.ofNullable(failure).map((thrown) -> ((StoreException) Failures.root(thrown)).code());
-	}
-
 	/**
 	 * Guards against an old version of an object that is read as the present one, because
 	 * the answer to an earlier call came a second time.
@@ -88,13 +66,13 @@
 	void shouldNotTakeASecondAnswerForThePresentOne(Framing framing, Time time) throws IOException {
 		long[] version = new long[1];
 		ScriptedServer.Script script = (request) -> {
-			String own = response(200, framing, document(version[0]));
+			String own = response(200, framing, StoreCall.document(version[0]));
 			if (time == Time.WITH_THE_FIRST && request.before().isEmpty()) {
 				request.send(own + own);
 				return true;
 			}
 			if (time == Time.WITH_THE_NEXT && request.before().isPresent()) {
-				request.send(response(200, framing, document(version[0] - 1)));
+				request.send(response(200, framing, StoreCall.document(version[0] - 1)));
 			}
 			request.send(own);
 			if (request.before().isEmpty() && (time == Time.IDLE || time == Time.IN_PIECES)) {
@@ -110,8 +88,8 @@
 			List<String> wrong = new ArrayList<>();
 			for (int call = 1; call <= 4; call++) {
 				version[0] = call;
-				CompletableFuture<Optional<Stored>> read = store.read(KEY);
-				if (failure(read).isEmpty() && read.join().orElseThrow().version() != call) {
+				CompletableFuture<Optional<Stored>> read = store.read(StoreCall.KEY);
+				if (StoreCall.failure(read).isEmpty() && read.join().orElseThrow().version() != call) {
 					wrong.add("call " + call + " got version " + read.join().get().version());
 				}
 				if (time == Time.IDLE) {
@@ -136,13 +114,13 @@
 	@EnumSource(names = { "LENGTH", "CHUNKED" })
 	void shouldCloseAnIdleConnectionThatReceivesBytes(Framing framing) throws IOException {
 		ScriptedServer.Script script = (request) -> {
-			request.send(response(200, framing, document(1)));
+			request.send(response(200, framing, StoreCall.document(1)));
 			LockSupport.parkNanos(PAUSE_NANOS);
 			request.send("HTTP/1.1 2");
 			return true;
 		};
 		try (ScriptedServer server = ScriptedServer.start(script); HttpObjectStore store = client(server)) {
-			assertThat(failure(store.read(KEY))).isEqualTo(Optional.empty());
+			assertThat(StoreCall.failure(store.read(StoreCall.KEY))).isEqualTo(Optional.empty());
 			long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(2);
 			while (server.openConnections() > 0 && System.nanoTime() - end < 0) {
 				LockSupport.parkNanos(PAUSE_NANOS);
@@ -157,7 +135,7 @@
 	 */
 	@ParameterizedTest
 	@EnumSource
-	void shouldNotJoinTwoHeads(Call call) throws IOException {
+	void shouldNotJoinTwoHeads(StoreCall call) throws IOException {
 		String cut = response(200, Framing.LENGTH, call.body());
 		int head = cut.indexOf("\r\n\r\n") + 4;
 		int[] place = new int[1];
@@ -168,7 +146,7 @@
 		try (ScriptedServer server = ScriptedServer.start(script); HttpObjectStore store = client(server)) {
 			List<Integer> wrong = IntStream.range(1, head).filter((at) -> {
 				place[0] = at;
-				return failure(call.start(store)).isEmpty();
+				return StoreCall.failure(call.start(store)).isEmpty();
 			}).boxed().toList();
 			assertThat(wrong).isEmpty();
 		}
@@ -177,7 +155,7 @@
 	/** Guards against a part of an answer that is taken for a whole one. */
 	@ParameterizedTest
 	@MethodSource("cuts")
-	void shouldNotTakeAPartForWhole(Call call, Framing framing, boolean reset) throws IOException {
+	void shouldNotTakeAPartForWhole(StoreCall call, Framing framing, boolean reset) throws IOException {
 		String whole = response(200, framing, call.body());
 		int[] place = new int[1];
 		ScriptedServer.Script script = (request) -> {
@@ -191,22 +169,22 @@
 			List<String> wrong = new ArrayList<>();
 			for (int at = 0; at < whole.length(); at++) {
 				place[0] = at;
-				Optional<ErrorCode> got = failure(call.start(store));
+				Optional<ErrorCode> got = StoreCall.failure(call.start(store));
 				if (got.isEmpty()) {
 					wrong.add("cut after " + at);
 				}
 			}
 			assertThat(wrong).isEmpty();
 			place[0] = whole.length();
-			assertThat(failure(call.start(store))).isEqualTo(Optional.empty());
+			assertThat(StoreCall.failure(call.start(store))).isEqualTo(Optional.empty());
 		}
 	}
 
 	static Stream<Arguments> cuts() {
-		return Stream.of(Call.values())
+		return Stream.of(StoreCall.values())
 			.flatMap((call) -> Stream.of(Framing.LENGTH, Framing.TRAILER, Framing.CLOSE)
 				.flatMap((framing) -> Stream.of(false, true)
-					.filter((reset) -> !reset || call == Call.CREATE)
+					.filter((reset) -> !reset || call == StoreCall.CREATE)
 					.map((reset) -> Arguments.of(call, framing, reset))));
 	}
 
@@ -229,31 +207,6 @@
 
 	}
 
-	/**
-	 * The calls of the object API.
-	 */
-	enum Call {
-
-		READ, CREATE, UPDATE, DELETE, LIST;
-
-		String body() {
-			return (this == LIST) ? ObjectDocuments
-				.document(Kind.JOB, new Listing(List.of(new Stored(KEY, 3, Draft.of("1", "a#1"))), 7))
-				.encode() : document(3);
-		}
-
-		CompletableFuture<?> start(HttpObjectStore store) {
-			return switch (this) {
-				case READ -> store.read(KEY);
-				case CREATE -> store.create(KEY, Draft.of("1", "a#1"));
-				case UPDATE -> store.update(KEY, Draft.of("1", "a#1"), 2);
-				case DELETE -> store.delete(KEY, 2);
-				case LIST -> store.list(Kind.JOB, Labels.empty());
-			};
-		}
-
-	}
-
 	/**
 	 * How an answer is delimited.
 	 */
--- a/modules/daemon/src/test/java/org/ragworthook/daemon/objects/MalformedStoreAnswerTests.java
+++ b/modules/daemon/src/test/java/org/ragworthook/daemon/objects/MalformedStoreAnswerTests.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -17,20 +16,12 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.ragworthook.core.error.ErrorCode;
-import org.ragworthook.core.error.Failures;
-import org.ragworthook.core.error.StoreException;
-import org.ragworthook.core.fleet.Address;
-import org.ragworthook.core.store.Draft;
 import org.ragworthook.core.store.Kind;
 import org.ragworthook.core.store.Labels;
-import org.ragworthook.core.store.Listing;
-import org.ragworthook.core.store.ObjectKey;
-import org.ragworthook.core.store.Stored;
 import org.ragworthook.daemon.fake.ChunkedBodies;
 import org.ragworthook.daemon.fake.ScriptedServer;
 import org.ragworthook.objectapi.EndpointSliceList;
 import org.ragworthook.objectapi.HttpObjectStore;
-import org.ragworthook.objectapi.ObjectDocuments;
 import org.ragworthook.objectapi.PlatformSettings;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -40,8 +31,6 @@
  */
 class MalformedStoreAnswerTests {
 
-	private static final ObjectKey KEY = ObjectKey.of(Kind.JOB, "programme-1");
-
 	private static final Duration CALL_TIMEOUT = Duration.ofSeconds(20);
 
 	private static Vertx vertx;
@@ -57,14 +46,7 @@
 	}
 
 	private static PlatformSettings settings(ScriptedServer server) {
-		PlatformSettings defaults = PlatformSettings.of(new Address("127.0.0.1", server.port()));
-		return new PlatformSettings(defaults.address(), defaults.namespace(), Duration.ofSeconds(5), CALL_TIMEOUT,
-				defaults.watchTimeout(), 1);
-	}
-
-	private static Optional<ErrorCode> failure(CompletableFuture<?> call) {
-		Throwable failure = call.handle((result, thrown) -> thrown).join();
-		return Optional.ofNullable(failure).map((thrown) -> ((StoreException) Failures.root(thrown)).code());
+		return StoreCall.settings(server, CALL_TIMEOUT);
 	}
 
 	/** Guards against a call that counts as done though it got no answer. */
@@ -76,7 +58,7 @@
 			return true;
 		};
 		try (ScriptedServer server = ScriptedServer.start(script)) {
-			assertThat(failure(call.start(server))).hasValue(call.codeOfNoAnswer());
+			assertThat(StoreCall.failure(call.start(server))).hasValue(call.codeOfNoAnswer());
 		}
 	}
 
@@ -100,7 +82,7 @@
 			return true;
 		};
 		try (ScriptedServer server = ScriptedServer.start(script)) {
-			assertThat(failure(call.start(server))).isEmpty();
+			assertThat(StoreCall.failure(call.start(server))).isEmpty();
 		}
 	}
 
@@ -117,7 +99,7 @@
 	@MethodSource("malformedChunks")
 	void shouldNotTakeMalformedChunks(Call call, String format) throws IOException {
 		try (ScriptedServer server = ScriptedServer.start(chunked(call, format))) {
-			assertThat(failure(call.start(server))).hasValue(call.codeOfNoAnswer());
+			assertThat(StoreCall.failure(call.start(server))).hasValue(call.codeOfNoAnswer());
 		}
 	}
 
@@ -133,7 +115,7 @@
 	@MethodSource("unusualChunks")
 	void shouldTakeUnusualChunks(Call call, String format) throws IOException {
 		try (ScriptedServer server = ScriptedServer.start(chunked(call, format))) {
-			assertThat(failure(call.start(server))).isEmpty();
+			assertThat(StoreCall.failure(call.start(server))).isEmpty();
 		}
 	}
 
@@ -158,7 +140,7 @@
 	void shouldEndAnAnswerWithoutEnd(Call call) throws IOException {
 		AtomicLong sent = new AtomicLong();
 		try (ScriptedServer server = ScriptedServer.start(endless("", sent))) {
-			assertThat(failure(call.start(server))).hasValue(call.codeOfNoAnswer());
+			assertThat(StoreCall.failure(call.start(server))).hasValue(call.codeOfNoAnswer());
 			assertThat(sent.get()).isLessThan(ScriptedServer.ENDLESS_BYTES);
 		}
 	}
@@ -192,16 +174,22 @@
 	/** The calls to the platform. */
 	enum Call {
 
-		READ, CREATE, UPDATE, DELETE, LIST, INSTANCES;
+		READ(StoreCall.READ), CREATE(StoreCall.CREATE), UPDATE(StoreCall.UPDATE), DELETE(StoreCall.DELETE),
+		LIST(StoreCall.LIST), INSTANCES;
+
+		/** The call of the object API, or empty if it is one to the list of instances. */
+		private final Optional<StoreCall> ofStore;
+
+		Call(StoreCall ofStore) {
+			this.ofStore = Optional.of(ofStore);
+		}
+
+		Call() {
+			this.ofStore = Optional.empty();
+		}
 
 		String body() {
-			return switch (this) {
-				case LIST -> ObjectDocuments
-					.document(Kind.JOB, new Listing(List.of(new Stored(KEY, 3, Draft.of("1", "a#1"))), 7))
-					.encode();
-				case INSTANCES -> "{\"items\":[]}";
-				default -> ObjectDocuments.document(new Stored(KEY, 3, Draft.of("1", "a#1"))).encode();
-			};
+			return this.ofStore.map(StoreCall::body).orElse("{\"items\":[]}");
 		}
 
 		ErrorCode codeOfNoAnswer() {
@@ -212,22 +200,12 @@
 		}
 
 		CompletableFuture<?> start(ScriptedServer server) {
-			if (this == INSTANCES) {
+			if (this.ofStore.isEmpty()) {
 				EndpointSliceList list = EndpointSliceList.of(vertx, settings(server));
 				return list.instances().whenComplete((instances, failure) -> list.close());
 			}
 			HttpObjectStore store = HttpObjectStore.of(vertx, settings(server));
-			return start(store).whenComplete((result, failure) -> store.close());
-		}
-
-		private CompletableFuture<?> start(HttpObjectStore store) {
-			return switch (this) {
-				case READ -> store.read(KEY);
-				case CREATE -> store.create(KEY, Draft.of("1", "a#1"));
-				case UPDATE -> store.update(KEY, Draft.of("1", "a#1"), 2);
-				case DELETE -> store.delete(KEY, 2);
-				default -> store.list(Kind.JOB, Labels.empty());
-			};
+			return this.ofStore.get().start(store).whenComplete((result, failure) -> store.close());
 		}
 
 	}
